--- /dev/null
+++ b/crates/cell/src/desk.rs
@@ -0,0 +1,359 @@
+//! The jobs at home in one rack, as the rack's owner looks after them.
+//!
+//! All jobs of a team are at home in one rack, so one owner knows what the team uses and its quota
+//! is exact. What must last is in the job's row ([`Saved`]); which task runs where is not stored:
+//! a new owner asks the owners of all racks ([`Desk::counted`]).
+
+mod digests;
+mod plan;
+mod work;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use config::Cell;
+use resource::{Size, id};
+use wire::{Event, Fate, Fault, Inventory, Job, Kind, Phase, Placed, Placement, Shape, State};
+
+pub use digests::Digests;
+pub use plan::Plan;
+pub use work::Saved;
+
+use crate::Now;
+use work::{Part, Work};
+
+/// A task whose order was not answered, or whose rack has a new owner, is asked after this often.
+const DOUBT: Duration = Duration::from_secs(2);
+
+/// Team and job.
+type Name = (id::Team, id::Job);
+
+/// The jobs at home in one rack.
+#[derive(Debug)]
+pub struct Desk {
+    home: id::Rack,
+    epoch: id::Epoch,
+    jobs: BTreeMap<Name, Work>,
+    arrivals: u64,
+    attempts: u64,
+    serial: u64,
+    /// Racks whose holdings are not known for sure, and since when.
+    doubts: BTreeMap<id::Rack, Now>,
+    dirty: BTreeSet<Name>,
+    /// Jobs with waiting tasks, in no particular order.
+    waiting: BTreeSet<Name>,
+}
+
+impl Desk {
+    /// A desk without jobs.
+    #[must_use]
+    pub const fn new(home: id::Rack, epoch: id::Epoch) -> Self {
+        Self {
+            home,
+            epoch,
+            jobs: BTreeMap::new(),
+            arrivals: 0,
+            attempts: 0,
+            serial: 0,
+            doubts: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+        }
+    }
+
+    /// Takes the jobs of an earlier owner, from their rows. What runs where is not known until
+    /// every rack was asked.
+    pub fn recover(&mut self, saved: impl IntoIterator<Item = Saved>, cell: &Cell, now: Now) {
+        for saved in saved {
+            let name = (saved.job.team.clone(), saved.job.id.clone());
+            self.arrivals += 1;
+            let work = Work::recovered(saved, self.arrivals);
+            self.jobs.insert(name, work);
+        }
+        for rack in cell.racks.keys() {
+            self.doubt(rack, now);
+        }
+    }
+
+    /// Takes a new job, whose row was written.
+    pub fn submit(&mut self, job: Job) -> State {
+        let name = (job.team.clone(), job.id.clone());
+        self.arrivals += 1;
+        let arrival = self.arrivals;
+        let work = self
+            .jobs
+            .entry(name.clone())
+            .or_insert_with(|| Work::new(job, arrival));
+        let state = work.state();
+        self.waiting.insert(name);
+        state
+    }
+
+    /// A job that is here already; it must be the same.
+    ///
+    /// # Errors
+    /// [`Kind::Conflict`] if another job has this name.
+    pub fn find(&self, job: &Job) -> Result<Option<State>, Fault> {
+        match self.jobs.get(&(job.team.clone(), job.id.clone())) {
+            None => Ok(None),
+            Some(work) if work.job == *job => Ok(Some(work.state())),
+            Some(_) => Err(Fault::new(Kind::Conflict, "another job has this id")),
+        }
+    }
+
+    /// Where a job stands.
+    #[must_use]
+    pub fn state(&self, team: &str, job: &str) -> Option<State> {
+        self.jobs
+            .get(&(team.to_owned(), job.to_owned()))
+            .map(Work::state)
+    }
+
+    /// Withdraws a job: nothing more of it starts. Tells the racks where some of it still runs.
+    pub fn cancel(&mut self, team: &str, job: &str) -> Option<(State, Vec<id::Rack>)> {
+        let name = (team.to_owned(), job.to_owned());
+        let work = self.jobs.get_mut(&name)?;
+        if !work.phase.is_over() {
+            work.phase = Phase::Cancelled;
+            self.dirty.insert(name.clone());
+        }
+        self.waiting.remove(&name);
+        Some((work.state(), work.racks()))
+    }
+
+    /// Racks on which something runs of jobs that are over, with team and job.
+    #[must_use]
+    pub fn leftovers(&self) -> Vec<(id::Rack, id::Team, id::Job)> {
+        let over = self.jobs.values().filter(|w| w.phase.is_over());
+        let place = |w: &Work| {
+            let (team, job) = (w.job.team.clone(), w.job.id.clone());
+            w.racks()
+                .into_iter()
+                .map(move |rack| (rack, team.clone(), job.clone()))
+        };
+        over.flat_map(place).collect()
+    }
+
+    /// The owner of a rack has answered an order.
+    pub fn placed(&mut self, order: &wire::Order, reply: &Placed) {
+        for (task, placement) in order.tasks.iter().zip(&reply.placements) {
+            if *placement == Placement::Placed {
+                continue;
+            }
+            let name = (task.id.team.clone(), task.id.job.clone());
+            let Some(work) = self.jobs.get_mut(&name) else {
+                continue;
+            };
+            if work.back(task.id.index, task.id.attempt, task.saved_ms) {
+                self.waiting.insert(name);
+            }
+        }
+    }
+
+    /// An order was not answered, or a rack has a new owner: what it holds is not known.
+    pub fn doubt(&mut self, rack: &str, now: Now) {
+        self.doubts
+            .entry(rack.to_owned())
+            .or_insert(now.saturating_sub(DOUBT));
+    }
+
+    /// Whether some rack is to be asked what it holds now.
+    pub fn doubtful(&mut self, now: Now) -> bool {
+        let mut due = false;
+        for asked in self.doubts.values_mut() {
+            if now >= *asked + DOUBT {
+                *asked = now;
+                due = true;
+            }
+        }
+        due
+    }
+
+    /// A rack has said what it holds.
+    pub fn counted(&mut self, inventory: &Inventory) {
+        if !self.doubts.contains_key(&inventory.rack) {
+            return;
+        }
+        for event in &inventory.news {
+            self.event(event);
+        }
+        for holding in &inventory.holdings {
+            let id = &holding.task;
+            if let Some(work) = self.jobs.get_mut(&(id.team.clone(), id.job.clone())) {
+                work.seen(id.index, id.attempt, &inventory.rack);
+            }
+        }
+        if !inventory.complete {
+            return;
+        }
+        self.doubts.remove(&inventory.rack);
+        let all_known = self.doubts.is_empty();
+        let held = |index: u32, attempt: u64, job: &Job| {
+            inventory.holdings.iter().any(|h| {
+                h.task.index == index
+                    && h.task.attempt == attempt
+                    && h.task.job == job.id
+                    && h.task.team == job.team
+            })
+        };
+        for (name, work) in &mut self.jobs {
+            work.missing(&inventory.rack, &held);
+            if all_known {
+                work.unknown_is_lost();
+            }
+            if work.waits() {
+                self.waiting.insert(name.clone());
+            }
+        }
+    }
+
+    /// The owner of a rack says what became of an attempt.
+    pub fn event(&mut self, event: &Event) {
+        let id = &event.task;
+        let name = (id.team.clone(), id.job.clone());
+        let Some(work) = self.jobs.get_mut(&name) else {
+            return;
+        };
+        match event.fate {
+            Fate::Running => work.runs(id.index, id.attempt),
+            Fate::Finished => work.finished(id.index, id.attempt),
+            fate => work.broken(id.index, id.attempt, fate),
+        }
+        if work.waits() {
+            self.waiting.insert(name.clone());
+        }
+        if !matches!(event.fate, Fate::Running) {
+            self.dirty.insert(name);
+        }
+    }
+
+    /// Gangs of which a member has ended before its work was done: the rest must be stopped, and
+    /// then all start anew.
+    pub fn broken_gangs(&mut self) -> Vec<(wire::Gang, Vec<id::Rack>)> {
+        let broken = self
+            .jobs
+            .values_mut()
+            .filter(|w| w.job.shape == Shape::Gang);
+        broken.filter_map(Work::break_up).collect()
+    }
+
+    /// Rows of jobs that have changed since the last call.
+    pub fn unsaved(&mut self) -> Vec<Saved> {
+        let names = std::mem::take(&mut self.dirty);
+        names
+            .iter()
+            .filter_map(|name| self.jobs.get(name))
+            .map(Work::saved)
+            .collect()
+    }
+
+    /// A row could not be written; it is tried again.
+    pub fn not_saved(&mut self, saved: &Saved) {
+        self.dirty
+            .insert((saved.job.team.clone(), saved.job.id.clone()));
+    }
+
+    /// Forgets all but the last `keep` jobs that are over and have nothing left running; tells
+    /// whose rows can be deleted.
+    pub fn forget_over(&mut self, keep: usize) -> Vec<(id::Team, id::Job)> {
+        let over = |w: &&Work| w.phase.is_over() && w.racks().is_empty();
+        let mut done: Vec<(u64, Name)> = self
+            .jobs
+            .iter()
+            .filter(|(name, w)| over(w) && !self.dirty.contains(*name))
+            .map(|(name, w)| (w.arrival, name.clone()))
+            .collect();
+        done.sort();
+        done.truncate(done.len().saturating_sub(keep));
+        let names: Vec<Name> = done.into_iter().map(|(_, name)| name).collect();
+        for name in &names {
+            self.jobs.remove(name);
+        }
+        names
+    }
+
+    /// What each team at home here uses, and how many of its tasks wait.
+    #[must_use]
+    pub fn usage(&self) -> BTreeMap<id::Team, (Size, u32)> {
+        let mut usage: BTreeMap<id::Team, (Size, u32)> = BTreeMap::new();
+        for work in self.jobs.values() {
+            let (used, waiting) = usage.entry(work.job.team.clone()).or_default();
+            *used = used.plus(work.used());
+            *waiting += work.state().waiting;
+        }
+        usage
+    }
+
+    /// The next message of this owner.
+    pub fn next_serial(&mut self) -> wire::Seniority {
+        self.serial += 1;
+        wire::Seniority {
+            home: self.home.clone(),
+            epoch: self.epoch,
+            serial: self.serial,
+        }
+    }
+
+    /// The next attempt's number; no other owner of the home rack gives the same.
+    fn next_attempt(&mut self) -> u64 {
+        const PER_EPOCH: u32 = 32;
+        self.attempts += 1;
+        (self.epoch << PER_EPOCH) | self.attempts
+    }
+
+    fn part(&mut self, name: &Name, index: u32) -> Option<&mut Part> {
+        self.jobs.get_mut(name)?.parts.get_mut(index as usize)
+    }
+}
+
+fn admit(job: &Job, cell: &Cell) -> Result<(), Fault> {
+    let Some(team) = cell.team(&job.team) else {
+        return Err(Fault::new(
+            Kind::UnknownTeam,
+            format!("there is no team {:?}", job.team),
+        ));
+    };
+    if job.urgent && !team.urgent {
+        let reason = format!("team {:?} may not mark work as urgent", job.team);
+        return Err(Fault::new(Kind::NotAllowed, reason));
+    }
+    if !job.size.fits(cell.worker) {
+        return Err(Fault::new(
+            Kind::NeverFits,
+            "a task is larger than any worker",
+        ));
+    }
+    let together = matches!(job.shape, Shape::Gang | Shape::Service);
+    if together && !job.total().fits(cell.capacity()) {
+        return Err(Fault::new(
+            Kind::NeverFits,
+            "all tasks together are larger than the cell",
+        ));
+    }
+    let bound = policy::Quota {
+        quota: team.quota,
+        used: Size::ZERO,
+        borrow: false,
+    };
+    let alone = if job.shape == Shape::Service {
+        job.total()
+    } else {
+        job.size
+    };
+    let beyond = bound.standing(alone) != policy::Standing::Within;
+    if beyond && (job.shape == Shape::Service || !team.borrow) {
+        let reason = format!("the quota of team {:?} never allows it", job.team);
+        return Err(Fault::new(Kind::NeverFits, reason));
+    }
+    Ok(())
+}
+
+impl Desk {
+    /// Whether a job can ever run in this cell.
+    ///
+    /// # Errors
+    /// [`Kind::UnknownTeam`], [`Kind::NotAllowed`] or [`Kind::NeverFits`], with the reason.
+    pub fn admit(job: &Job, cell: &Cell) -> Result<(), Fault> {
+        admit(job, cell)
+    }
+}
--- /dev/null
+++ b/crates/cell/src/desk/plan.rs
@@ -0,0 +1,292 @@
+//! Which waiting tasks go to which rack now.
+
+use std::collections::BTreeMap;
+
+use config::Cell;
+use policy::{Quota, Rule, Standing};
+use resource::{Size, id};
+use wire::{Band, Gang, Mode, Order, Shape, Task, TaskId};
+
+use super::work::Part;
+use super::{Desk, Digests, Name};
+
+/// Tasks that are placed in one round, at most, so that a round stays short.
+const ROUND: usize = 512;
+/// Jobs of one team that are looked at beyond the first that finds no room. Smaller ones behind
+/// it may use what it can't, but not for ever: see [`PATIENCE`].
+const LOOK_BEHIND: usize = 16;
+/// Gangs that wait while this many later jobs have passed them keep later ones from passing.
+const PATIENCE: u64 = 64;
+
+/// Something to be done now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Plan {
+    /// Start tasks, each by itself.
+    Start(Order),
+    /// Hold room on all these racks, in this order, then start all or let go of all.
+    Gang {
+        /// The gang.
+        gang: Gang,
+        /// One order for each rack, in the order of their names: two gangs that take racks in the
+        /// same order can't wait for each other.
+        orders: Vec<Order>,
+    },
+}
+
+impl Desk {
+    /// Decides which waiting tasks go where: urgent work first, then services, then teams that use
+    /// least of their quota.
+    pub fn plan(&mut self, cell: &Cell, digests: &mut Digests) -> Vec<Plan> {
+        let mut used = self.usage();
+        let mut orders: BTreeMap<id::Rack, Vec<Task>> = BTreeMap::new();
+        let mut plans = Vec::new();
+        let mut left = ROUND;
+        let mut refusals: BTreeMap<id::Team, usize> = BTreeMap::new();
+        for name in self.turns(cell, &used) {
+            let refused = refusals.entry(name.0.clone()).or_default();
+            if left == 0 || *refused > LOOK_BEHIND {
+                continue;
+            }
+            let Some(work) = self.jobs.get(&name) else {
+                continue;
+            };
+            let gang = work.job.shape == Shape::Gang;
+            let team_used = &mut used.entry(name.0.clone()).or_default().0;
+            let placed = if gang {
+                let plan = self.plan_gang(&name, cell, team_used, digests);
+                let n = plan.as_ref().map_or(0, |_| 1);
+                plans.extend(plan);
+                n
+            } else {
+                let tasks = self.plan_each(&name, cell, team_used, digests, left);
+                let n = tasks.len();
+                for (rack, task) in tasks {
+                    orders.entry(rack).or_default().push(task);
+                }
+                n
+            };
+            left = left.saturating_sub(placed);
+            if placed == 0 {
+                *refused += 1;
+                if gang && self.overtaken(&name) {
+                    *refused = LOOK_BEHIND + 1;
+                }
+            }
+        }
+        for (rack, tasks) in orders {
+            let from = self.next_serial();
+            plans.push(Plan::Start(Order {
+                rack,
+                from,
+                mode: Mode::Start,
+                tasks,
+            }));
+        }
+        plans
+    }
+
+    /// Jobs with waiting tasks, in the order of their turns.
+    fn turns(&mut self, cell: &Cell, used: &BTreeMap<id::Team, (Size, u32)>) -> Vec<Name> {
+        let jobs = &self.jobs;
+        self.waiting
+            .retain(|name| jobs.get(name).is_some_and(super::Work::waits));
+        let share = |team: &str| {
+            let quota = cell.team(team).map_or(Size::ZERO, |t| t.quota);
+            used.get(team).map_or(0.0, |(used, _)| used.share(quota))
+        };
+        let mut turns: Vec<_> = self
+            .waiting
+            .iter()
+            .filter_map(|name| {
+                let work = self.jobs.get(name)?;
+                let class = match (work.job.urgent, work.job.shape) {
+                    (true, _) => 0,
+                    (false, Shape::Service) => 1,
+                    (false, Shape::Batch | Shape::Gang) => 2,
+                };
+                Some((class, share(&name.0), work.arrival, name.clone()))
+            })
+            .collect();
+        turns.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        turns.into_iter().map(|(.., name)| name).collect()
+    }
+
+    fn overtaken(&self, name: &Name) -> bool {
+        self.jobs
+            .get(name)
+            .is_some_and(|w| self.arrivals > w.arrival + PATIENCE)
+    }
+
+    fn plan_each(
+        &mut self,
+        name: &Name,
+        cell: &Cell,
+        used: &mut Size,
+        digests: &mut Digests,
+        most: usize,
+    ) -> Vec<(id::Rack, Task)> {
+        let mut tasks = Vec::new();
+        while tasks.len() < most {
+            let Some((index, saved_ms)) = self.first_waiting(name) else {
+                break;
+            };
+            let Some(band) = self.band(name, cell, *used) else {
+                break;
+            };
+            let Some(work) = self.jobs.get(name) else {
+                break;
+            };
+            let (size, shape) = (work.job.size, work.job.shape);
+            let rule = rule(shape, cell);
+            let rack = digests.take(rule, size).cloned().or_else(|| {
+                (band > Band::Borrowed)
+                    .then(|| digests.take_yielding(size))
+                    .flatten()
+            });
+            let Some(rack) = rack else {
+                break;
+            };
+            *used = used.plus(size);
+            let attempt = self.next_attempt();
+            if let Some(task) = self.assign(name, index, &rack, attempt, band, saved_ms) {
+                tasks.push((rack, task));
+            }
+        }
+        tasks
+    }
+
+    fn plan_gang(
+        &mut self,
+        name: &Name,
+        cell: &Cell,
+        used: &mut Size,
+        digests: &mut Digests,
+    ) -> Option<Plan> {
+        let work = self.jobs.get_mut(name)?;
+        let whole = work.parts.iter().all(|p| matches!(p, Part::Waiting { .. }));
+        if work.breaking() && !work.racks().is_empty() || !whole {
+            return None;
+        }
+        work.clear_break();
+        let (size, total, n) = (work.job.size, work.job.total(), work.job.tasks);
+        let quota = quota(cell, &name.0, *used);
+        let band = match quota.standing(total) {
+            Standing::Within if work.job.urgent => Band::Urgent,
+            Standing::Within => Band::Normal,
+            Standing::Borrowing => Band::Borrowed,
+            Standing::Beyond => return None,
+        };
+        let mut trial = digests.clone();
+        let rack = |_| trial.take(Rule::BestFit, size).cloned();
+        let racks: Vec<id::Rack> = (0..n).map(rack).collect::<Option<_>>()?;
+        *digests = trial;
+        *used = used.plus(total);
+        let attempt = self.next_attempt();
+        let mut by_rack: BTreeMap<id::Rack, Vec<Task>> = BTreeMap::new();
+        for (index, rack) in (0..n).zip(racks) {
+            let task = self.assign(name, index, &rack, attempt, band, 0)?;
+            by_rack.entry(rack).or_default().push(task);
+        }
+        let gang = Gang {
+            team: name.0.clone(),
+            job: name.1.clone(),
+            attempt,
+        };
+        let order = |(rack, tasks)| {
+            let from = self.next_serial();
+            Order {
+                rack,
+                from,
+                mode: Mode::Hold,
+                tasks,
+            }
+        };
+        let orders = by_rack.into_iter().map(order).collect();
+        Some(Plan::Gang { gang, orders })
+    }
+
+    /// The band that one more task of a job would have; `None` if it must wait.
+    fn band(&self, name: &Name, cell: &Cell, used: Size) -> Option<Band> {
+        let job = &self.jobs.get(name)?.job;
+        let standing = quota(cell, &name.0, used).standing(job.size);
+        match (standing, job.shape) {
+            (Standing::Within, _) if job.urgent => Some(Band::Urgent),
+            (Standing::Within, Shape::Service) => Some(Band::Standing),
+            (Standing::Within, _) => Some(Band::Normal),
+            (Standing::Borrowing, Shape::Batch) => Some(Band::Borrowed),
+            // Services are never stopped for others, so they can't be given what may be asked
+            // back.
+            (Standing::Borrowing | Standing::Beyond, _) => None,
+        }
+    }
+
+    fn first_waiting(&mut self, name: &Name) -> Option<(u32, u64)> {
+        let work = self.jobs.get_mut(name)?;
+        while let Some(&index) = work.queue.front() {
+            if let Some(Part::Waiting { saved_ms }) = work.parts.get(index as usize) {
+                return Some((index, *saved_ms));
+            }
+            work.queue.pop_front();
+        }
+        None
+    }
+
+    fn assign(
+        &mut self,
+        name: &Name,
+        index: u32,
+        rack: &str,
+        attempt: u64,
+        band: Band,
+        saved_ms: u64,
+    ) -> Option<Task> {
+        let home = self.home.clone();
+        let running = false;
+        *self.part(name, index)? = Part::Placed {
+            rack: rack.to_owned(),
+            attempt,
+            band,
+            running,
+            saved_ms,
+        };
+        let work = self.jobs.get_mut(name)?;
+        if work.queue.front() == Some(&index) {
+            work.queue.pop_front();
+        }
+        let job = &work.job;
+        let id = TaskId {
+            team: job.team.clone(),
+            job: job.id.clone(),
+            index,
+            attempt,
+        };
+        let (shape, size, run_ms) = (job.shape, job.size, job.run_ms);
+        Some(Task {
+            id,
+            shape,
+            band,
+            size,
+            run_ms,
+            home,
+            saved_ms,
+        })
+    }
+}
+
+fn quota(cell: &Cell, team: &str, used: Size) -> Quota {
+    let team = cell.team(team);
+    let quota = team.map_or(Size::ZERO, |t| t.quota);
+    Quota {
+        quota,
+        used,
+        borrow: team.is_some_and(|t| t.borrow),
+    }
+}
+
+fn rule(shape: Shape, cell: &Cell) -> Rule {
+    match shape {
+        Shape::Service => Rule::Spread,
+        Shape::Batch => cell.policy.batch.into(),
+        Shape::Gang => Rule::BestFit,
+    }
+}
--- /dev/null
+++ b/crates/cell/src/desk/work.rs
@@ -0,0 +1,330 @@
+//! One job and its tasks.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use resource::{Size, id};
+use serde::{Deserialize, Serialize};
+use wire::{Band, Fate, Gang, Job, Phase, Shape, State};
+
+/// Failed attempts of one task after which the job is given up.
+const ATTEMPTS: u32 = 8;
+
+/// What must last of a job: its row in the platform's table.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Saved {
+    /// The job.
+    pub job: Job,
+    /// Where it stands.
+    pub phase: Phase,
+    /// Finished tasks, as ranges: first and last.
+    pub finished: Vec<(u32, u32)>,
+    /// Attempts that were lost, failed or given up for other work.
+    pub restarts: u32,
+}
+
+impl Saved {
+    /// Prefix of the rows of all jobs.
+    pub const PREFIX: &str = "job/";
+
+    /// The row of a job that was just submitted.
+    #[must_use]
+    pub const fn new(job: Job) -> Self {
+        Self {
+            job,
+            phase: Phase::Queued,
+            finished: Vec::new(),
+            restarts: 0,
+        }
+    }
+
+    /// Key of a job's row.
+    #[must_use]
+    pub fn key(team: &str, job: &str) -> String {
+        format!("{}{team}/{job}", Self::PREFIX)
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Part {
+    /// An earlier owner may have placed it.
+    Unknown,
+    /// It waits for room; work saved by an earlier attempt.
+    Waiting { saved_ms: u64 },
+    /// It was given to a rack.
+    Placed {
+        rack: id::Rack,
+        attempt: u64,
+        band: Band,
+        running: bool,
+        saved_ms: u64,
+    },
+    /// Its work is done.
+    Finished,
+}
+
+/// One job and its tasks.
+#[derive(Debug)]
+pub(super) struct Work {
+    pub(super) job: Job,
+    pub(super) phase: Phase,
+    pub(super) parts: Vec<Part>,
+    /// Tasks that wait; may name some that do not wait any more.
+    pub(super) queue: VecDeque<u32>,
+    pub(super) arrival: u64,
+    failures: u32,
+    restarts: u32,
+    /// Attempt of a gang that must be broken up.
+    broken: Option<u64>,
+}
+
+impl Work {
+    pub(super) fn new(job: Job, arrival: u64) -> Self {
+        let n = job.tasks;
+        Self {
+            job,
+            phase: Phase::Queued,
+            parts: vec![Part::Waiting { saved_ms: 0 }; n as usize],
+            queue: (0..n).collect(),
+            arrival,
+            failures: 0,
+            restarts: 0,
+            broken: None,
+        }
+    }
+
+    pub(super) fn recovered(saved: Saved, arrival: u64) -> Self {
+        let mut work = Self::new(saved.job, arrival);
+        work.phase = saved.phase;
+        work.restarts = saved.restarts;
+        work.parts.fill(Part::Unknown);
+        work.queue.clear();
+        for (first, last) in saved.finished {
+            for index in first..=last {
+                if let Some(part) = work.parts.get_mut(index as usize) {
+                    *part = Part::Finished;
+                }
+            }
+        }
+        work
+    }
+
+    pub(super) fn saved(&self) -> Saved {
+        let mut finished: Vec<(u32, u32)> = Vec::new();
+        for (index, part) in (0u32..).zip(&self.parts) {
+            if *part != Part::Finished {
+                continue;
+            }
+            match finished.last_mut() {
+                Some((_, last)) if *last + 1 == index => *last = index,
+                _ => finished.push((index, index)),
+            }
+        }
+        let (job, phase) = (self.job.clone(), self.phase);
+        Saved {
+            job,
+            phase,
+            finished,
+            restarts: self.restarts,
+        }
+    }
+
+    pub(super) fn state(&self) -> State {
+        let count = |wanted: fn(&Part) -> bool| self.parts.iter().filter(|p| wanted(p)).count();
+        let waits = |p: &Part| matches!(p, Part::Unknown | Part::Waiting { .. });
+        let waiting = if self.phase.is_over() {
+            0
+        } else {
+            count(waits) as u32
+        };
+        State {
+            id: self.job.id.clone(),
+            phase: self.phase,
+            waiting,
+            running: count(|p| matches!(p, Part::Placed { .. })) as u32,
+            finished: count(|p| *p == Part::Finished) as u32,
+            restarts: self.restarts,
+        }
+    }
+
+    /// Racks that hold something of it.
+    pub(super) fn racks(&self) -> Vec<id::Rack> {
+        let rack = |p: &Part| match p {
+            Part::Placed { rack, .. } => Some(rack.clone()),
+            _ => None,
+        };
+        let racks: BTreeSet<id::Rack> = self.parts.iter().filter_map(rack).collect();
+        racks.into_iter().collect()
+    }
+
+    /// What its tasks take.
+    pub(super) fn used(&self) -> Size {
+        let placed = self
+            .parts
+            .iter()
+            .filter(|p| matches!(p, Part::Placed { .. }))
+            .count();
+        self.job.size.times(placed as u64)
+    }
+
+    /// Whether some task waits and may be placed.
+    pub(super) fn waits(&self) -> bool {
+        !self.phase.is_over() && !self.queue.is_empty()
+    }
+
+    /// An attempt has no room after all; `true` if the task waits again.
+    pub(super) fn back(&mut self, index: u32, attempt: u64, saved_ms: u64) -> bool {
+        if !self.is_at(index, attempt) {
+            return false;
+        }
+        self.wait(index, saved_ms);
+        true
+    }
+
+    pub(super) fn runs(&mut self, index: u32, attempt: u64) {
+        if let Some(Part::Placed {
+            attempt: a,
+            running,
+            ..
+        }) = self.parts.get_mut(index as usize)
+            && *a == attempt
+        {
+            *running = true;
+        }
+        if self.phase == Phase::Queued {
+            self.phase = Phase::Running;
+        }
+    }
+
+    /// A rack holds this attempt; an earlier owner may have placed it.
+    pub(super) fn seen(&mut self, index: u32, attempt: u64, rack: &str) {
+        let band = match self.job.shape {
+            Shape::Service => Band::Standing,
+            Shape::Batch | Shape::Gang => Band::Normal,
+        };
+        if let Some(part) = self.parts.get_mut(index as usize)
+            && *part == Part::Unknown
+        {
+            let rack = rack.to_owned();
+            *part = Part::Placed {
+                rack,
+                attempt,
+                band,
+                running: true,
+                saved_ms: 0,
+            };
+            if self.phase == Phase::Queued {
+                self.phase = Phase::Running;
+            }
+        }
+    }
+
+    pub(super) fn finished(&mut self, index: u32, attempt: u64) {
+        let unknown = self.parts.get(index as usize) == Some(&Part::Unknown);
+        if !unknown && !self.is_at(index, attempt) {
+            return;
+        }
+        if let Some(part) = self.parts.get_mut(index as usize) {
+            *part = Part::Finished;
+        }
+        let all = self.parts.iter().all(|p| *p == Part::Finished);
+        if all && !self.phase.is_over() {
+            self.phase = Phase::Finished;
+        }
+    }
+
+    /// An attempt is over before its work was done.
+    pub(super) fn broken(&mut self, index: u32, attempt: u64, fate: Fate) {
+        if !self.is_at(index, attempt) {
+            return;
+        }
+        let saved_ms = match fate {
+            Fate::Preempted { saved_ms } => saved_ms,
+            _ => 0,
+        };
+        self.restarts += 1;
+        self.wait(index, saved_ms);
+        if fate == Fate::Failed {
+            self.failures += 1;
+            if self.failures >= ATTEMPTS * self.job.tasks && !self.phase.is_over() {
+                self.phase = Phase::Failed;
+            }
+        }
+        if self.job.shape == Shape::Gang {
+            self.broken = Some(attempt);
+        }
+    }
+
+    /// Attempts on this rack that it does not hold are over.
+    pub(super) fn missing(&mut self, rack: &str, held: &impl Fn(u32, u64, &Job) -> bool) {
+        let gone = |(index, part): (u32, &Part)| match part {
+            Part::Placed {
+                rack: r, attempt, ..
+            } if r == rack => (!held(index, *attempt, &self.job)).then_some((index, *attempt)),
+            _ => None,
+        };
+        let gone: Vec<(u32, u64)> = (0u32..).zip(&self.parts).filter_map(gone).collect();
+        for (index, attempt) in gone {
+            self.restarts += 1;
+            self.wait(index, 0);
+            if self.job.shape == Shape::Gang {
+                self.broken = Some(attempt);
+            }
+        }
+    }
+
+    /// Every rack was asked: what none of them holds does not run.
+    pub(super) fn unknown_is_lost(&mut self) {
+        let unknown = (0u32..)
+            .zip(&self.parts)
+            .filter(|(_, p)| **p == Part::Unknown);
+        let unknown: Vec<u32> = unknown.map(|(index, _)| index).collect();
+        for index in &unknown {
+            self.wait(*index, 0);
+        }
+        if self.job.shape == Shape::Gang && !unknown.is_empty() {
+            let placed = self.parts.iter().find_map(|p| match p {
+                Part::Placed { attempt, .. } => Some(*attempt),
+                _ => None,
+            });
+            self.broken = self.broken.or(placed);
+        }
+    }
+
+    /// For a gang that must be broken up: the attempt and the racks that hold the rest of it.
+    pub(super) fn break_up(&mut self) -> Option<(Gang, Vec<id::Rack>)> {
+        let attempt = self.broken.take()?;
+        let racks = self.racks();
+        let (team, job) = (self.job.team.clone(), self.job.id.clone());
+        if racks.is_empty() {
+            return None;
+        }
+        self.broken = Some(attempt);
+        Some((Gang { team, job, attempt }, racks))
+    }
+
+    /// Whether a gang has members left of an attempt that failed.
+    pub(super) const fn breaking(&self) -> bool {
+        self.broken.is_some()
+    }
+
+    /// Nothing is left of the attempt that failed.
+    pub(super) const fn clear_break(&mut self) {
+        self.broken = None;
+    }
+
+    fn is_at(&self, index: u32, attempt: u64) -> bool {
+        matches!(
+            self.parts.get(index as usize),
+            Some(Part::Placed { attempt: a, .. }) if *a == attempt
+        )
+    }
+
+    fn wait(&mut self, index: u32, saved_ms: u64) {
+        if let Some(part) = self.parts.get_mut(index as usize) {
+            *part = Part::Waiting { saved_ms };
+            self.queue.push_back(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/host.rs
@@ -0,0 +1,126 @@
+//! One worker, as the owner of its rack knows it.
+
+use std::time::Duration;
+
+use policy::detect::{Consecutive, Rule as _};
+use resource::{Size, id};
+use wire::TaskId;
+use worker::call::{Adopted, Moment};
+
+use crate::{Clock, Now};
+
+/// A worker that was given up on gets one piece of work after this long, to see if it is well.
+const PROBE_AFTER: Duration = Duration::from_secs(20);
+/// Failures in a row after which a worker is given up on; see "Bad workers" in `docs/DESIGN.md`.
+const FAILURES: u32 = 4;
+
+/// Whether a worker gets work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trust {
+    /// It does.
+    Trusted,
+    /// It failed what it was given; it gets nothing until then.
+    Suspect(Now),
+    /// It has one piece of work, whose outcome decides.
+    Probing,
+}
+
+/// One adopted worker.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Its address, `ip:port`.
+    pub address: String,
+    /// Its present life.
+    pub incarnation: id::Incarnation,
+    /// What it has for tasks.
+    pub size: Size,
+    /// Quick requests that its executor runs at once.
+    pub slots: u32,
+    /// Quick requests that it runs, as far as is known.
+    pub runs: u32,
+    /// Whether the platform's list says that it is leaving.
+    pub listed_leaving: bool,
+    /// Whether it says so itself.
+    pub says_leaving: bool,
+    /// Whether it gets work.
+    pub trust: Trust,
+    /// Its time.
+    pub clock: Clock,
+    /// When it was last asked, with an answer.
+    pub answered: Now,
+    /// When its leases were last renewed, whether or not it answered.
+    pub renewed: Now,
+    /// Ended attempts that it may forget.
+    pub forget: Vec<TaskId>,
+    rule: Consecutive,
+}
+
+impl Host {
+    /// A worker that was adopted by a call made at `sent`.
+    #[must_use]
+    pub fn new(
+        address: &str,
+        incarnation: id::Incarnation,
+        adopted: &Adopted,
+        sent: Now,
+        received: Now,
+    ) -> Self {
+        Self {
+            address: address.to_owned(),
+            incarnation,
+            size: adopted.size,
+            slots: adopted.slots,
+            runs: 0,
+            listed_leaving: false,
+            says_leaving: adopted.report.leaving,
+            trust: Trust::Trusted,
+            clock: Clock::new(adopted.report.clock, sent, received),
+            answered: sent,
+            renewed: received,
+            forget: Vec::new(),
+            rule: Consecutive::new(FAILURES),
+        }
+    }
+
+    /// Whether it may be given new work: it answers, stays and is trusted.
+    #[must_use]
+    pub fn open(&self, now: Now) -> bool {
+        let trusted = match self.trust {
+            Trust::Trusted => true,
+            Trust::Suspect(until) => now >= until,
+            Trust::Probing => false,
+        };
+        let silent = now.saturating_sub(self.answered) > Self::SILENT;
+        trusted && !silent && !self.listed_leaving && !self.says_leaving
+    }
+
+    /// A worker that has not answered for this long gets no new work.
+    pub const SILENT: Duration = Duration::from_millis(1_500);
+
+    /// Work was sent to it.
+    pub fn sent(&mut self) {
+        if matches!(self.trust, Trust::Suspect(_)) {
+            self.trust = Trust::Probing;
+        }
+    }
+
+    /// Work that it was given has ended.
+    pub fn outcome(&mut self, failed: bool, now: Now) {
+        let broken = self.rule.failed(failed);
+        self.trust = match (self.trust, failed) {
+            (Trust::Probing, true) => Trust::Suspect(now + PROBE_AFTER),
+            (Trust::Probing, false) => {
+                self.rule.reset();
+                Trust::Trusted
+            }
+            (Trust::Trusted, _) if broken => Trust::Suspect(now + PROBE_AFTER),
+            (trust, _) => trust,
+        };
+    }
+
+    /// The worker's moment that comes no later than `time`.
+    #[must_use]
+    pub fn before(&self, time: Now) -> Moment {
+        self.clock.before(time)
+    }
+}
--- /dev/null
+++ b/crates/cell/src/ownership.rs
@@ -0,0 +1,180 @@
+//! The life cycle of owning a rack.
+//!
+//! ```text
+//! watching -> greeting -> taking -> fencing -> active -> releasing -> watching
+//!     ^___________|__________|_________|__________|  (refused, deposed)
+//! ```
+
+use resource::id;
+use statig::blocking::IntoStateMachineExt as _;
+use statig::blocking::StateMachine;
+use statig::prelude::*;
+
+/// What happens to an owner.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// This process should own the rack.
+    Wanted,
+    /// The workers' present lives are known.
+    Greeted,
+    /// The table has given the rack to this process.
+    Taken(id::Epoch),
+    /// The table has refused, or can't be asked.
+    Refused,
+    /// No earlier owner can act any more.
+    Ready,
+    /// Another owner has the rack.
+    Deposed,
+    /// Another process should own the rack.
+    Unwanted,
+    /// Nothing is in hand any more, and the row says so.
+    Released,
+}
+
+/// Where a process stands towards a rack.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// It is not the owner.
+    Watching,
+    /// It asks the workers for their present lives, before it takes the rack: a life that is seen
+    /// before the table has confirmed ownership can't have been adopted by a later owner.
+    Greeting,
+    /// It has asked the table for the rack.
+    Taking,
+    /// It is the owner; earlier ones may still act.
+    Fencing,
+    /// It is the owner, and the only one that can act.
+    Active,
+    /// It takes nothing new, and lets go once nothing is in hand.
+    Releasing,
+}
+
+/// Where this process stands towards one rack, and what it does next.
+///
+/// ```
+/// use cell::{Event, Ownership, Stage};
+///
+/// let mut ownership = Ownership::new();
+/// for event in [Event::Wanted, Event::Greeted, Event::Taken(7), Event::Ready] {
+///     ownership.handle(&event);
+/// }
+/// assert_eq!(ownership.stage(), Stage::Active);
+/// assert_eq!(ownership.epoch(), 7);
+/// ownership.handle(&Event::Deposed);
+/// assert_eq!(ownership.stage(), Stage::Watching);
+/// ```
+pub struct Ownership {
+    machine: StateMachine<Machine>,
+}
+
+impl Ownership {
+    /// A process that watches a rack.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            machine: Machine::default().state_machine(),
+        }
+    }
+
+    /// Takes note of an event; one that has no place in the present stage changes nothing.
+    pub fn handle(&mut self, event: &Event) {
+        self.machine.handle(event);
+    }
+
+    /// The present stage.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        match self.machine.state() {
+            State::Watching {} => Stage::Watching,
+            State::Greeting {} => Stage::Greeting,
+            State::Taking {} => Stage::Taking,
+            State::Fencing {} => Stage::Fencing,
+            State::Active {} => Stage::Active,
+            State::Releasing {} => Stage::Releasing,
+        }
+    }
+
+    /// The epoch under which the rack was last taken; 0 if it never was.
+    #[must_use]
+    pub fn epoch(&self) -> id::Epoch {
+        self.machine.inner().epoch
+    }
+}
+
+impl Default for Ownership {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[derive(Default)]
+struct Machine {
+    epoch: id::Epoch,
+}
+
+#[state_machine(initial = "State::watching()")]
+impl Machine {
+    #[state]
+    fn watching(event: &Event) -> Outcome<State> {
+        match event {
+            Event::Wanted => Transition(State::greeting()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn greeting(event: &Event) -> Outcome<State> {
+        match event {
+            Event::Greeted => Transition(State::taking()),
+            Event::Refused | Event::Unwanted => Transition(State::watching()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn taking(&mut self, event: &Event) -> Outcome<State> {
+        match event {
+            Event::Taken(epoch) => {
+                self.epoch = *epoch;
+                Transition(State::fencing())
+            }
+            Event::Refused => Transition(State::watching()),
+            _ => Handled,
+        }
+    }
+
+    #[state(superstate = "owning")]
+    fn fencing(event: &Event) -> Outcome<State> {
+        match event {
+            Event::Ready => Transition(State::active()),
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "owning")]
+    fn active(event: &Event) -> Outcome<State> {
+        match event {
+            // The same owner takes its rack again to change the roster.
+            Event::Wanted => Transition(State::greeting()),
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "owning")]
+    fn releasing(event: &Event) -> Outcome<State> {
+        match event {
+            Event::Released => Transition(State::watching()),
+            Event::Unwanted => Handled,
+            _ => Super,
+        }
+    }
+
+    #[superstate]
+    fn owning(event: &Event) -> Outcome<State> {
+        match event {
+            Event::Deposed => Transition(State::watching()),
+            Event::Unwanted => Transition(State::releasing()),
+            _ => Handled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/quick.rs
@@ -0,0 +1,194 @@
+//! Quick requests of one rack: who waits, and which keys are worked on.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use resource::id;
+use worker::call::Moment;
+
+use crate::Now;
+
+/// Names a waiting request within its rack.
+pub type Ticket = u64;
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Start this request.
+    Start(Go),
+    /// Nothing can start now.
+    Idle,
+}
+
+/// A request that has a worker and its key to itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Go {
+    /// The request.
+    pub ticket: Ticket,
+    /// Service and key.
+    pub key: String,
+    /// The worker.
+    pub worker: id::Worker,
+    /// The worker's life.
+    pub incarnation: id::Incarnation,
+    /// The worker's address.
+    pub address: String,
+    /// The epoch to say.
+    pub epoch: id::Epoch,
+    /// Number of the attempt; rises within the epoch.
+    pub attempt: u64,
+    /// Last moment, by the worker's time, at which it may start.
+    pub not_after: Moment,
+    /// The same by the owner's time, on the late side.
+    pub latest: Now,
+}
+
+/// How a started request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Over {
+    /// It is certainly over; whether the worker failed it.
+    Known {
+        /// Whether the worker failed it.
+        failed: bool,
+    },
+    /// It was turned away before it started.
+    Refused,
+    /// It may still run, at most this long after its latest start.
+    Unknown {
+        /// Longest run.
+        run: Duration,
+    },
+}
+
+/// Weight of one run in the usual run time.
+const WEIGHT: f64 = 0.05;
+/// Usual run time before any was seen, in seconds.
+const FIRST_GUESS: f64 = 0.010;
+
+/// The waiting requests, by rank and age, and the keys that are worked on.
+#[derive(Debug)]
+pub(crate) struct Quick {
+    ready: BTreeSet<(Reverse<u8>, Ticket)>,
+    waiting: HashMap<Ticket, Waiting>,
+    keys: HashMap<String, Holder>,
+    next: Ticket,
+    usual: f64,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    rank: u8,
+    key: String,
+    expires: Now,
+}
+
+/// Who works on a key, and who waits for it.
+#[derive(Debug, Default)]
+struct Holder {
+    /// Set if it is not known who: free at this time.
+    until: Option<Now>,
+    waiters: VecDeque<Ticket>,
+}
+
+impl Default for Quick {
+    fn default() -> Self {
+        Self {
+            ready: BTreeSet::new(),
+            waiting: HashMap::new(),
+            keys: HashMap::new(),
+            next: 0,
+            usual: FIRST_GUESS,
+        }
+    }
+}
+
+impl Quick {
+    /// Number of waiting requests.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// How long a new request would wait if `slots` run at once.
+    pub(crate) fn wait(&self, slots: u32) -> Duration {
+        let ahead = self.waiting.len() as f64;
+        Duration::from_secs_f64(ahead * self.usual / f64::from(slots.max(1)))
+    }
+
+    pub(crate) fn enter(&mut self, rank: u8, key: &str, expires: Now) -> Ticket {
+        self.next += 1;
+        let waiting = Waiting {
+            rank,
+            key: key.to_owned(),
+            expires,
+        };
+        self.waiting.insert(self.next, waiting);
+        self.ready.insert((Reverse(rank), self.next));
+        self.next
+    }
+
+    /// Takes a request out; `false` if it does not wait any more.
+    pub(crate) fn withdraw(&mut self, ticket: Ticket) -> bool {
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            return false;
+        };
+        self.ready.remove(&(Reverse(waiting.rank), ticket));
+        if let Some(holder) = self.keys.get_mut(&waiting.key) {
+            holder.waiters.retain(|t| *t != ticket);
+        }
+        true
+    }
+
+    /// The first request whose key is free, with its key and deadline; the key is taken.
+    pub(crate) fn pop(&mut self) -> Option<(Ticket, String, Now)> {
+        while let Some(first) = self.ready.pop_first() {
+            let ticket = first.1;
+            let Some(waiting) = self.waiting.get(&ticket) else {
+                continue;
+            };
+            if let Some(holder) = self.keys.get_mut(&waiting.key) {
+                holder.waiters.push_back(ticket);
+                continue;
+            }
+            let waiting = self.waiting.remove(&ticket)?;
+            self.keys.insert(waiting.key.clone(), Holder::default());
+            return Some((ticket, waiting.key, waiting.expires));
+        }
+        None
+    }
+
+    /// A run on this key has ended after `took`, if that is known.
+    pub(crate) fn release(&mut self, key: &str, took: Option<Duration>) {
+        if let Some(took) = took {
+            self.usual += WEIGHT * (took.as_secs_f64() - self.usual);
+        }
+        let Some(holder) = self.keys.remove(key) else {
+            return;
+        };
+        for ticket in holder.waiters {
+            if let Some(waiting) = self.waiting.get(&ticket) {
+                self.ready.insert((Reverse(waiting.rank), ticket));
+            }
+        }
+    }
+
+    /// Something may work on this key until then.
+    pub(crate) fn block(&mut self, key: &str, until: Now) {
+        let holder = self.keys.entry(key.to_owned()).or_default();
+        holder.until = Some(holder.until.map_or(until, |u| u.max(until)));
+    }
+
+    /// Frees keys whose time has come.
+    pub(crate) fn tick(&mut self, now: Now) {
+        let due = |h: &Holder| h.until.is_some_and(|until| until <= now);
+        let due: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, h)| due(h))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in due {
+            self.release(&key, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/rack.rs
@@ -0,0 +1,383 @@
+//! One rack as its owner knows it: workers, quick requests, tasks.
+
+mod place;
+mod report;
+mod run;
+
+pub use place::LEASE;
+
+use std::collections::BTreeMap;
+
+use policy::{Room, Rule};
+use resource::{Size, id};
+use wire::{Digest, Event, Fate, Holding, Inventory, RackStatus, Seniority, Shape, TaskId};
+use worker::call::Adopted;
+
+use crate::fence::{Authority, Roster};
+use crate::host::Host;
+use crate::quick::Quick;
+use crate::task::{Placed, Stage};
+use crate::{Clock, Now};
+
+/// What the owner of a rack takes from the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Rule that puts batch tasks on workers.
+    pub batch: Rule,
+    /// Quick requests that wait, at most.
+    pub queue: usize,
+    /// Share kept above measured usage.
+    pub margin: f64,
+    /// Whether idle declared resources of batch work are given to others.
+    pub reclaim: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            batch: Rule::BestFit,
+            queue: 256,
+            margin: 0.25,
+            reclaim: false,
+        }
+    }
+}
+
+impl From<&config::Policy> for Settings {
+    fn from(policy: &config::Policy) -> Self {
+        Self {
+            batch: policy.batch.into(),
+            queue: policy.queue,
+            margin: policy.margin,
+            reclaim: policy.reclaim,
+        }
+    }
+}
+
+/// One rack, under one owner.
+#[derive(Debug)]
+pub struct Rack {
+    name: id::Rack,
+    epoch: id::Epoch,
+    settings: Settings,
+    authority: Authority,
+    active: bool,
+    hosts: BTreeMap<id::Worker, Host>,
+    quick: Quick,
+    attempts: u64,
+    /// Slots whose runs may still be going on, until then.
+    lapses: Vec<(Now, id::Worker, id::Incarnation)>,
+    tasks: BTreeMap<TaskId, Placed>,
+    /// The last message heard from the owner of each home rack: its epoch and serial.
+    seniors: BTreeMap<id::Rack, (id::Epoch, u64)>,
+    events: Vec<(id::Rack, Event)>,
+}
+
+impl Rack {
+    /// A rack that was just taken under `epoch`.
+    #[must_use]
+    pub fn new(name: &str, epoch: id::Epoch, roster: Roster, settings: Settings) -> Self {
+        Self {
+            name: name.to_owned(),
+            epoch,
+            settings,
+            authority: Authority::new(roster),
+            active: false,
+            hosts: BTreeMap::new(),
+            quick: Quick::default(),
+            attempts: 0,
+            lapses: Vec::new(),
+            tasks: BTreeMap::new(),
+            seniors: BTreeMap::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Takes the same rack again, under a new epoch and roster, keeping what is known.
+    pub fn retake(&mut self, epoch: id::Epoch, roster: Roster) {
+        self.epoch = epoch;
+        self.authority = Authority::new(roster);
+        self.active = false;
+    }
+
+    /// Follows a change of configuration.
+    pub fn configure(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// No earlier owner can act any more; from now on this one does.
+    pub fn activate(&mut self) {
+        self.active = true;
+    }
+
+    /// Nothing new is started from now on.
+    pub fn deactivate(&mut self) {
+        self.active = false;
+    }
+
+    /// The rack's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The owner's epoch.
+    #[must_use]
+    pub const fn epoch(&self) -> id::Epoch {
+        self.epoch
+    }
+
+    /// Whether the owner may start something now.
+    #[must_use]
+    pub fn acts(&self, now: Now) -> bool {
+        self.active && self.authority.holds(now)
+    }
+
+    /// Whether a majority of the workers has acknowledged the owner of late.
+    #[must_use]
+    pub fn proved(&self, now: Now) -> bool {
+        self.authority.holds(now)
+    }
+
+    /// The workers that prove ownership.
+    #[must_use]
+    pub const fn roster(&self) -> &Roster {
+        self.authority.roster()
+    }
+
+    /// An adopted worker.
+    #[must_use]
+    pub fn host(&self, worker: &str) -> Option<&Host> {
+        self.hosts.get(worker)
+    }
+
+    /// All adopted workers.
+    pub fn hosts(&self) -> impl Iterator<Item = (&id::Worker, &Host)> {
+        self.hosts.iter()
+    }
+
+    /// Marks a worker as the platform lists it.
+    pub fn list(&mut self, worker: &str, leaving: bool) {
+        if let Some(host) = self.hosts.get_mut(worker) {
+            host.listed_leaving = leaving;
+        }
+    }
+
+    /// A worker was adopted under the present epoch, by a call made at `sent`.
+    pub fn adopt(
+        &mut self,
+        worker: &str,
+        address: &str,
+        incarnation: id::Incarnation,
+        adopted: &Adopted,
+        sent: Now,
+        received: Now,
+    ) {
+        let clock = Clock::new(adopted.report.clock, sent, received);
+        let known = self
+            .hosts
+            .get_mut(worker)
+            .filter(|h| h.incarnation == incarnation);
+        if let Some(host) = known {
+            host.clock = clock;
+            host.answered = sent;
+        } else {
+            self.bury(worker);
+            let mut host = Host::new(address, incarnation, adopted, sent, received);
+            for run in &adopted.report.runs {
+                let until = clock.after(run.until);
+                self.quick.block(&run.key, until);
+                self.lapses.push((until, worker.to_owned(), incarnation));
+                host.runs += 1;
+            }
+            self.hosts.insert(worker.to_owned(), host);
+        }
+        self.authority.acknowledge(worker, sent);
+        self.reconcile(worker, &adopted.report, sent, received);
+    }
+
+    /// The worker's present life has ended: nothing that it ran runs any more.
+    pub fn bury(&mut self, worker: &str) {
+        self.authority.revoke(worker);
+        if self.hosts.remove(worker).is_none() {
+            return;
+        }
+        self.lapses.retain(|(_, name, _)| name != worker);
+        let gone: Vec<TaskId> = self
+            .tasks
+            .values()
+            .filter(|t| t.host == worker)
+            .map(|t| t.id().clone())
+            .collect();
+        for id in gone {
+            self.end(&id, Fate::Lost);
+        }
+    }
+
+    /// Listens to the owner of a home rack; `false` if a later message was heard before.
+    pub fn hear(&mut self, from: &Seniority) -> bool {
+        let latest = self.seniors.entry(from.home.clone()).or_default();
+        let message = (from.epoch, from.serial);
+        if message <= *latest {
+            return false;
+        }
+        *latest = message;
+        true
+    }
+
+    /// Owners of home racks before this epoch are not listened to any more.
+    pub fn outrank(&mut self, home: &str, epoch: id::Epoch) {
+        let latest = self.seniors.entry(home.to_owned()).or_default();
+        *latest = (*latest).max((epoch, 0));
+    }
+
+    /// What the rack holds of the jobs of one home rack.
+    #[must_use]
+    pub fn inventory(&self, home: &str, complete: bool) -> Inventory {
+        let of_home = self.tasks.values().filter(|t| t.task.home == home);
+        let holding = |t: &Placed| Holding {
+            task: t.id().clone(),
+            size: t.task.size,
+        };
+        let news = self
+            .events
+            .iter()
+            .filter(|(h, _)| h == home)
+            .map(|(_, e)| e.clone());
+        Inventory {
+            rack: self.name.clone(),
+            complete: complete && self.active,
+            holdings: of_home.map(holding).collect(),
+            news: news.collect(),
+        }
+    }
+
+    /// Room in the rack.
+    #[must_use]
+    pub fn digest(&self, now: Now) -> Digest {
+        let open = || {
+            self.hosts
+                .iter()
+                .filter(|(_, h)| self.active && h.open(now))
+        };
+        Digest {
+            rack: self.name.clone(),
+            epoch: self.epoch,
+            free: open().map(|(name, host)| self.free(name, host)).collect(),
+            yielding: open().map(|(name, _)| self.yielding(name)).collect(),
+        }
+    }
+
+    /// News for the owners of home racks that they have not confirmed yet.
+    #[must_use]
+    pub fn news(&self) -> &[(id::Rack, Event)] {
+        &self.events
+    }
+
+    /// The owner of this home rack has taken note of these events.
+    pub fn confirmed(&mut self, home: &str, seen: &[Event]) {
+        self.events
+            .retain(|(h, event)| h != home || !seen.contains(event));
+        let ended = seen.iter().filter(|event| event.fate.is_over());
+        for event in ended {
+            for host in self.hosts.values_mut() {
+                host.forget.push(event.task.clone());
+            }
+        }
+    }
+
+    /// State of the rack for operators.
+    #[must_use]
+    pub fn status(&self, stage: &str, now: Now) -> RackStatus {
+        let host = |(name, host): (&id::Worker, &Host)| {
+            let free = self.free(name, host);
+            (
+                name.clone(),
+                host.size.saturating_minus(free),
+                host.open(now),
+            )
+        };
+        RackStatus {
+            rack: self.name.clone(),
+            epoch: self.epoch,
+            stage: stage.to_owned(),
+            workers: self.hosts.iter().map(host).collect(),
+            tasks: self.tasks.len() as u32,
+            waiting: self.quick.len() as u32,
+            teams: Vec::new(),
+        }
+    }
+
+    /// Whether any quick request waits or runs, as far as this owner knows.
+    #[must_use]
+    pub fn quick_in_hand(&self) -> bool {
+        self.quick.len() > 0 || self.hosts.values().any(|h| h.runs > 0)
+    }
+
+    /// What is free for new tasks on a worker: neither taken nor promised.
+    fn free(&self, worker: &str, host: &Host) -> Size {
+        let taken = self
+            .tasks
+            .values()
+            .filter(|t| t.host == worker)
+            .map(|t| t.reserve)
+            .sum();
+        host.size.saturating_minus(taken)
+    }
+
+    /// What tasks may take on a worker at this very moment.
+    fn room_now(&self, worker: &str, host: &Host) -> Size {
+        let occupied = self
+            .tasks
+            .values()
+            .filter(|t| t.host == worker && t.occupies());
+        host.size
+            .saturating_minus(occupied.map(|t| t.reserve).sum())
+    }
+
+    /// Batch work on a worker that would make room for urgent work.
+    fn yielding(&self, worker: &str) -> Size {
+        let batch = |t: &&Placed| {
+            t.host == worker
+                && t.task.shape == Shape::Batch
+                && t.task.band < wire::Band::Urgent
+                && matches!(t.stage, Stage::Running { .. })
+        };
+        self.tasks.values().filter(batch).map(|t| t.reserve).sum()
+    }
+
+    fn rooms(&self, now: Now, siblings_of: &TaskId) -> (Vec<id::Worker>, Vec<Room>) {
+        let open = self.hosts.iter().filter(|(_, host)| host.open(now));
+        let room = |(name, host): (&id::Worker, &Host)| {
+            let sibling = |t: &&Placed| {
+                t.host == *name
+                    && t.task.id.job == siblings_of.job
+                    && t.task.id.team == siblings_of.team
+            };
+            let siblings = self.tasks.values().filter(sibling).count() as u32;
+            (
+                name.clone(),
+                Room {
+                    free: self.free(name, host),
+                    whole: host.size,
+                    siblings,
+                },
+            )
+        };
+        open.map(room).unzip()
+    }
+
+    /// The attempt can't run any more; its job's owner is told.
+    fn end(&mut self, id: &TaskId, fate: Fate) {
+        if let Some(placed) = self.tasks.remove(id) {
+            self.tell(placed.task.home, id.clone(), fate);
+        }
+    }
+
+    fn tell(&mut self, home: id::Rack, task: TaskId, fate: Fate) {
+        let event = Event { task, fate };
+        if !self.events.iter().any(|(h, e)| *h == home && *e == event) {
+            self.events.push((home, event));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/rack/place.rs
@@ -0,0 +1,323 @@
+//! Tasks: which worker they go to, who makes room for them.
+
+use std::time::Duration;
+
+use policy::evict::{self, Victim};
+use policy::{Rule, choose};
+use resource::id;
+use wire::{Band, Digest, Gang, Mode, Order, Placed as Reply, Placement, Shape, Task, TaskId};
+use worker::call::{Start, Stop};
+
+use super::Rack;
+use crate::Now;
+use crate::task::{Command, Outcome, Placed, Stage, stopped};
+
+/// How long a task may run on without a heartbeat.
+pub const LEASE: Duration = Duration::from_secs(10);
+/// How long room is kept for a gang that is not complete.
+const HOLD: Duration = Duration::from_secs(3);
+/// How long a start may stay on its way to the worker.
+const DELIVERY: Duration = Duration::from_millis(1_000);
+/// How long urgent work waits for others to make room before its owner looks elsewhere.
+const EVICTION: Duration = Duration::from_secs(3);
+
+impl Rack {
+    /// Places the tasks of an order and tells what to say to the workers.
+    pub fn place(&mut self, order: &Order, now: Now) -> (Reply, Vec<Command>) {
+        if !self.acts(now) || !self.hear(&order.from) {
+            let placements = vec![Placement::NotOwner; order.tasks.len()];
+            return (
+                Reply {
+                    placements,
+                    digest: None,
+                },
+                Vec::new(),
+            );
+        }
+        let (placements, commands) = match order.mode {
+            Mode::Start => self.start_each(&order.tasks, now),
+            Mode::Hold => (self.hold_all(&order.tasks, now), Vec::new()),
+        };
+        let digest: Digest = self.digest(now);
+        (
+            Reply {
+                placements,
+                digest: Some(digest),
+            },
+            commands,
+        )
+    }
+
+    /// Starts a gang that is held here; `false` if the hold has lapsed.
+    pub fn commit(&mut self, gang: &Gang, now: Now) -> Option<Vec<Command>> {
+        let members = self.members(gang);
+        let held = |id: &TaskId| matches!(self.tasks[id].stage, Stage::Held { .. });
+        if !self.acts(now) || members.is_empty() || !members.iter().all(held) {
+            return None;
+        }
+        Some(
+            members
+                .iter()
+                .filter_map(|id| self.launch(id, now))
+                .collect(),
+        )
+    }
+
+    /// Gives up a gang: lets go of what is held, stops what was started.
+    pub fn undo(&mut self, gang: &Gang, now: Now) -> Vec<Command> {
+        let members = self.members(gang);
+        members
+            .iter()
+            .filter_map(|id| self.give_up(id, false, false, now))
+            .collect()
+    }
+
+    /// Stops every task of a job.
+    pub fn stop(&mut self, team: &str, job: &str, now: Now) -> Vec<Command> {
+        let of_job = |id: &&TaskId| id.team == team && id.job == job;
+        let ids: Vec<TaskId> = self.tasks.keys().filter(of_job).cloned().collect();
+        ids.iter()
+            .filter_map(|id| self.give_up(id, false, false, now))
+            .collect()
+    }
+
+    /// What came of a start.
+    pub fn start_outcome(&mut self, id: &TaskId, outcome: Outcome, now: Now) {
+        let Some(placed) = self.tasks.get_mut(id) else {
+            return;
+        };
+        if !matches!(placed.stage, Stage::Starting { .. }) {
+            return;
+        }
+        match outcome {
+            Outcome::Did { .. } => {
+                placed.stage = Stage::Running { since: now };
+                let home = placed.task.home.clone();
+                self.tell(home, id.clone(), wire::Fate::Running);
+            }
+            Outcome::Refused => self.end(id, wire::Fate::NotStarted),
+            Outcome::Unknown => {}
+        }
+    }
+
+    /// What came of a stop; urgent work that waited for the room is started.
+    pub fn stop_outcome(&mut self, id: &TaskId, outcome: Outcome, now: Now) -> Vec<Command> {
+        let Some(placed) = self.tasks.get(id) else {
+            return Vec::new();
+        };
+        let (host, stage) = (placed.host.clone(), placed.stage);
+        if let (Stage::Stopping { preempted, .. }, Outcome::Did { saved_ms }) = (stage, outcome) {
+            self.end(id, stopped(preempted, saved_ms));
+        }
+        self.launch_awaiting(&host, now)
+    }
+
+    /// Starts urgent work on a worker for which room has been made.
+    pub(super) fn launch_awaiting(&mut self, worker: &str, now: Now) -> Vec<Command> {
+        let Some(host) = self.hosts.get(worker) else {
+            return Vec::new();
+        };
+        let mut room = self.room_now(worker, host);
+        let waits = |t: &&Placed| t.host == worker && matches!(t.stage, Stage::Awaiting { .. });
+        let waiting: Vec<TaskId> = self
+            .tasks
+            .values()
+            .filter(waits)
+            .map(|t| t.id().clone())
+            .collect();
+        let mut commands = Vec::new();
+        for id in waiting {
+            let Some(rest) = room.minus(self.tasks[&id].reserve) else {
+                continue;
+            };
+            room = rest;
+            commands.extend(self.launch(&id, now));
+        }
+        commands
+    }
+
+    /// Lets go of what was held or awaited for too long.
+    pub(super) fn lapse_holds(&mut self, now: Now) {
+        let due = |t: &&Placed| match t.stage {
+            Stage::Held { until } | Stage::Awaiting { until } => until <= now,
+            _ => false,
+        };
+        let due: Vec<TaskId> = self
+            .tasks
+            .values()
+            .filter(due)
+            .map(|t| t.id().clone())
+            .collect();
+        for id in due {
+            self.end(&id, wire::Fate::NotStarted);
+        }
+    }
+
+    fn start_each(&mut self, tasks: &[Task], now: Now) -> (Vec<Placement>, Vec<Command>) {
+        let mut commands = Vec::new();
+        let mut place = |task: &Task| {
+            if self.tasks.contains_key(&task.id) {
+                return Placement::Placed;
+            }
+            if let Some(worker) = self.choose(task, now) {
+                let stage = Stage::Awaiting { until: now };
+                self.tasks
+                    .insert(task.id.clone(), Placed::new(task.clone(), &worker, stage));
+                commands.extend(self.launch(&task.id, now));
+                return Placement::Placed;
+            }
+            match self.make_room(task, now) {
+                Some(stops) => {
+                    commands.extend(stops);
+                    Placement::Placed
+                }
+                None => Placement::Full,
+            }
+        };
+        (tasks.iter().map(&mut place).collect(), commands)
+    }
+
+    fn hold_all(&mut self, tasks: &[Task], now: Now) -> Vec<Placement> {
+        for task in tasks {
+            if self.tasks.contains_key(&task.id) {
+                continue;
+            }
+            let Some(worker) = self.choose(task, now) else {
+                for task in tasks {
+                    self.tasks.remove(&task.id);
+                }
+                return vec![Placement::Full; tasks.len()];
+            };
+            let stage = Stage::Held { until: now + HOLD };
+            self.tasks
+                .insert(task.id.clone(), Placed::new(task.clone(), &worker, stage));
+        }
+        vec![Placement::Placed; tasks.len()]
+    }
+
+    fn choose(&self, task: &Task, now: Now) -> Option<id::Worker> {
+        let rule = match task.shape {
+            Shape::Service => Rule::Spread,
+            Shape::Batch => self.settings.batch,
+            Shape::Gang => Rule::BestFit,
+        };
+        let (names, rooms) = self.rooms(now, &task.id);
+        choose::place(rule, &rooms, task.size).map(|at| names[at].clone())
+    }
+
+    /// Stops batch tasks of lower bands on one worker so that `task` fits there.
+    fn make_room(&mut self, task: &Task, now: Now) -> Option<Vec<Command>> {
+        if task.band == Band::Borrowed {
+            return None;
+        }
+        let open = self.hosts.iter().filter(|(_, host)| host.open(now));
+        let plan = |worker: &id::Worker, free| {
+            let lower = self.tasks.values().filter(|t| {
+                t.host == *worker
+                    && t.task.shape == Shape::Batch
+                    && yields(t.task.band, task.band)
+                    && matches!(t.stage, Stage::Running { .. })
+            });
+            let lower: Vec<&Placed> = lower.collect();
+            let cost = |t: &&Placed| Victim {
+                size: t.reserve,
+                loss_ms: lost(t, now),
+            };
+            let costs: Vec<Victim> = lower.iter().map(cost).collect();
+            let chosen = evict::victims(free, task.size, &costs)?;
+            let loss: u64 = chosen.iter().map(|&at| costs[at].loss_ms).sum();
+            let ids: Vec<TaskId> = chosen.iter().map(|&at| lower[at].id().clone()).collect();
+            Some((ids.len(), loss, worker.clone(), ids))
+        };
+        let plans = open.filter_map(|(name, host)| plan(name, self.free(name, host)));
+        let (_, _, worker, ids) = plans.min_by_key(|(n, loss, ..)| (*n, *loss))?;
+        let stage = Stage::Awaiting {
+            until: now + EVICTION,
+        };
+        self.tasks
+            .insert(task.id.clone(), Placed::new(task.clone(), &worker, stage));
+        Some(
+            ids.iter()
+                .filter_map(|id| self.give_up(id, true, true, now))
+                .collect(),
+        )
+    }
+
+    /// Tells the worker to start a task that has room there.
+    fn launch(&mut self, id: &TaskId, now: Now) -> Option<Command> {
+        let until = self.authority.until()?.min(now + DELIVERY);
+        let placed = self.tasks.get_mut(id)?;
+        let host = self.hosts.get_mut(&placed.host)?;
+        host.sent();
+        host.renewed = host.renewed.max(until);
+        let not_after = host.before(until);
+        placed.stage = Stage::Starting {
+            not_after,
+            sent: now,
+        };
+        let start = Start {
+            epoch: self.epoch,
+            not_after,
+            lease_ms: LEASE.as_millis() as u64,
+            task: placed.task.clone(),
+        };
+        Some(Command::Start {
+            address: host.address.clone(),
+            start,
+        })
+    }
+
+    /// Stops an attempt, or forgets it if it was not started.
+    pub(super) fn give_up(
+        &mut self,
+        id: &TaskId,
+        preempted: bool,
+        checkpoint: bool,
+        now: Now,
+    ) -> Option<Command> {
+        let placed = self.tasks.get_mut(id)?;
+        if !matches!(placed.stage, Stage::Starting { .. } | Stage::Running { .. }) {
+            if !matches!(placed.stage, Stage::Stopping { .. }) {
+                self.end(id, wire::Fate::NotStarted);
+            }
+            return None;
+        }
+        placed.stage = Stage::Stopping {
+            since: now,
+            preempted,
+        };
+        let address = self.hosts.get(&placed.host)?.address.clone();
+        let stop = Stop {
+            epoch: self.epoch,
+            task: id.clone(),
+            checkpoint,
+        };
+        Some(Command::Stop { address, stop })
+    }
+
+    fn members(&self, gang: &Gang) -> Vec<TaskId> {
+        let of_gang =
+            |id: &&TaskId| id.team == gang.team && id.job == gang.job && id.attempt == gang.attempt;
+        self.tasks.keys().filter(of_gang).cloned().collect()
+    }
+}
+
+/// Whether work of one band makes room for work of another.
+///
+/// Borrowed room is taken back by anyone within a quota; within quotas only urgent work goes
+/// before the rest.
+const fn yields(lower: Band, higher: Band) -> bool {
+    match higher {
+        Band::Urgent => !matches!(lower, Band::Urgent),
+        Band::Normal | Band::Standing => matches!(lower, Band::Borrowed),
+        Band::Borrowed => false,
+    }
+}
+
+/// Work that a task would lose if its checkpoint fails, in milliseconds.
+fn lost(placed: &Placed, now: Now) -> u64 {
+    match placed.stage {
+        Stage::Running { since } => now.saturating_sub(since).as_millis() as u64,
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/cell/src/rack/run.rs
@@ -0,0 +1,180 @@
+//! Quick requests: who may wait, who starts next.
+
+use std::time::Duration;
+
+use resource::id;
+use wire::{Fault, Kind};
+
+use super::Rack;
+use crate::Now;
+use crate::host::Host;
+use crate::quick::{Go, Next, Over, Ticket};
+
+/// Share of its time left that a request may expect to wait; the rest is for its run.
+const PATIENCE: f64 = 0.8;
+
+impl Rack {
+    /// Lets a request wait for a worker.
+    ///
+    /// # Errors
+    /// A [`Fault`] at once, if the owner may not act, or the request would wait in vain.
+    pub fn enter(&mut self, rank: u8, key: &str, expires: Now, now: Now) -> Result<Ticket, Fault> {
+        if !self.acts(now) {
+            let reason = "the rack's owner can't prove yet that it is the only one";
+            return Err(Fault::new(Kind::NoAuthority, reason));
+        }
+        let slots = self.open_slots(now);
+        if slots == 0 {
+            return Err(Fault::new(
+                Kind::NoWorker,
+                "no worker of the rack takes work",
+            ));
+        }
+        let wait = self.quick.wait(slots);
+        let patience = expires.saturating_sub(now).mul_f64(PATIENCE);
+        if self.quick.len() >= self.settings.queue || wait > patience {
+            return Err(Fault::new(Kind::Busy, "the rack is busy").after(comeback(wait)));
+        }
+        Ok(self.quick.enter(rank, key, expires))
+    }
+
+    /// Takes a request out of the queue; `false` if it was started, or has left already.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        self.quick.withdraw(ticket)
+    }
+
+    /// The next request to start, if one can.
+    pub fn next(&mut self, now: Now) -> Next {
+        if !self.acts(now) {
+            return Next::Idle;
+        }
+        let Some(until) = self.authority.until() else {
+            return Next::Idle;
+        };
+        let Some(worker) = self.idlest(now) else {
+            return Next::Idle;
+        };
+        let Some((ticket, key, expires)) = self.quick.pop() else {
+            return Next::Idle;
+        };
+        self.attempts += 1;
+        let latest = until.min(expires);
+        let Some(host) = self.hosts.get_mut(&worker) else {
+            return Next::Idle;
+        };
+        Next::Start(begin(
+            host,
+            worker,
+            ticket,
+            key,
+            self.epoch,
+            self.attempts,
+            latest,
+        ))
+    }
+
+    /// A started request has ended, or is not waited for any more.
+    pub fn finish(&mut self, go: &Go, over: Over, took: Duration, now: Now) {
+        let host = self
+            .hosts
+            .get_mut(&go.worker)
+            .filter(|h| h.incarnation == go.incarnation);
+        match over {
+            Over::Known { failed } => {
+                self.quick.release(&go.key, Some(took));
+                if let Some(host) = host {
+                    host.runs = host.runs.saturating_sub(1);
+                    host.outcome(failed, now);
+                }
+            }
+            Over::Refused => {
+                self.quick.release(&go.key, None);
+                if let Some(host) = host {
+                    host.runs = host.runs.saturating_sub(1);
+                }
+            }
+            Over::Unknown { run } => {
+                // It may run on a worker that can't be asked. The key stays taken until the worker
+                // itself must have ended the run; otherwise the next request for the same key
+                // would work on it in a second place.
+                let until = go.latest + run + margin(run);
+                self.quick.block(&go.key, until);
+                if let Some(host) = host {
+                    self.lapses.push((until, go.worker.clone(), go.incarnation));
+                    host.outcome(true, now);
+                }
+            }
+        }
+    }
+
+    /// Frees slots and keys of runs that must be over by now.
+    pub(super) fn lapse(&mut self, now: Now) {
+        self.quick.tick(now);
+        let due: Vec<_> = self
+            .lapses
+            .extract_if(.., |(until, ..)| *until <= now)
+            .collect();
+        for (_, worker, incarnation) in due {
+            let host = self
+                .hosts
+                .get_mut(&worker)
+                .filter(|h| h.incarnation == incarnation);
+            if let Some(host) = host {
+                host.runs = host.runs.saturating_sub(1);
+            }
+        }
+    }
+
+    fn open_slots(&self, now: Now) -> u32 {
+        self.hosts
+            .values()
+            .filter(|h| h.open(now))
+            .map(|h| h.slots)
+            .sum()
+    }
+
+    /// The worker with the smallest share of its slots taken.
+    fn idlest(&self, now: Now) -> Option<id::Worker> {
+        let free = self
+            .hosts
+            .iter()
+            .filter(|(_, h)| h.open(now) && h.runs < h.slots);
+        let share = |h: &Host| h.runs * 1_000 / h.slots.max(1);
+        free.min_by_key(|(_, h)| share(h))
+            .map(|(name, _)| name.clone())
+    }
+}
+
+fn begin(
+    host: &mut Host,
+    worker: id::Worker,
+    ticket: Ticket,
+    key: String,
+    epoch: id::Epoch,
+    attempt: u64,
+    latest: Now,
+) -> Go {
+    host.runs += 1;
+    host.sent();
+    Go {
+        ticket,
+        key,
+        worker,
+        incarnation: host.incarnation,
+        address: host.address.clone(),
+        epoch,
+        attempt,
+        not_after: host.before(latest),
+        latest,
+    }
+}
+
+/// Allowance for drifting clocks over one run.
+fn margin(run: Duration) -> Duration {
+    run / 50 + Duration::from_millis(20)
+}
+
+/// When it makes sense to come back: once most of what waits now is done.
+fn comeback(wait: Duration) -> Duration {
+    wait.max(Duration::from_millis(100))
+}
--- /dev/null
+++ b/crates/config/src/home.rs
@@ -0,0 +1,57 @@
+//! Fixed homes: which rack a key or a team belongs to.
+//!
+//! A home follows the configured racks, never the live ones: if it moved when a rack fell silent,
+//! two owners could run the same key at once. Homes are chosen by rendezvous hashing, so a new
+//! rack takes over only its share of them.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Cell, Service, Team};
+
+/// Separates the region from the rest of a key.
+const REGION_MARK: char = ':';
+
+/// The home rack of a key of a service: in the region that the key names (`region:rest`), or in
+/// the service's own.
+///
+/// ```
+/// use config::{Builder, home};
+///
+/// let cell = Builder::new("small")
+///     .rack("north", "north-1", "n1")
+///     .rack("south", "south-1", "s1")
+///     .service("checks", "north", 100)
+///     .build()
+///     .unwrap();
+/// let checks = cell.service("checks").unwrap();
+/// assert_eq!(home::key(&cell, checks, "parcel-7"), Some("n1"));
+/// assert_eq!(home::key(&cell, checks, "south:parcel-7"), Some("s1"));
+/// ```
+#[must_use]
+pub fn key<'a>(cell: &'a Cell, service: &'a Service, key: &str) -> Option<&'a str> {
+    let named = key.split_once(REGION_MARK).map(|(region, _)| region);
+    let region = named.filter(|name| cell.racks_in(name).next().is_some());
+    rack_of(cell, region.unwrap_or(&service.region), key)
+}
+
+/// The rack whose owner looks after all jobs of a team.
+#[must_use]
+pub fn team<'a>(cell: &'a Cell, name: &str, team: &Team) -> Option<&'a str> {
+    rack_of(cell, &team.region, name)
+}
+
+fn rack_of<'a>(cell: &'a Cell, region: &str, key: &str) -> Option<&'a str> {
+    let racks = cell.racks.iter().filter(|(_, r)| r.region == region);
+    rendezvous(racks.map(|(name, _)| name), key).map(String::as_str)
+}
+
+/// The member with the highest hash for this key; `None` if there are no members.
+pub fn rendezvous<'a, S: AsRef<str>>(
+    members: impl IntoIterator<Item = &'a S>,
+    key: &str,
+) -> Option<&'a S> {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    members
+        .into_iter()
+        .max_by_key(|m| xxh3_64_with_seed(m.as_ref().as_bytes(), seed))
+}
--- /dev/null
+++ b/crates/entry/src/bin/lentilyoke-entry.rs
@@ -0,0 +1,46 @@
+//! Takes requests from callers.
+
+use std::future::IntoFuture as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::Parser as _;
+use entry::{Entry, Settings, serve};
+use snafu::{ResultExt as _, Whatever};
+use telemetry::{Stop, logs};
+use tokio::net::TcpListener;
+
+#[tokio::main]
+async fn main() -> Result<(), Whatever> {
+    let settings = Settings::parse();
+    logs::init(&settings.telemetry.log)?;
+    let stop = Stop::default();
+    stop.on_signal();
+    let placers = settings.placers.iter().map(SocketAddr::to_string).collect();
+    let entry = Entry::new(&settings.name, placers, stop.clone());
+    let metrics = entry
+        .health()
+        .serve(settings.telemetry.metrics, &stop)
+        .await?;
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .with_whatever_context(|_| format!("listen: can't listen on {}", settings.listen))?;
+    let address = listener
+        .local_addr()
+        .whatever_context("listen: no address")?;
+    entry.spawn(settings.routes_every());
+    println!("entry {address} metrics {metrics}");
+    log::info!(entry = settings.name.as_str(); "started");
+    let draining = stop.clone();
+    let server = axum::serve(listener, serve::router(entry))
+        .with_graceful_shutdown(async move { draining.draining().await })
+        .into_future();
+    let server = tokio::spawn(server);
+    stop.draining().await;
+    // What is in hand is finished; what comes meanwhile on open connections is told to come back.
+    let longest = Duration::from_millis(settings.drain_ms);
+    drop(tokio::time::timeout(longest, server).await);
+    stop.join().await;
+    log::info!(entry = settings.name.as_str(); "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/placer/src/bin/lentilyoke-placer.rs
@@ -0,0 +1,66 @@
+//! Owns racks and decides.
+
+use std::sync::Arc;
+
+use clap::Parser as _;
+use jsonrpsee::server::{Server as Listener, ServerConfig};
+use placer::{Node, Rpc, Server, Settings};
+use snafu::{ResultExt as _, Whatever};
+use telemetry::{Stop, logs};
+use wire::rpc::PlacerServer as _;
+
+/// Connections from entries, other placers and operators, at most.
+const CONNECTIONS: u32 = 4_096;
+
+#[tokio::main]
+async fn main() -> Result<(), Whatever> {
+    let settings = Settings::parse();
+    logs::init(&settings.telemetry.log)?;
+    let stop = Stop::default();
+    stop.on_signal();
+    let config = ServerConfig::builder()
+        .max_connections(CONNECTIONS)
+        .set_tcp_no_delay(true)
+        .build();
+    let listener = Listener::builder()
+        .set_config(config)
+        .build(settings.listen)
+        .await
+        .with_whatever_context(|_| format!("listen: can't listen on {}", settings.listen))?;
+    let address = listener
+        .local_addr()
+        .whatever_context("listen: no address")?;
+    let life = format!("{:x}", std::process::id() ^ clock());
+    let options = settings.options(&life, address);
+    let name = options.name.clone();
+    let platform = Arc::new(platform::Client::new(&settings.platform.to_string()));
+    let workers = Arc::new(worker::Client::default());
+    let peers = Arc::new(Rpc::default());
+    let node = Node::new(
+        options,
+        platform.clone(),
+        platform,
+        workers,
+        peers,
+        stop.clone(),
+    );
+    let metrics = node.health.serve(settings.telemetry.metrics, &stop).await?;
+    let server = listener.start(Server::new(Arc::clone(&node)).into_rpc());
+    node.spawn();
+    println!("placer {address} metrics {metrics}");
+    log::info!(placer = name.as_str(); "started");
+    stop.draining().await;
+    log::info!(placer = name.as_str(); "stopping");
+    node.drain().await;
+    stop.join().await;
+    _ = server.stop();
+    server.stopped().await;
+    log::info!(placer = name.as_str(); "stopped");
+    Ok(())
+}
+
+/// Tells this life of the process from all others: the time in seconds, folded.
+fn clock() -> u32 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |d| (d.as_millis() as u64 & u64::from(u32::MAX)) as u32)
+}
--- /dev/null
+++ b/crates/placer/src/server.rs
@@ -0,0 +1,143 @@
+//! What a placer offers to entries, to other placers and to operators.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use config::{Version, raw};
+use jsonrpsee::core::RpcResult;
+use resource::id;
+use wire::rpc::PlacerServer;
+use wire::{
+    Answer, Ask, Claim, Digest, Event, Fault, Gang, Inventory, Job, Kind, Order, Placed, Placement,
+    Request, Routes, Seniority, State, Status, Verdict,
+};
+
+use crate::{Node, Shard};
+
+/// Serves one placer.
+pub struct Server {
+    node: Arc<Node>,
+}
+
+impl Server {
+    /// Serves this placer.
+    #[must_use]
+    pub const fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+
+    fn at_home(&self, home: &str) -> Result<Arc<Shard>, Fault> {
+        if self.node.stop.is_draining() {
+            return Err(Fault::new(Kind::Draining, "the placer is stopping"));
+        }
+        let shard = self.node.shard(home);
+        shard.ok_or_else(|| Fault::new(Kind::NotOwner, "there is no such rack"))
+    }
+}
+
+#[async_trait]
+impl PlacerServer for Server {
+    async fn run(&self, rack: id::Rack, request: Request) -> RpcResult<Answer> {
+        let Some(shard) = self.node.shard(&rack) else {
+            return Ok(Answer::fault(Kind::NotOwner, "there is no such rack"));
+        };
+        Ok(shard.run(Arc::clone(&self.node), request).await)
+    }
+
+    async fn submit(&self, home: id::Rack, job: Job) -> RpcResult<Result<State, Fault>> {
+        Ok(match self.at_home(&home) {
+            Ok(shard) => shard.submit(&self.node, job).await,
+            Err(fault) => Err(fault),
+        })
+    }
+
+    async fn watch(
+        &self,
+        home: id::Rack,
+        team: id::Team,
+        job: id::Job,
+    ) -> RpcResult<Result<State, Fault>> {
+        Ok(self
+            .at_home(&home)
+            .and_then(|shard| shard.watch(&team, &job)))
+    }
+
+    async fn cancel(
+        &self,
+        home: id::Rack,
+        team: id::Team,
+        job: id::Job,
+    ) -> RpcResult<Result<State, Fault>> {
+        Ok(match self.at_home(&home) {
+            Ok(shard) => shard.cancel(&self.node, &team, &job).await,
+            Err(fault) => Err(fault),
+        })
+    }
+
+    async fn routes(&self, ask: Ask) -> RpcResult<Routes> {
+        Ok(self.node.routes(&ask))
+    }
+
+    async fn place(&self, order: Order) -> RpcResult<Placed> {
+        let shard = self.node.shard(&order.rack);
+        let refused = || {
+            let placements = vec![Placement::NotOwner; order.tasks.len()];
+            Placed {
+                placements,
+                digest: None,
+            }
+        };
+        Ok(shard.map_or_else(refused, |shard| shard.place(&self.node, &order)))
+    }
+
+    async fn commit(&self, rack: id::Rack, from: Seniority, gang: Gang) -> RpcResult<bool> {
+        let shard = self.node.shard(&rack);
+        Ok(shard.is_some_and(|shard| shard.commit(&self.node, &from, &gang)))
+    }
+
+    async fn undo(&self, rack: id::Rack, from: Seniority, gang: Gang) -> RpcResult<bool> {
+        let shard = self.node.shard(&rack);
+        Ok(shard.is_some_and(|shard| shard.undo(&self.node, &from, &gang)))
+    }
+
+    async fn stop(
+        &self,
+        rack: id::Rack,
+        from: Seniority,
+        team: id::Team,
+        job: id::Job,
+    ) -> RpcResult<bool> {
+        let shard = self.node.shard(&rack);
+        Ok(shard.is_some_and(|shard| shard.stop(&self.node, &from, &team, &job)))
+    }
+
+    async fn inventory(&self, from: Seniority) -> RpcResult<Vec<Inventory>> {
+        Ok(self.node.inventory(&from))
+    }
+
+    async fn report(&self, home: id::Rack, events: Vec<Event>) -> RpcResult<bool> {
+        let shard = self.node.shard(&home);
+        Ok(shard.is_some_and(|shard| shard.hear(&events)))
+    }
+
+    async fn digests(&self) -> RpcResult<Vec<Digest>> {
+        Ok(self.node.own_digests())
+    }
+
+    async fn claim(&self, claims: Vec<Claim>) -> RpcResult<Vec<Verdict>> {
+        Ok(self.node.claims.write(claims).await)
+    }
+
+    async fn config(&self, than: Version) -> RpcResult<Option<(Version, raw::Cell)>> {
+        Ok(self.node.config_than(than))
+    }
+
+    async fn status(&self) -> RpcResult<Status> {
+        Ok(self.node.status())
+    }
+
+    async fn drain(&self) -> RpcResult<bool> {
+        self.node.stop.drain();
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/placer/src/shard/pulse.rs
@@ -0,0 +1,120 @@
+//! Heartbeats to the workers of a rack, and the commands that follow from them.
+
+use std::sync::Arc;
+
+use cell::{Command, Outcome};
+use futures::future::join_all;
+use resource::id;
+use worker::{Error, Refusal};
+
+use super::Shard;
+use crate::Node;
+
+/// Sends heartbeats until the placer ends.
+pub(super) async fn run(node: Arc<Node>, shard: Arc<Shard>) {
+    while node.stop.sleep(node.options.pulse).await {
+        let workers: Vec<id::Worker> = match &shard.state().rack {
+            Some(rack) => rack.hosts().map(|(name, _)| name.clone()).collect(),
+            None => continue,
+        };
+        join_all(workers.iter().map(|worker| shard.pulse(&node, worker))).await;
+        let now = node.now();
+        let commands = shard.state().rack.as_mut().map(|rack| rack.tick(now));
+        shard.carry_out(&node, commands.unwrap_or_default());
+        shard.dispatch(now);
+        shard.jobs_now.notify_one();
+    }
+}
+
+impl Shard {
+    async fn pulse(self: &Arc<Self>, node: &Arc<Node>, worker: &str) {
+        let sent = node.now();
+        let next = self
+            .state()
+            .rack
+            .as_mut()
+            .and_then(|rack| rack.pulse(worker, sent));
+        let Some((address, pulse)) = next else {
+            return;
+        };
+        match node.workers.pulse(&address, pulse.clone()).await {
+            Ok(report) => {
+                let now = node.now();
+                let mut state = self.state();
+                let Some(rack) = &mut state.rack else {
+                    return;
+                };
+                let commands = rack.pulsed(worker, &pulse, &report, sent, now);
+                drop(state);
+                self.carry_out(node, commands);
+            }
+            Err(Error::Refused {
+                refusal: Refusal::Fenced { epoch },
+            }) if epoch > pulse.epoch => {
+                node.beat_now.notify_one();
+            }
+            // It has begun a new life; it is adopted anew.
+            Err(Error::Refused { .. }) => self.restarted(worker, pulse.epoch),
+            Err(error) => log::debug!(worker = worker; "no heartbeat: {error}"),
+        }
+    }
+
+    fn restarted(&self, worker: &str, epoch: id::Epoch) {
+        let mut state = self.state();
+        let Some(rack) = state.rack.as_mut().filter(|rack| rack.epoch() == epoch) else {
+            return;
+        };
+        log::warn!(worker = worker; "restarted");
+        rack.bury(worker);
+    }
+
+    /// Says to the workers what was decided.
+    pub(super) fn carry_out(self: &Arc<Self>, node: &Arc<Node>, commands: Vec<Command>) {
+        for command in commands {
+            let (node, shard) = (Arc::clone(node), Arc::clone(self));
+            node.stop
+                .clone()
+                .spawn(async move { shard.command(&node, command).await });
+        }
+    }
+
+    async fn command(self: Arc<Self>, node: &Arc<Node>, command: Command) {
+        match command {
+            Command::Start { address, start } => {
+                let id = start.task.id.clone();
+                let result = node.workers.start(&address, start).await;
+                let outcome = outcome(result.map(|()| 0));
+                let now = node.now();
+                if let Some(rack) = &mut self.state().rack {
+                    rack.start_outcome(&id, outcome, now);
+                }
+            }
+            Command::Stop { address, stop } => {
+                let id = stop.task.clone();
+                let result = node.workers.stop(&address, stop).await;
+                let saved = |stopped: Option<worker::call::Stopped>| {
+                    stopped.map_or(0, |stopped| stopped.saved_ms)
+                };
+                let outcome = outcome(result.map(saved));
+                let now = node.now();
+                let more = match &mut self.state().rack {
+                    Some(rack) => rack.stop_outcome(&id, outcome, now),
+                    None => Vec::new(),
+                };
+                self.carry_out(node, more);
+            }
+            Command::Throttle { address, throttle } => {
+                drop(node.workers.throttle(&address, throttle).await);
+            }
+        }
+        self.jobs_now.notify_one();
+    }
+}
+
+fn outcome(result: Result<u64, Error>) -> Outcome {
+    match result {
+        Ok(saved_ms) => Outcome::Did { saved_ms },
+        Err(error) if error.had_no_effect() => Outcome::Refused,
+        Err(_) => Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/placer/src/view.rs
@@ -0,0 +1,178 @@
+//! What a placer knows of the platform's table.
+
+use std::collections::BTreeMap;
+
+use cell::{Now, Record};
+use config::{Cell, home};
+use platform::{Row, Scan, Version};
+use resource::id;
+
+use crate::{Options, Session};
+
+/// Rows of the table as they were last read.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    /// The transaction up to which it was read.
+    pub(crate) version: Version,
+    /// Rows of racks with their versions.
+    pub(crate) records: BTreeMap<id::Rack, (Version, Record)>,
+    /// The configuration's row.
+    pub(crate) config: Option<(Version, config::raw::Cell)>,
+    sessions: BTreeMap<id::Placer, Seen>,
+    reachable: bool,
+    /// Rises whenever an owner changes.
+    pub(crate) generation: u64,
+}
+
+/// A placer's session and when it was last seen to change, by the clock of whoever looks.
+#[derive(Debug)]
+struct Seen {
+    session: Session,
+    changed: Now,
+}
+
+impl View {
+    /// Takes note of rows that were read; tells which racks have new owners.
+    pub(crate) fn learn(&mut self, scan: &Scan, now: Now) -> Vec<id::Rack> {
+        // While the table is down no session changes. The first read after that would show every
+        // placer as dead, and all racks would change hands at once; so all begin anew.
+        if !self.reachable {
+            self.sessions
+                .values_mut()
+                .for_each(|seen| seen.changed = now);
+        }
+        self.reachable = true;
+        self.version = self.version.max(scan.version);
+        let changed: Vec<_> = scan
+            .rows
+            .iter()
+            .filter_map(|row| self.row(row, now))
+            .collect();
+        if !changed.is_empty() {
+            self.generation += 1;
+        }
+        changed
+    }
+
+    /// The table did not answer.
+    pub(crate) fn unreachable(&mut self) {
+        self.reachable = false;
+    }
+
+    /// Whether the table answered last time.
+    pub(crate) const fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
+    /// Takes note of one row; tells the rack if its owner changed.
+    pub(crate) fn row(&mut self, row: &Row, now: Now) -> Option<id::Rack> {
+        if let Some(rack) = row.key.strip_prefix(Record::PREFIX) {
+            return self.record(rack, row);
+        }
+        if let Some(placer) = row.key.strip_prefix(Session::PREFIX) {
+            self.session(placer, row, now);
+        } else if row.key == config::ROW
+            && let Some(raw) = row
+                .value
+                .as_ref()
+                .and_then(|v| serde_json::from_str(v).ok())
+            && self
+                .config
+                .as_ref()
+                .is_none_or(|(version, _)| *version < row.version)
+        {
+            self.config = Some((row.version, raw));
+        }
+        None
+    }
+
+    fn record(&mut self, rack: &str, row: &Row) -> Option<id::Rack> {
+        let record: Record = serde_json::from_str(row.value.as_ref()?).ok()?;
+        let known = self.records.get(rack);
+        if known.is_some_and(|(version, _)| *version >= row.version) {
+            return None;
+        }
+        let same = known.is_some_and(|(_, k)| k.epoch == record.epoch && k.owner == record.owner);
+        self.records.insert(rack.to_owned(), (row.version, record));
+        (!same).then(|| rack.to_owned())
+    }
+
+    fn session(&mut self, placer: &str, row: &Row, now: Now) {
+        let session = row
+            .value
+            .as_ref()
+            .and_then(|v| serde_json::from_str(v).ok());
+        match session {
+            Some(session) => {
+                self.sessions.insert(
+                    placer.to_owned(),
+                    Seen {
+                        session,
+                        changed: now,
+                    },
+                );
+            }
+            None => {
+                self.sessions.remove(placer);
+            }
+        }
+    }
+
+    /// Live placers with their sessions.
+    pub(crate) fn live(&self, now: Now, options: &Options) -> Vec<(&id::Placer, &Session)> {
+        let live = |seen: &Seen| now.saturating_sub(seen.changed) < options.stale;
+        let sessions = self.sessions.iter().filter(|(_, seen)| live(seen));
+        sessions.map(|(name, seen)| (name, &seen.session)).collect()
+    }
+
+    /// Which placer should own a rack; in its own region if one is live there.
+    pub(crate) fn ideal(
+        &self,
+        rack: &str,
+        cell: &Cell,
+        now: Now,
+        options: &Options,
+    ) -> Option<&id::Placer> {
+        let region = cell.region_of(rack)?;
+        let live = self.live(now, options);
+        let able = || live.iter().filter(|(_, s)| !s.draining);
+        let near: Vec<&id::Placer> = able()
+            .filter(|(_, s)| s.region == region)
+            .map(|(n, _)| *n)
+            .collect();
+        let all: Vec<&id::Placer> = able().map(|(n, _)| *n).collect();
+        home::rendezvous(if near.is_empty() { all } else { near }, rack)
+    }
+
+    /// The placer that writes the claims of a data centre, with its address.
+    pub(crate) fn claimant(&self, now: Now, options: &Options) -> Option<(&id::Placer, &str)> {
+        let live = self.live(now, options);
+        let near = live
+            .iter()
+            .filter(|(_, s)| s.data_centre == options.data_centre);
+        let names: Vec<&id::Placer> = near.filter(|(_, s)| !s.draining).map(|(n, _)| *n).collect();
+        let name = home::rendezvous(names, &options.data_centre)?;
+        Some((name, self.sessions.get(name)?.session.address.as_str()))
+    }
+
+    /// Addresses of the live placers, of one region or of all.
+    pub(crate) fn addresses(
+        &self,
+        region: Option<&str>,
+        now: Now,
+        options: &Options,
+    ) -> Vec<String> {
+        let live = self.live(now, options);
+        let wanted = live
+            .iter()
+            .filter(|(_, s)| region.is_none_or(|r| r == s.region));
+        wanted.map(|(_, s)| s.address.clone()).collect()
+    }
+
+    /// Whether a placer is live.
+    pub(crate) fn is_live(&self, placer: &str, now: Now, options: &Options) -> bool {
+        self.live(now, options)
+            .iter()
+            .any(|(name, _)| *name == placer)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/object.rs
@@ -0,0 +1,21 @@
+//! The object store.
+
+use async_trait::async_trait;
+
+use crate::Error;
+
+/// The platform's object store.
+#[async_trait]
+pub trait Objects: Send + Sync {
+    /// Stores an object, in place of what had this name.
+    ///
+    /// # Errors
+    /// [`Error::Down`] or [`Error::Lost`].
+    async fn put(&self, name: &str, value: Vec<u8>) -> Result<(), Error>;
+
+    /// The object of this name, if there is one.
+    ///
+    /// # Errors
+    /// [`Error::Down`] or [`Error::Lost`].
+    async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Error>;
+}
--- /dev/null
+++ b/crates/standin/src/bin/lentilyoke-standin.rs
@@ -0,0 +1,192 @@
+//! Stand-ins as programs: `platform`, or `rack` with its workers.
+
+use std::future::IntoFuture as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use clap::{Parser, Subcommand};
+use platform::{Host, Standing, http};
+use resource::Size;
+use snafu::{OptionExt as _, ResultExt as _, Whatever, whatever};
+use standin::serve;
+use standin::{Faults, Machine, Platform};
+use telemetry::Stop;
+use tokio::net::TcpListener;
+
+/// Small stand-ins for the platform and for racks of workers.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Settings {
+    #[command(subcommand)]
+    role: Role,
+}
+
+#[derive(Debug, Subcommand)]
+enum Role {
+    /// Serves the platform: table, objects, host list.
+    Platform {
+        /// Address to listen on.
+        #[arg(long, env = "LENTILYOKE_LISTEN", default_value = "127.0.0.1:7000")]
+        listen: SocketAddr,
+        /// Age of the host list, in milliseconds.
+        #[arg(long, default_value_t = 3_000)]
+        lag_ms: u64,
+        /// Every call takes this much longer, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        slow_ms: u64,
+    },
+    /// Makes a running platform misbehave; without flags it behaves again.
+    Control {
+        /// Address of the platform.
+        #[arg(long, default_value = "127.0.0.1:7000")]
+        platform: String,
+        /// Nothing works.
+        #[arg(long)]
+        down: bool,
+        /// Every call takes this much longer, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        slow_ms: u64,
+        /// So many of the next transactions take effect, but their answers are lost.
+        #[arg(long, default_value_t = 0)]
+        lose: u32,
+        /// Age of the host list, in milliseconds.
+        #[arg(long, default_value_t = 3_000)]
+        lag_ms: u64,
+    },
+    /// Serves the workers of one rack and lists them at the platform.
+    Rack {
+        /// Name of the rack.
+        #[arg(long)]
+        rack: String,
+        /// Address of the platform.
+        #[arg(long, default_value = "127.0.0.1:7000")]
+        platform: String,
+        /// Number of workers.
+        #[arg(long, default_value_t = 8)]
+        workers: u32,
+        /// Cores of each worker.
+        #[arg(long, default_value_t = 16)]
+        cores: u64,
+        /// Memory of each worker, in MiB.
+        #[arg(long, default_value_t = 65_536)]
+        memory_mib: u64,
+        /// Accelerators of each worker.
+        #[arg(long, default_value_t = 2)]
+        accelerators: u64,
+        /// Quick requests that each executor runs at once.
+        #[arg(long, default_value_t = 8)]
+        slots: u32,
+    },
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Whatever> {
+    let stop = Stop::default();
+    stop.on_signal();
+    match Settings::parse().role {
+        Role::Platform {
+            listen,
+            lag_ms,
+            slow_ms,
+        } => {
+            let store = Arc::new(Platform::default());
+            store.set(Faults {
+                lag_ms,
+                slow_ms,
+                ..Faults::default()
+            });
+            let address = listen_on(listen, serve::platform(store), &stop).await?;
+            println!("platform {address}");
+        }
+        Role::Control {
+            platform,
+            down,
+            slow_ms,
+            lose,
+            lag_ms,
+        } => {
+            let faults = Faults {
+                down,
+                slow_ms,
+                lose,
+                lag_ms,
+            };
+            let url = format!("http://{platform}/control");
+            let limit = std::time::Duration::from_secs(2);
+            let reply = http::Client::default().post(&url, &faults, limit).await;
+            reply.whatever_context("the platform does not answer")?;
+            stop.drain();
+        }
+        Role::Rack {
+            rack,
+            platform,
+            workers,
+            cores,
+            memory_mib,
+            accelerators,
+            slots,
+        } => {
+            let size = Size::new(cores * 1_000, memory_mib, accelerators);
+            for nth in 0..workers {
+                let control = serve::Control::new(Machine::new(size, slots, 1));
+                stop.spawn(control.clone().tick(stop.clone()));
+                let any = SocketAddr::from(([127, 0, 0, 1], 0));
+                let address = listen_on(any, serve::machines(control), &stop).await?;
+                let name = format!("{rack}-{nth}");
+                register(&platform, &name, &rack, address).await?;
+                println!("worker {name} {address}");
+            }
+        }
+    }
+    stop.draining().await;
+    stop.join().await;
+    Ok(())
+}
+
+async fn listen_on(
+    address: SocketAddr,
+    router: Router,
+    stop: &Stop,
+) -> Result<SocketAddr, Whatever> {
+    let listener = TcpListener::bind(address)
+        .await
+        .with_whatever_context(|_| format!("can't listen on {address}"))?;
+    let address = listener.local_addr().whatever_context("no address")?;
+    let ended = stop.clone();
+    stop.spawn(async move {
+        tokio::select! {
+            _ = axum::serve(listener, router).into_future() => {}
+            () = ended.ended() => {}
+        }
+    });
+    Ok(address)
+}
+
+async fn register(
+    platform: &str,
+    name: &str,
+    rack: &str,
+    address: SocketAddr,
+) -> Result<(), Whatever> {
+    let host = Host {
+        name: name.to_owned(),
+        rack: rack.to_owned(),
+        address: address.to_string(),
+        standing: Standing::Live,
+    };
+    let url = format!("http://{platform}/register");
+    let limit = std::time::Duration::from_secs(1);
+    let client = http::Client::default();
+    let mut last = None;
+    for _ in 0..50 {
+        match client.post(&url, &host, limit).await {
+            Ok(reply) if reply.status.is_success() => return Ok(()),
+            Ok(reply) => whatever!("the platform answers {}", reply.status),
+            Err(error) => last = Some(error),
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    let error = last.whatever_context("no try was made")?;
+    whatever!("the platform does not answer: {error}")
+}
--- /dev/null
+++ b/crates/standin/src/racks.rs
@@ -0,0 +1,152 @@
+//! Many machines that are called inside a test.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use resource::Size;
+use telemetry::Since;
+use worker::call::{
+    Adopt, Adopted, Hello, Moment, Pulse, Ran, Report, Run, Start, Stop, Stopped, Throttle, Void,
+    Voided,
+};
+use worker::{Error, Host, Refusal};
+
+use crate::{Journal, Machine, Mischief};
+
+/// Machines by address.
+#[derive(Clone, Debug)]
+pub struct Racks {
+    since: Since,
+    machines: Arc<Mutex<BTreeMap<String, Machine>>>,
+}
+
+impl Default for Racks {
+    fn default() -> Self {
+        Self {
+            since: Since::start(),
+            machines: Arc::default(),
+        }
+    }
+}
+
+impl Racks {
+    /// Adds a machine.
+    pub fn add(&self, address: &str, size: Size, slots: u32) {
+        self.lock()
+            .insert(address.to_owned(), Machine::new(size, slots, 1));
+    }
+
+    /// Does something to a machine.
+    ///
+    /// # Panics
+    /// If there is none at this address.
+    pub fn with<T>(&self, address: &str, change: impl FnOnce(&mut Machine) -> T) -> T {
+        let mut machines = self.lock();
+        let Some(machine) = machines.get_mut(address) else {
+            panic!("no machine at {address}");
+        };
+        change(machine)
+    }
+
+    /// Lets a machine misbehave.
+    pub fn set(&self, address: &str, mischief: Mischief) {
+        self.with(address, |machine| machine.set(mischief));
+    }
+
+    /// Journals of all machines, by address.
+    #[must_use]
+    pub fn journals(&self) -> BTreeMap<String, Journal> {
+        self.lock()
+            .iter()
+            .map(|(a, m)| (a.clone(), m.journal().clone()))
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Machine>> {
+        self.machines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Moment {
+        self.since.now().as_millis() as Moment
+    }
+
+    /// Calls a machine, unless it is frozen, in which case nothing ever answers.
+    async fn call<T>(
+        &self,
+        address: &str,
+        call: impl FnOnce(&mut Machine, Moment) -> Result<T, Refusal>,
+    ) -> Result<T, Error> {
+        let frozen = self.lock().get(address).map(|m| m.mischief().frozen);
+        match frozen {
+            None => {
+                return Err(Error::NotSent {
+                    reason: "no machine there".to_owned(),
+                });
+            }
+            Some(true) => {
+                tokio::time::sleep(worker::TIMEOUT).await;
+                return Err(Error::NoAnswer {
+                    reason: "frozen".to_owned(),
+                });
+            }
+            Some(false) => {}
+        }
+        let now = self.now();
+        let result = self.with(address, |machine| {
+            machine.tick(now);
+            call(machine, now)
+        });
+        result.map_err(|refusal| Error::Refused { refusal })
+    }
+}
+
+#[async_trait]
+impl Host for Racks {
+    async fn hello(&self, address: &str) -> Result<Hello, Error> {
+        self.call(address, |m, _| Ok(m.hello())).await
+    }
+
+    async fn adopt(&self, address: &str, adopt: Adopt) -> Result<Adopted, Error> {
+        self.call(address, |m, now| m.adopt(&adopt, now)).await
+    }
+
+    async fn pulse(&self, address: &str, pulse: Pulse) -> Result<Report, Error> {
+        self.call(address, |m, now| m.pulse(&pulse, now)).await
+    }
+
+    async fn run(&self, address: &str, run: Run, limit: Duration) -> Result<Ran, Error> {
+        self.call(address, |m, now| m.begin(&run, now, now)).await?;
+        tokio::time::sleep(Machine::work(&run)).await;
+        let now = self.now();
+        let ran = self.with(address, |m| m.end(&run, now));
+        if self.with(address, |m| {
+            m.mischief().loses_answers || m.mischief().frozen
+        }) {
+            tokio::time::sleep(limit).await;
+            return Err(Error::NoAnswer {
+                reason: "the answer was lost".to_owned(),
+            });
+        }
+        ran.ok_or_else(|| Error::NoAnswer {
+            reason: "voided".to_owned(),
+        })
+    }
+
+    async fn void(&self, address: &str, void: Void) -> Result<Voided, Error> {
+        self.call(address, |m, now| m.void(&void, now)).await
+    }
+
+    async fn start(&self, address: &str, start: Start) -> Result<(), Error> {
+        self.call(address, |m, now| m.start(&start, now)).await
+    }
+
+    async fn stop(&self, address: &str, stop: Stop) -> Result<Option<Stopped>, Error> {
+        self.call(address, |m, now| m.stop(&stop, now)).await
+    }
+
+    async fn throttle(&self, address: &str, throttle: Throttle) -> Result<(), Error> {
+        self.call(address, |m, _| m.throttle(&throttle)).await
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/health.rs
@@ -0,0 +1,71 @@
+//! Metrics, health and readiness over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use axum::Router;
+use axum::http::StatusCode;
+use axum::routing::get;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use snafu::{ResultExt as _, Whatever};
+use tokio::net::TcpListener;
+
+use crate::Stop;
+
+/// Whether the program is ready for work; served with its metrics.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    ready: Arc<AtomicBool>,
+}
+
+impl Health {
+    /// Says whether the program is ready for work.
+    pub fn set(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Whether the program is ready for work.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    /// Serves `/metrics`, `/health` and `/ready`; tells the address it got.
+    ///
+    /// # Errors
+    /// If the address is taken or metrics were set up before.
+    pub async fn serve(&self, address: SocketAddr, stop: &Stop) -> Result<SocketAddr, Whatever> {
+        let recorder = PrometheusBuilder::new()
+            .install_recorder()
+            .whatever_context("metrics: set up twice")?;
+        let health = self.clone();
+        let ready = move || async move {
+            if health.ready() {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        };
+        let router = Router::new()
+            .route("/metrics", get(move || async move { recorder.render() }))
+            .route("/health", get(|| async { StatusCode::OK }))
+            .route("/ready", get(ready));
+        let listener = TcpListener::bind(address)
+            .await
+            .with_whatever_context(|_| format!("metrics: can't listen on {address}"))?;
+        let address = listener
+            .local_addr()
+            .whatever_context("metrics: no address")?;
+        let ended = stop.clone();
+        stop.spawn(async move {
+            let server = axum::serve(listener, router);
+            drop(
+                server
+                    .with_graceful_shutdown(async move { ended.ended().await })
+                    .await,
+            );
+        });
+        Ok(address)
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,18 @@
+//! What every program of the system has in common.
+//!
+//! * [`Settings`]: flags and environment variables for logs and metrics.
+//! * [`logs`]: JSON lines.
+//! * [`Health`]: metrics, health and readiness over HTTP.
+//! * [`Stop`]: SIGTERM, and the tasks that are joined before the program ends.
+//! * [`Since`]: time since the program began.
+
+mod health;
+pub mod logs;
+mod settings;
+mod since;
+mod stop;
+
+pub use health::Health;
+pub use settings::Settings;
+pub use since::Since;
+pub use stop::Stop;
--- /dev/null
+++ b/crates/worker/src/client.rs
@@ -0,0 +1,96 @@
+//! The worker's calls over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use hyper::StatusCode;
+use platform::http;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::call::{
+    Adopt, Adopted, Hello, Pulse, Ran, Report, Run, Start, Stop, Stopped, Throttle, Void, Voided,
+};
+use crate::{Error, Host};
+
+/// Time limit of every call but [`Host::run`].
+pub const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Speaks to workers over HTTP.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: http::Client,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self {
+            http: http::Client::new(Duration::from_millis(250)),
+        }
+    }
+}
+
+impl Client {
+    async fn call<T: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        message: &T,
+        limit: Duration,
+    ) -> Result<R, Error> {
+        let url = format!("http://{address}/{path}");
+        let reply = self.http.post(&url, message, limit).await?;
+        match reply.status {
+            StatusCode::OK => Ok(reply.json()?),
+            StatusCode::CONFLICT => Err(Error::Refused {
+                refusal: reply.json()?,
+            }),
+            status => Err(Error::NoAnswer {
+                reason: format!("status {status}"),
+            }),
+        }
+    }
+}
+
+#[async_trait]
+impl Host for Client {
+    async fn hello(&self, address: &str) -> Result<Hello, Error> {
+        self.call(address, "hello", &(), TIMEOUT).await
+    }
+
+    async fn adopt(&self, address: &str, adopt: Adopt) -> Result<Adopted, Error> {
+        self.call(address, "adopt", &adopt, TIMEOUT).await
+    }
+
+    async fn pulse(&self, address: &str, pulse: Pulse) -> Result<Report, Error> {
+        self.call(address, "pulse", &pulse, TIMEOUT).await
+    }
+
+    async fn run(&self, address: &str, run: Run, limit: Duration) -> Result<Ran, Error> {
+        let ran: Ran = self.call(address, "run", &run, limit).await?;
+        // A connection that is reused after a fault can bring the answer to another request; the
+        // caller would get somebody else's result. The id and the attempt tell them apart.
+        if ran.id != run.id || ran.attempt != run.attempt {
+            return Err(Error::NoAnswer {
+                reason: format!("a foreign answer, {}", ran.id),
+            });
+        }
+        Ok(ran)
+    }
+
+    async fn void(&self, address: &str, void: Void) -> Result<Voided, Error> {
+        self.call(address, "void", &void, TIMEOUT).await
+    }
+
+    async fn start(&self, address: &str, start: Start) -> Result<(), Error> {
+        self.call(address, "start", &start, TIMEOUT).await
+    }
+
+    async fn stop(&self, address: &str, stop: Stop) -> Result<Option<Stopped>, Error> {
+        self.call(address, "stop", &stop, TIMEOUT).await
+    }
+
+    async fn throttle(&self, address: &str, throttle: Throttle) -> Result<(), Error> {
+        self.call(address, "throttle", &throttle, TIMEOUT).await
+    }
+}
