--- a/crates/cell/src/desk/digests.rs
+++ b/crates/cell/src/desk/digests.rs
@@ -14,6 +14,7 @@
     rack_of: Vec<id::Rack>,
     places: BTreeMap<id::Rack, Vec<usize>>,
     yielding: BTreeMap<id::Rack, Vec<(Size, Size)>>,
+    epochs: BTreeMap<id::Rack, id::Epoch>,
 }
 
 impl Digests {
@@ -42,6 +43,7 @@
             let free = digest.free.get(nth).copied().unwrap_or(Size::ZERO);
             self.index.set(*place, free);
         }
+        self.epochs.insert(digest.rack.clone(), digest.epoch);
         let both = digest
             .free
             .iter()
@@ -50,6 +52,12 @@
         self.yielding.insert(digest.rack.clone(), both.collect());
     }
 
+    /// Epoch of the owner that last told a rack's room.
+    #[must_use]
+    pub fn epoch(&self, rack: &str) -> id::Epoch {
+        self.epochs.get(rack).copied().unwrap_or_default()
+    }
+
     /// Nothing is known of a rack any more.
     pub fn forget(&mut self, rack: &str) {
         self.learn(&Digest {
--- a/crates/cell/src/desk/plan.rs
+++ b/crates/cell/src/desk/plan.rs
@@ -76,6 +76,7 @@
         for (rack, tasks) in orders {
             let from = self.next_serial();
             plans.push(Plan::Start(Order {
+                epoch: digests.epoch(&rack),
                 rack,
                 from,
                 mode: Mode::Start,
@@ -192,9 +193,10 @@
             job: name.1.clone(),
             attempt,
         };
-        let order = |(rack, tasks)| {
+        let order = |(rack, tasks): (id::Rack, Vec<Task>)| {
             let from = self.next_serial();
             Order {
+                epoch: digests.epoch(&rack),
                 rack,
                 from,
                 mode: Mode::Hold,
--- a/crates/cell/src/rack/place.rs
+++ b/crates/cell/src/rack/place.rs
@@ -24,7 +24,8 @@
 impl Rack {
     /// Places the tasks of an order and tells what to say to the workers.
     pub fn place(&mut self, order: &Order, now: Now) -> (Reply, Vec<Command>) {
-        if !self.acts(now) || !self.hear(&order.from) {
+        let meant = order.epoch == self.epoch;
+        if !meant || !self.acts(now) || !self.hear(&order.from) {
             let placements = vec![Placement::NotOwner; order.tasks.len()];
             return (
                 Reply {
@@ -257,6 +258,7 @@
         };
         let start = Start {
             epoch: self.epoch,
+            life: host.incarnation,
             not_after,
             lease_ms: LEASE.as_millis() as u64,
             task: placed.task.clone(),
--- a/crates/cell/src/rack/report.rs
+++ b/crates/cell/src/rack/report.rs
@@ -28,16 +28,14 @@
         }
         let lease_ms = if renew { LEASE.as_millis() as u64 } else { 0 };
         let forget = host.forget.clone();
-        let not_after = host.before(until.unwrap_or(now));
-        Some((
-            host.address.clone(),
-            Pulse {
-                epoch: self.epoch,
-                lease_ms,
-                not_after,
-                forget,
-            },
-        ))
+        let pulse = Pulse {
+            epoch: self.epoch,
+            life: host.incarnation,
+            lease_ms,
+            not_after: host.before(until.unwrap_or(now)),
+            forget,
+        };
+        Some((host.address.clone(), pulse))
     }
 
     /// A worker has answered a heartbeat that was sent at `sent`.
--- a/crates/placer/src/node.rs
+++ b/crates/placer/src/node.rs
@@ -4,6 +4,7 @@
 mod spread;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -56,6 +57,8 @@
     view: Mutex<View>,
     shards: RwLock<BTreeMap<id::Rack, Arc<Shard>>>,
     attached: Mutex<BTreeMap<id::Entry, Attached>>,
+    /// Whether the configuration was heard of since the process last was paused.
+    fresh: AtomicBool,
 }
 
 /// An entry that has not asked for this long is not there any more.
@@ -90,6 +93,7 @@
             view: Mutex::default(),
             shards: RwLock::default(),
             attached: Mutex::default(),
+            fresh: AtomicBool::new(false),
         })
     }
 
@@ -127,11 +131,24 @@
         self.since.now()
     }
 
-    /// The configuration that is applied, with its version.
+    /// The configuration to act on, with its version.
+    ///
+    /// `None` after a pause, until it was heard of again: others may have counted this process as
+    /// dead meanwhile, and accepted a newer configuration without it.
     pub(crate) fn applied(&self) -> Option<Arc<Applied>> {
+        self.known().filter(|_| self.fresh.load(Ordering::Acquire))
+    }
+
+    /// The configuration that was last applied, even if there may be a newer one.
+    pub(crate) fn known(&self) -> Option<Arc<Applied>> {
         self.applied.load_full()
     }
 
+    /// Says whether the configuration was heard of since the last pause.
+    pub(crate) fn set_fresh(&self, fresh: bool) {
+        self.fresh.store(fresh, Ordering::Release);
+    }
+
     pub(crate) fn view(&self) -> MutexGuard<'_, View> {
         lock(&self.view)
     }
@@ -179,25 +196,27 @@
         self.view().addresses(None, self.now(), &self.options)
     }
 
-    /// What an entry needs to know, apart from what it has.
-    pub fn routes(&self, ask: &Ask) -> Routes {
+    /// What an entry needs to know, apart from what it has; `None` if this placer does not know
+    /// whether its own configuration is in force.
+    pub fn routes(&self, ask: &Ask) -> Option<Routes> {
+        self.applied()?;
         let seen = self.now();
         let attached = Attached {
             applied: ask.applied,
             seen,
         };
         lock(&self.attached).insert(ask.entry.clone(), attached);
-        let config = self.config_than(ask.applied);
+        let config = self.config_than(ask.applied + 1);
         let view = self.view();
         // Generations of different placers, or of different lives, can't be compared; an entry
         // that changes to another placer asks with generation 0.
         let generation = view.generation;
         if ask.generation == generation {
-            return Routes {
+            return Some(Routes {
                 generation,
                 config,
                 ..Routes::default()
-            };
+            });
         }
         let owner = |(rack, (_, record)): (&id::Rack, &(u64, cell::Record))| {
             let placer = record.owner.clone()?;
@@ -213,17 +232,17 @@
         };
         let owners = view.records.iter().filter_map(owner).collect();
         let placers = view.addresses(None, seen, &self.options);
-        Routes {
+        Some(Routes {
             generation,
             owners: Some(owners),
             placers,
             config,
-        }
+        })
     }
 
-    /// The configuration that is applied, if it is newer than this version.
+    /// The configuration that is applied, if it is this version or a newer one.
     pub fn config_than(&self, than: Version) -> Option<(Version, config::raw::Cell)> {
-        let applied = self.applied().filter(|a| a.version > than)?;
+        let applied = self.applied().filter(|a| a.version >= than)?;
         Some((applied.version, applied.cell.to_raw().clone()))
     }
 
@@ -255,7 +274,7 @@
             .filter(|shard| shard.stage() != Stage::Watching);
         Status {
             placer: self.options.name.clone(),
-            config: self.applied().map_or(0, |a| a.version),
+            config: self.known().map_or(0, |a| a.version),
             draining: self.stop.is_draining(),
             racks: owned.map(|shard| shard.status(now)).collect(),
         }
@@ -263,7 +282,7 @@
 
     /// Applies a configuration, if it is newer than the present one.
     pub(crate) fn apply(self: &Arc<Self>, version: Version, raw: config::raw::Cell) {
-        if self.applied().is_some_and(|a| a.version >= version) {
+        if self.known().is_some_and(|a| a.version >= version) {
             return;
         }
         let cell = match Cell::try_from(raw) {
--- a/crates/placer/src/node/beat.rs
+++ b/crates/placer/src/node/beat.rs
@@ -1,6 +1,7 @@
 //! The beat: renews the session row, reads the table, decides which racks to own.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cell::{Event, Record, Stage};
 use futures::future::join_all;
@@ -12,11 +13,24 @@
 /// Rows that every placer reads.
 const PREFIXES: [&str; 3] = ["config/", Record::PREFIX, Session::PREFIX];
 
+/// A process whose beats are this far apart was paused. Whoever accepts a configuration counts a
+/// process as dead only after a longer time.
+const PAUSED: Duration = Duration::from_secs(6);
+
+/// Longest wait for another placer's configuration.
+const ASK: Duration = Duration::from_millis(800);
+
 /// Beats until the placer ends.
 pub(super) async fn run(node: Arc<Node>) {
     let mut beat = 0;
+    let mut last = node.now();
     loop {
         beat += 1;
+        if node.now().saturating_sub(last) > PAUSED {
+            log::warn!("paused for more than {PAUSED:?}");
+            node.set_fresh(false);
+        }
+        last = node.now();
         once(&node, beat).await;
         tokio::select! {
             () = tokio::time::sleep(node.options.beat) => {}
@@ -24,8 +38,8 @@
             () = node.stop.ended() => break,
         }
     }
-    let last = Transaction::default().delete(Session::key(&node.options.name));
-    drop(node.table.commit(last).await);
+    let farewell = Transaction::default().delete(Session::key(&node.options.name));
+    drop(node.table.commit(farewell).await);
 }
 
 async fn once(node: &Arc<Node>, beat: u64) {
@@ -62,7 +76,7 @@
         region: node.options.region.clone(),
         data_centre: node.options.data_centre.clone(),
         draining: node.stop.is_draining(),
-        applied: node.applied().map_or(0, |a| a.version),
+        applied: node.known().map_or(0, |a| a.version),
         entries,
         beat,
     }
@@ -87,6 +101,7 @@
     };
     if let Some((version, raw)) = config {
         node.apply(version, raw);
+        node.set_fresh(true);
     }
     for rack in &changed {
         depose(node, rack);
@@ -107,8 +122,11 @@
     known.retain(|address| *address != node.options.address);
     known.sort();
     known.dedup();
-    let than = node.applied().map_or(0, |a| a.version);
-    let asked = known.iter().map(|address| node.peers.config(address, than));
+    let than = node.known().map_or(0, |a| a.version);
+    let asked = known.iter().map(|address| async {
+        let asked = node.peers.config(address, than);
+        tokio::time::timeout(ASK, asked).await.ok()?.ok().flatten()
+    });
     let newer = join_all(asked)
         .await
         .into_iter()
@@ -116,6 +134,7 @@
         .flatten();
     if let Some((version, raw)) = newer.max_by_key(|(version, _)| *version) {
         node.apply(version, raw);
+        node.set_fresh(true);
     }
 }
 
--- a/crates/placer/src/server.rs
+++ b/crates/placer/src/server.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 use config::{Version, raw};
 use jsonrpsee::core::RpcResult;
+use jsonrpsee::types::ErrorObject;
 use resource::id;
 use wire::rpc::PlacerServer;
 use wire::{
@@ -14,6 +15,9 @@
 
 use crate::{Node, Shard};
 
+/// The placer does not know whether its configuration is in force.
+const NOT_FRESH: i32 = -32_001;
+
 /// Serves one placer.
 pub struct Server {
     node: Arc<Node>,
@@ -75,7 +79,8 @@
     }
 
     async fn routes(&self, ask: Ask) -> RpcResult<Routes> {
-        Ok(self.node.routes(&ask))
+        let routes = self.node.routes(&ask);
+        routes.ok_or_else(|| ErrorObject::owned(NOT_FRESH, "not fresh", None::<()>))
     }
 
     async fn place(&self, order: Order) -> RpcResult<Placed> {
--- a/crates/placer/src/shard/run.rs
+++ b/crates/placer/src/shard/run.rs
@@ -153,6 +153,7 @@
         };
         let run = Run {
             epoch: go.epoch,
+            life: go.incarnation,
             not_after: go.not_after,
             run_ms: service.run.as_millis() as u64,
             id: name.to_owned(),
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -12,7 +12,7 @@
 use crate::{Host, Hosts, Objects, Row, Scan, Table, Transaction, Version, http};
 
 /// Time limit of one call to the platform.
-const LIMIT: Duration = Duration::from_secs(2);
+const LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Speaks to the platform over HTTP.
 #[derive(Clone, Debug)]
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -137,7 +137,7 @@
     /// # Errors
     /// [`Refusal::Fenced`] for another epoch.
     pub fn pulse(&mut self, pulse: &Pulse, now: Moment) -> Result<Report, Refusal> {
-        self.slot.admit(pulse.epoch, 0, 0)?;
+        self.slot.admit(pulse.epoch, pulse.life, 0, 0)?;
         self.tick(now);
         if pulse.lease_ms > 0 && now <= pulse.not_after {
             for held in self.tasks.values_mut() {
@@ -154,7 +154,7 @@
     /// # Errors
     /// A [`Refusal`], after which it will never run.
     pub fn begin(&mut self, run: &Run, now: Moment, wall: u64) -> Result<(), Refusal> {
-        self.slot.admit(run.epoch, now, run.not_after)?;
+        self.slot.admit(run.epoch, run.life, now, run.not_after)?;
         if self.mischief.leaving {
             return Err(Refusal::Leaving);
         }
@@ -204,7 +204,7 @@
     /// # Errors
     /// [`Refusal::Fenced`] for another epoch.
     pub fn void(&mut self, void: &Void, wall: u64) -> Result<Voided, Refusal> {
-        self.slot.admit(void.epoch, 0, 0)?;
+        self.slot.admit(void.epoch, self.slot.incarnation(), 0, 0)?;
         let name = (void.id.clone(), void.attempt);
         if self.close(&name, wall).is_some() {
             self.remember(name, None);
@@ -225,7 +225,8 @@
     /// # Errors
     /// A [`Refusal`], after which it will never start.
     pub fn start(&mut self, start: &Start, now: Moment) -> Result<(), Refusal> {
-        self.slot.admit(start.epoch, now, start.not_after)?;
+        self.slot
+            .admit(start.epoch, start.life, now, start.not_after)?;
         if self.mischief.leaving {
             return Err(Refusal::Leaving);
         }
@@ -255,7 +256,7 @@
     /// # Errors
     /// [`Refusal::Fenced`] for another epoch.
     pub fn stop(&mut self, stop: &Stop, now: Moment) -> Result<Option<Stopped>, Refusal> {
-        self.slot.admit(stop.epoch, 0, 0)?;
+        self.slot.admit(stop.epoch, self.slot.incarnation(), 0, 0)?;
         self.seen.insert(stop.task.clone());
         let Some(held) = self.tasks.remove(&stop.task) else {
             return Ok(None);
@@ -271,7 +272,8 @@
     /// # Errors
     /// [`Refusal::Fenced`] for another epoch.
     pub fn throttle(&mut self, throttle: &Throttle) -> Result<(), Refusal> {
-        self.slot.admit(throttle.epoch, 0, 0)?;
+        self.slot
+            .admit(throttle.epoch, self.slot.incarnation(), 0, 0)?;
         self.mischief.usage_percent = self.mischief.usage_percent.min(100);
         Ok(())
     }
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -46,6 +46,9 @@
 pub struct Order {
     /// The rack.
     pub rack: id::Rack,
+    /// Epoch of the rack's owner that it is meant for. A later owner has not heard what was said
+    /// after this order, so it could not tell that the order was given up on.
+    pub epoch: id::Epoch,
     /// Who asks.
     pub from: Seniority,
     /// What to do with them.
--- a/crates/worker/src/call.rs
+++ b/crates/worker/src/call.rs
@@ -48,6 +48,8 @@
 pub struct Pulse {
     /// The owner's epoch.
     pub epoch: id::Epoch,
+    /// The life of the worker that it is meant for.
+    pub life: id::Incarnation,
     /// How long tasks may go on without another heartbeat, in milliseconds; 0 renews nothing.
     pub lease_ms: u64,
     /// Last moment at which it renews anything. A heartbeat that is delivered late would let tasks
@@ -111,6 +113,8 @@
 pub struct Run {
     /// The owner's epoch.
     pub epoch: id::Epoch,
+    /// The life of the worker that it is meant for.
+    pub life: id::Incarnation,
     /// Last moment at which it may start.
     pub not_after: Moment,
     /// Longest time that it may run, in milliseconds; the worker ends it then.
@@ -169,6 +173,8 @@
 pub struct Start {
     /// The owner's epoch.
     pub epoch: id::Epoch,
+    /// The life of the worker that it is meant for.
+    pub life: id::Incarnation,
     /// Last moment at which it may start.
     pub not_after: Moment,
     /// How long it may go on without a heartbeat, in milliseconds.
--- a/crates/worker/src/slot.rs
+++ b/crates/worker/src/slot.rs
@@ -39,9 +39,10 @@
 /// let mut slot = Slot::new(1);
 /// slot.adopt(4, 1).unwrap();
 /// slot.adopt(5, 1).unwrap();
-/// assert_eq!(slot.admit(4, 10, 20), Err(Refusal::Fenced { epoch: 5 }));
-/// assert_eq!(slot.admit(5, 10, 20), Ok(()));
-/// assert_eq!(slot.admit(5, 21, 20), Err(Refusal::Late));
+/// assert_eq!(slot.admit(4, 1, 10, 20), Err(Refusal::Fenced { epoch: 5 }));
+/// assert_eq!(slot.admit(5, 1, 10, 20), Ok(()));
+/// assert_eq!(slot.admit(5, 1, 21, 20), Err(Refusal::Late));
+/// assert_eq!(slot.admit(5, 2, 10, 20), Err(Refusal::Restarted { incarnation: 1 }));
 /// ```
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Slot {
@@ -94,14 +95,28 @@
     /// Whether a command of this epoch may be carried out.
     ///
     /// `now` and `not_after` are in the worker's own milliseconds. A worker that the new owner
-    /// could not adopt still obeys the old one; `not_after` bounds for how long.
+    /// could not adopt still obeys the old one; `not_after` bounds for how long. A restart begins
+    /// the worker's time anew, and a command that was meant for an earlier life would never be
+    /// late; so it names the life.
     ///
     /// # Errors
-    /// [`Refusal::Fenced`] for any other epoch, [`Refusal::Late`] after `not_after`.
-    pub const fn admit(&self, epoch: Epoch, now: u64, not_after: u64) -> Result<(), Refusal> {
+    /// [`Refusal::Fenced`] for any other epoch, [`Refusal::Restarted`] for any other life,
+    /// [`Refusal::Late`] after `not_after`.
+    pub const fn admit(
+        &self,
+        epoch: Epoch,
+        life: Incarnation,
+        now: u64,
+        not_after: u64,
+    ) -> Result<(), Refusal> {
         if epoch != self.epoch {
             return Err(Refusal::Fenced { epoch: self.epoch });
         }
+        if life != self.incarnation {
+            return Err(Refusal::Restarted {
+                incarnation: self.incarnation,
+            });
+        }
         if now > not_after {
             return Err(Refusal::Late);
         }
