--- a/crates/placer/tests/requests.rs
+++ b/crates/placer/tests/requests.rs
@@ -216,7 +216,12 @@
         ask_later(
             &world,
             "p1",
-            request(&format!("a{n}"), &format!("k{n}"), n % 2 == 0, n % 7),
+            request(
+                &format!("a{n}"),
+                &format!("k{n}"),
+                n.is_multiple_of(2),
+                n % 7,
+            ),
         )
     };
     let asks: Vec<_> = (0..100).map(|n| (n, ask(n))).collect();
--- a/crates/placer/tests/world/net.rs
+++ b/crates/placer/tests/world/net.rs
@@ -7,10 +7,13 @@
 
 use super::Faults;
 
+/// A placer, and what goes wrong with it.
+type Reachable = (Arc<Node>, Arc<Faults>);
+
 /// Placers by address.
 #[derive(Default)]
 pub struct Net {
-    nodes: Mutex<BTreeMap<String, (Arc<Node>, Arc<Faults>)>>,
+    nodes: Mutex<BTreeMap<String, Reachable>>,
 }
 
 impl Net {
