A killed placer is replaced in about a second; racks are divided evenly

Cause: a dead owner's racks waited until its session had not changed for 3.5 s, although its port refuses connections at once; and plain rendezvous hashing gave 7 racks to 5 of 9 placers. Ruled out: a shorter session period (it costs a table write per placer and beat, and an outage would still be taken for death sooner); trusting one refusal (a process that restarts refuses for a moment).

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -172,9 +172,21 @@
         let path = format!("/v1/requests/{}", request.id);
         let limit = Duration::from_millis(stream.deadline_ms) + GRACE;
         sleep(self.latency).await;
-        let got = self.clients[entry]
-            .call(Method::POST, &path, &headers, body, limit)
-            .await;
+        let mut got = Got {
+            outcome: Outcome::NotAsked,
+            status: 0,
+            body: Bytes::new(),
+        };
+        // As a balancer does: an entry that takes no connection is passed over.
+        for nth in 0..self.clients.len() {
+            let client = &self.clients[(entry + nth) % self.clients.len()];
+            got = client
+                .call(Method::POST, &path, &headers, body.clone(), limit)
+                .await;
+            if got.outcome != Outcome::NotAsked {
+                break;
+            }
+        }
         sleep(self.latency).await;
         got
     }
--- a/crates/config/src/home.rs
+++ b/crates/config/src/home.rs
@@ -4,6 +4,8 @@
 //! two owners could run the same key at once. Homes are chosen by rendezvous hashing, so a new
 //! rack takes over only its share of them.
 
+use std::collections::BTreeMap;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Cell, Service, Team};
@@ -45,6 +47,44 @@
     rendezvous(racks.map(|(name, _)| name), key).map(String::as_str)
 }
 
+/// Divides items among members: each goes to the member with the highest hash for it that has not
+/// got its even share yet. Plain rendezvous hashing leaves some members without any when there are
+/// about as many items as members; the bound costs a few more moves when members come and go.
+///
+/// ```
+/// use config::home;
+///
+/// let items = ["r1", "r2", "r3"].map(String::from);
+/// let members = ["p1", "p2", "p3"].map(String::from);
+/// let owners = home::divide(&items, &members.iter().collect::<Vec<_>>());
+/// let mut names: Vec<&String> = owners.values().copied().collect();
+/// names.sort();
+/// assert_eq!(names, ["p1", "p2", "p3"]);
+/// ```
+pub fn divide<'a, 'b, S>(
+    items: impl IntoIterator<Item = &'a String>,
+    members: &[&'b S],
+) -> BTreeMap<&'a str, &'b S>
+where
+    S: AsRef<str> + Ord,
+{
+    let items: Vec<&String> = items.into_iter().collect();
+    let share = items.len().div_ceil(members.len().max(1));
+    let mut loads: BTreeMap<&S, usize> = BTreeMap::new();
+    let mut owners = BTreeMap::new();
+    for item in items {
+        let open = members
+            .iter()
+            .copied()
+            .filter(|m| loads.get(m).is_none_or(|n| *n < share));
+        if let Some(member) = rendezvous(open, item) {
+            *loads.entry(member).or_default() += 1;
+            owners.insert(item.as_str(), member);
+        }
+    }
+    owners
+}
+
 /// The member with the highest hash for this key; `None` if there are no members.
 pub fn rendezvous<'a, S: AsRef<str>>(
     members: impl IntoIterator<Item = &'a S>,
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -1,8 +1,6 @@
 //! Calls to placers.
 
 use std::collections::HashMap;
-use std::error::Error as StdError;
-use std::io;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -131,16 +129,11 @@
     }
 }
 
-/// A refused connection is the one error that shows that nothing was sent.
 fn missed(error: &ClientError) -> Missed {
     log::debug!("a placer gave no answer: {error}");
-    let mut cause: Option<&dyn StdError> = Some(error);
-    while let Some(error) = cause {
-        let io = error.downcast_ref::<io::Error>();
-        if io.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
-            return Missed::NotSent;
-        }
-        cause = error.source();
+    if wire::refused(error) {
+        Missed::NotSent
+    } else {
+        Missed::NoAnswer
     }
-    Missed::NoAnswer
 }
--- a/crates/placer/src/node/beat.rs
+++ b/crates/placer/src/node/beat.rs
@@ -155,11 +155,10 @@
         return;
     };
     let now = node.now();
+    let ideals = node.view().ideals(&applied.cell, now, &node.options);
     for shard in node.shards() {
+        let ideal = ideals.get(&shard.name);
         let view = node.view();
-        let ideal = view
-            .ideal(&shard.name, &applied.cell, now, &node.options)
-            .cloned();
         let owner = view
             .records
             .get(&shard.name)
@@ -169,7 +168,7 @@
             .as_ref()
             .is_none_or(|o| !view.is_live(o, now, &node.options));
         drop(view);
-        let mine = ideal.as_ref() == Some(&node.options.name);
+        let mine = ideal == Some(&node.options.name);
         let owned = owner.as_ref() == Some(&node.options.name);
         match shard.stage() {
             Stage::Watching if mine && reachable && (dead || owned) && !node.stop.is_draining() => {
--- a/crates/placer/src/peers.rs
+++ b/crates/placer/src/peers.rs
@@ -5,9 +5,14 @@
 use resource::id;
 use wire::{Claim, Digest, Event, Gang, Inventory, Order, Placed, Seniority, Verdict};
 
-/// A call to another placer brought no answer; it may have had its effect.
+/// A call to another placer brought no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Unreached;
+pub enum Unreached {
+    /// Its port refuses connections: no process is there, and nothing was sent.
+    Gone,
+    /// It may have had its effect.
+    NoAnswer,
+}
 
 /// The calls that placers make to each other; `address` is the other's `ip:port`.
 #[async_trait]
--- a/crates/placer/src/rpc.rs
+++ b/crates/placer/src/rpc.rs
@@ -33,7 +33,7 @@
             .request_timeout(LIMIT)
             .connect_timeout(LIMIT / 2)
             .build(format!("http://{address}"))
-            .map_err(|_| Unreached)?;
+            .map_err(|_| Unreached::NoAnswer)?;
         clients.insert(address.to_owned(), client.clone());
         Ok(client)
     }
@@ -45,7 +45,11 @@
 )]
 fn unreached(error: ClientError) -> Unreached {
     log::debug!("a placer was not reached: {error}");
-    Unreached
+    if wire::refused(&error) {
+        Unreached::Gone
+    } else {
+        Unreached::NoAnswer
+    }
 }
 
 #[async_trait]
--- a/crates/placer/src/view.rs
+++ b/crates/placer/src/view.rs
@@ -1,6 +1,6 @@
 //! What a placer knows of the platform's table.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cell::{Now, Record};
 use config::{Cell, home};
@@ -29,6 +29,8 @@
 struct Seen {
     session: Session,
     changed: Now,
+    /// Its port refused connections since; it is not waited for until its session grows old.
+    gone: bool,
 }
 
 impl View {
@@ -107,6 +109,7 @@
                     Seen {
                         session,
                         changed: now,
+                        gone: false,
                     },
                 );
             }
@@ -118,28 +121,34 @@
 
     /// Live placers with their sessions.
     pub(crate) fn live(&self, now: Now, options: &Options) -> Vec<(&id::Placer, &Session)> {
-        let live = |seen: &Seen| now.saturating_sub(seen.changed) < options.stale;
+        let live = |seen: &Seen| !seen.gone && now.saturating_sub(seen.changed) < options.stale;
         let sessions = self.sessions.iter().filter(|(_, seen)| live(seen));
         sessions.map(|(name, seen)| (name, &seen.session)).collect()
     }
 
-    /// Which placer should own a rack; in its own region if one is live there.
-    pub(crate) fn ideal(
+    /// Which placer should own each rack; one of the rack's own region if any is live there.
+    pub(crate) fn ideals(
         &self,
-        rack: &str,
         cell: &Cell,
         now: Now,
         options: &Options,
-    ) -> Option<&id::Placer> {
-        let region = cell.region_of(rack)?;
+    ) -> BTreeMap<id::Rack, id::Placer> {
         let live = self.live(now, options);
-        let able = || live.iter().filter(|(_, s)| !s.draining);
-        let near: Vec<&id::Placer> = able()
-            .filter(|(_, s)| s.region == region)
-            .map(|(n, _)| *n)
-            .collect();
-        let all: Vec<&id::Placer> = able().map(|(n, _)| *n).collect();
-        home::rendezvous(if near.is_empty() { all } else { near }, rack)
+        let able: Vec<_> = live.into_iter().filter(|(_, s)| !s.draining).collect();
+        let mut ideals = BTreeMap::new();
+        let regions: BTreeSet<&str> = cell.racks.values().map(|r| r.region.as_str()).collect();
+        for region in regions {
+            let near = able
+                .iter()
+                .filter(|(_, s)| s.region == region)
+                .map(|(n, _)| *n);
+            let near: Vec<&id::Placer> = near.collect();
+            let all = able.iter().map(|(n, _)| *n).collect();
+            let members = if near.is_empty() { all } else { near };
+            let owners = home::divide(cell.racks_in(region), &members);
+            ideals.extend(owners.into_iter().map(|(r, p)| (r.to_owned(), p.clone())));
+        }
+        ideals
     }
 
     /// The placer that writes the claims of a data centre, with its address.
@@ -167,6 +176,16 @@
         wanted.map(|(_, s)| s.address.clone()).collect()
     }
 
+    /// The placer at this address refuses connections: its process is gone. It counts as dead until
+    /// its session changes again; if it lives after all, epochs keep it from doing harm.
+    pub(crate) fn gone(&mut self, address: &str) {
+        let seen = self
+            .sessions
+            .values_mut()
+            .filter(|seen| seen.session.address == address);
+        seen.for_each(|seen| seen.gone = true);
+    }
+
     /// Whether a placer is live.
     pub(crate) fn is_live(&self, placer: &str, now: Now, options: &Options) -> bool {
         self.live(now, options)
--- a/crates/placer/tests/ownership.rs
+++ b/crates/placer/tests/ownership.rs
@@ -277,3 +277,39 @@
     assert!(fault.retry_after().is_some());
     world.end().await;
 }
+
+/// Callers see: answers again after a second or two, not after four. The killed placer's port
+/// refuses connections, so its neighbours need not wait until its session has grown old.
+#[tokio::test(start_paused = true)]
+async fn a_placer_whose_port_refuses_connections_is_replaced_at_once() {
+    let mut world = World::new(2, 3).await;
+    world.start("p1");
+    world.start("p2");
+    world.settle(secs(12)).await;
+    tokio::time::sleep(secs(4)).await;
+    let owner = world.owner("r1").unwrap();
+    let killed = tokio::time::Instant::now();
+    world.kill(&owner);
+    world.settle(secs(8)).await;
+    assert!(killed.elapsed() < ms(2_500), "{:?}", killed.elapsed());
+    world.check();
+    world.end().await;
+}
+
+/// Callers see: load on every entry host. Three placers and three racks: each gets one.
+#[tokio::test(start_paused = true)]
+async fn racks_are_divided_evenly() {
+    let mut world = World::new(3, 3).await;
+    for name in ["p1", "p2", "p3"] {
+        world.start(name);
+    }
+    world.settle(secs(12)).await;
+    tokio::time::sleep(secs(10)).await;
+    let owners: std::collections::BTreeSet<_> = ["r1", "r2", "r3"]
+        .iter()
+        .map(|rack| world.owner(rack))
+        .collect();
+    assert_eq!(owners.len(), 3, "{owners:?}");
+    world.check();
+    world.end().await;
+}
--- a/crates/placer/tests/world/faulty.rs
+++ b/crates/placer/tests/world/faulty.rs
@@ -104,7 +104,7 @@
     async fn peer(&self) -> Result<(), Unreached> {
         self.pass().await;
         if *self.no_peers.borrow() {
-            Err(Unreached)
+            Err(Unreached::NoAnswer)
         } else {
             Ok(())
         }
@@ -198,7 +198,7 @@
             .await?
             .place(order)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn commit(
@@ -214,7 +214,7 @@
             .await?
             .commit(rack, from, gang)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn undo(
@@ -230,7 +230,7 @@
             .await?
             .undo(rack, from, gang)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn stop(
@@ -245,7 +245,7 @@
         server
             .stop(rack, from, job.0, job.1)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn inventory(&self, address: &str, from: Seniority) -> Result<Vec<Inventory>, Unreached> {
@@ -255,7 +255,7 @@
             .await?
             .inventory(from)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn report(
@@ -270,7 +270,7 @@
             .await?
             .report(home, events)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn config(
@@ -284,7 +284,7 @@
             .await?
             .config(than)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn digests(&self, address: &str) -> Result<Vec<Digest>, Unreached> {
@@ -294,7 +294,7 @@
             .await?
             .digests()
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 
     async fn claim(&self, address: &str, claims: Vec<Claim>) -> Result<Vec<Verdict>, Unreached> {
@@ -304,6 +304,6 @@
             .await?
             .claim(claims)
             .await
-            .map_err(|_| Unreached)
+            .map_err(|_| Unreached::NoAnswer)
     }
 }
--- a/crates/placer/tests/world/net.rs
+++ b/crates/placer/tests/world/net.rs
@@ -33,7 +33,7 @@
     /// Reaches a placer; one that is paused answers when it goes on.
     pub async fn reach(&self, address: &str) -> Result<Server, Unreached> {
         let found = self.nodes.lock().unwrap().get(address).cloned();
-        let (node, faults) = found.ok_or(Unreached)?;
+        let (node, faults) = found.ok_or(Unreached::Gone)?;
         faults.pass().await;
         Ok(Server::new(node))
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Request`]: one quick request on its way to the owner of its rack.
 //! * [`Job`], [`Task`], [`Event`]: longer work and its parts.
 //! * [`rpc`]: the calls themselves.
+//! * [`refused`]: the failure that shows that nothing was sent.
 
 mod answer;
 mod body;
@@ -13,6 +14,7 @@
 mod job;
 mod kind;
 mod order;
+mod refused;
 mod request;
 mod route;
 pub mod rpc;
@@ -26,6 +28,7 @@
 pub use job::{Job, Phase, Shape, State};
 pub use kind::{Class, Kind, Row};
 pub use order::{Digest, Gang, Holding, Inventory, Mode, Order, Placed, Placement, Seniority};
+pub use refused::refused;
 pub use request::Request;
 pub use route::{Ask, Owner, Routes};
 pub use status::{RackStatus, Status};
