Three ownership proofs that fail without their safeguards

Cause: removing not_after, the row's check before a restarted worker is adopted, or the occupied keys of adopted workers failed no test: the first two need a race that the earlier tests did not bring about, the third a run that outlives its owner. Ruled out: relying on the random schedules (they passed without each of the three). Change: one focused test for each; a switch that keeps a placer's beats from the table.

--- a/crates/placer/tests/ownership.rs
+++ b/crates/placer/tests/ownership.rs
@@ -313,3 +313,102 @@
     world.check();
     world.end().await;
 }
+
+/// Callers see: one run for the key at a time. p1 has decided to start a request on a worker and is
+/// paused; p2 can't reach that worker, waits, and works on the same key elsewhere. p1 goes on: the
+/// worker was never fenced and still obeys p1, but the command comes after its last moment.
+#[tokio::test(start_paused = true)]
+async fn a_late_start_at_a_worker_that_was_not_fenced_does_nothing() {
+    let mut world = World::new(1, 3).await;
+    let first = world.start("p1");
+    world.settle(secs(5)).await;
+    world.placers["p1"].faults.pause();
+    let late = {
+        let server = placer::Server::new(first);
+        let rack = world.home("seat");
+        tokio::spawn(async move {
+            wire::rpc::PlacerServer::run(&server, rack, request("late", "seat", true, 400)).await
+        })
+    };
+    world.start("p2");
+    world.placers["p2"].faults.cut_worker("r1-0");
+    until(secs(30), || world.active("p2", "r1")).await;
+    let other = world.ask_at("p2", request("other", "seat", true, 400));
+    let thaw = async {
+        tokio::time::sleep(ms(100)).await;
+        world.placers["p1"].faults.thaw();
+    };
+    let (other, ()) = tokio::join!(other, thaw);
+    assert_eq!(other.class(), Class::Done);
+    let late = late.await.unwrap().unwrap();
+    assert_eq!(late.class(), Class::NotRun, "{late:?}");
+    assert_eq!(world.runs("late"), 0);
+    world.check();
+    world.end().await;
+}
+
+/// Callers see: one run for the key at a time. p1 is killed while a worker runs the key for it; p2
+/// adopts the worker, learns what it runs, and keeps clear of the key until that is over.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_keeps_clear_of_keys_that_workers_still_run() {
+    let mut world = World::new(1, 3).await;
+    let mut raw = world::cell_of(1, 3);
+    raw.services[0].run_ms = 3_000;
+    world.configure(&raw).await;
+    let first = world.start("p1");
+    world.settle(secs(5)).await;
+    world.start("p2");
+    tokio::time::sleep(secs(3)).await;
+    let owner = world.owner("r1").unwrap();
+    let node = std::sync::Arc::clone(&world.placers[&owner].node);
+    let rack = world.home("seat");
+    let long = tokio::spawn(async move {
+        let server = placer::Server::new(node);
+        wire::rpc::PlacerServer::run(&server, rack, request("long", "seat", true, 2_900)).await
+    });
+    tokio::time::sleep(ms(100)).await;
+    assert_eq!(world.runs("long"), 1);
+    world.kill(&owner);
+    world.settle(secs(5)).await;
+    let mut asked = request("next", "seat", true, 50);
+    asked.budget_ms = 8_000;
+    let answer = world.ask(asked).await;
+    assert_eq!(answer.class(), Class::Done);
+    long.abort();
+    drop(first);
+    world.check();
+    world.end().await;
+}
+
+/// Callers see: one run for the key at a time. p2 owns the rack, and p1 has not read so yet. All
+/// workers restart, and p1 is the first to reach two of them: it reads the row before it adopts
+/// them, finds p2 there, and lets them be.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_worker_is_adopted_only_after_the_row_was_read() {
+    let mut world = World::new(1, 3).await;
+    world.start("p1");
+    world.settle(secs(5)).await;
+    world.start("p2");
+    world.placers["p1"].faults.cut_beats(true);
+    world.placers["p1"].faults.cut_peers(true);
+    world.placers["p1"].faults.pause();
+    until(secs(30), || world.active("p2", "r1")).await;
+    for n in 0..3 {
+        world.placers["p2"].faults.cut_worker(&format!("r1-{n}"));
+        world
+            .racks
+            .with(&format!("r1-{n}"), standin::Machine::restart);
+    }
+    world.placers["p1"].faults.thaw();
+    tokio::time::sleep(secs(5)).await;
+    for n in 0..3 {
+        assert_eq!(
+            world
+                .racks
+                .with(&format!("r1-{n}"), |machine| machine.hello().epoch),
+            0
+        );
+    }
+    world.check();
+    world.end().await;
+}
--- a/crates/placer/tests/world/faulty.rs
+++ b/crates/placer/tests/world/faulty.rs
@@ -28,6 +28,8 @@
     unreached: Mutex<BTreeSet<String>>,
     /// It can't reach the table.
     no_table: watch::Sender<bool>,
+    /// Its beats can't read the table; single rows can be read.
+    no_beats: watch::Sender<bool>,
     /// It can't reach other placers.
     no_peers: watch::Sender<bool>,
 }
@@ -38,6 +40,7 @@
             paused: watch::Sender::new(false),
             unreached: Mutex::default(),
             no_table: watch::Sender::new(false),
+            no_beats: watch::Sender::new(false),
             no_peers: watch::Sender::new(false),
         }
     }
@@ -69,6 +72,11 @@
         self.no_table.send_replace(cut);
     }
 
+    /// Keeps its beats from reading the table, or not.
+    pub fn cut_beats(&self, cut: bool) {
+        self.no_beats.send_replace(cut);
+    }
+
     /// Cuts it off from other placers, or not.
     pub fn cut_peers(&self, cut: bool) {
         self.no_peers.send_replace(cut);
@@ -130,6 +138,11 @@
 
     async fn scan(&self, prefixes: &[&str], since: u64) -> Result<Scan, StoreError> {
         self.faults.table().await?;
+        if prefixes.len() > 1 && *self.faults.no_beats.borrow() {
+            return Err(StoreError::Down {
+                reason: "cut off".to_owned(),
+            });
+        }
         let result = self.platform.scan(prefixes, since).await;
         self.faults.pass().await;
         result
