Large batch tasks go first; doomed orders for room that nobody yields are not sent

And a task within its quota was ordered from racks where only urgent work could make room, and from room already promised in the same round: each such order came back full, to be sent again.

--- a/crates/cell/src/desk/digests.rs
+++ b/crates/cell/src/desk/digests.rs
@@ -4,7 +4,7 @@
 
 use policy::{Index, Room, Rule};
 use resource::{Size, id};
-use wire::Digest;
+use wire::{Band, Digest};
 
 /// Room in racks, learnt from their owners' digests.
 #[derive(Clone, Debug, Default)]
@@ -13,6 +13,7 @@
     index: Index,
     rack_of: Vec<id::Rack>,
     places: BTreeMap<id::Rack, Vec<usize>>,
+    /// By rack, for each worker: what yields to urgent work, and what was lent.
     yielding: BTreeMap<id::Rack, Vec<(Size, Size)>>,
     epochs: BTreeMap<id::Rack, id::Epoch>,
 }
@@ -45,10 +46,10 @@
         }
         self.epochs.insert(digest.rack.clone(), digest.epoch);
         let both = digest
-            .free
+            .yielding
             .iter()
             .copied()
-            .zip(digest.yielding.iter().copied());
+            .zip(digest.lent.iter().copied());
         self.yielding.insert(digest.rack.clone(), both.collect());
     }
 
@@ -73,15 +74,21 @@
         self.rack_of.get(at)
     }
 
-    /// A rack where urgent work could make room; it counts as taken.
-    pub fn take_yielding(&mut self, size: Size) -> Option<id::Rack> {
+    /// A rack where a task of this band would be made room for by others; the room counts as taken.
+    pub fn take_yielding(&mut self, size: Size, band: Band) -> Option<id::Rack> {
         for (rack, workers) in &mut self.yielding {
-            for (free, yielding) in workers {
-                if size.fits(free.plus(*yielding)) {
-                    *yielding = free.plus(*yielding).saturating_minus(size);
-                    *free = Size::ZERO;
-                    return Some(rack.clone());
+            let places = self.places.get(rack)?;
+            for ((urgent, lent), place) in workers.iter_mut().zip(places) {
+                let yields = if band == Band::Urgent { *urgent } else { *lent };
+                let free = self.index.room(*place).map_or(Size::ZERO, |room| room.free);
+                if yields == Size::ZERO || !size.fits(free.plus(yields)) {
+                    continue;
                 }
+                let needed = size.saturating_minus(free);
+                *urgent = urgent.saturating_minus(needed);
+                *lent = lent.saturating_minus(needed);
+                self.index.take(*place, size);
+                return Some(rack.clone());
             }
         }
         None
--- a/crates/cell/src/desk/plan.rs
+++ b/crates/cell/src/desk/plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use config::Cell;
+use config::{Cell, Pack};
 use policy::{Quota, Rule, Standing};
 use resource::{Size, id};
 use wire::{Band, Gang, Mode, Order, Shape, Task, TaskId};
@@ -95,20 +95,31 @@
             let quota = cell.team(team).map_or(Size::ZERO, |t| t.quota);
             used.get(team).map_or(0.0, |(used, _)| used.share(quota))
         };
-        let mut turns: Vec<_> = self
-            .waiting
-            .iter()
-            .filter_map(|name| {
-                let work = self.jobs.get(name)?;
-                let class = match (work.job.urgent, work.job.shape) {
-                    (true, _) => 0,
-                    (false, Shape::Service) => 1,
-                    (false, Shape::Batch | Shape::Gang) => 2,
-                };
-                Some((class, share(&name.0), work.arrival, name.clone()))
-            })
-            .collect();
-        turns.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let by_size = cell.policy.batch == Pack::BestFit;
+        let turn = |name: &Name| {
+            let work = self.jobs.get(name)?;
+            let class = match (work.job.urgent, work.job.shape) {
+                (true, _) => 0,
+                (false, Shape::Service) => 1,
+                (false, Shape::Batch | Shape::Gang) => 2,
+            };
+            // Large tasks first, since small ones fill the gaps that they leave; but what many
+            // have passed goes before all of them, or it would wait for ever.
+            let passed = self.arrivals > work.arrival + PATIENCE;
+            let size = match class {
+                2 if by_size && passed => f64::INFINITY,
+                2 if by_size => work.job.size.share(cell.worker),
+                _ => 0.0,
+            };
+            Some((class, share(&name.0), -size, work.arrival, name.clone()))
+        };
+        let mut turns: Vec<_> = self.waiting.iter().filter_map(turn).collect();
+        turns.sort_by(|a, b| {
+            a.0.cmp(&b.0)
+                .then(a.1.total_cmp(&b.1))
+                .then(a.2.total_cmp(&b.2))
+                .then(a.3.cmp(&b.3))
+        });
         turns.into_iter().map(|(.., name)| name).collect()
     }
 
@@ -141,7 +152,7 @@
             let rule = rule(shape, cell);
             let rack = digests.take(rule, size).cloned().or_else(|| {
                 (band > Band::Borrowed)
-                    .then(|| digests.take_yielding(size))
+                    .then(|| digests.take_yielding(size, band))
                     .flatten()
             });
             let Some(rack) = rack else {
--- a/crates/cell/src/rack.rs
+++ b/crates/cell/src/rack.rs
@@ -10,7 +10,7 @@
 
 use policy::{Room, Rule};
 use resource::{Size, id};
-use wire::{Digest, Event, Fate, Holding, Inventory, RackStatus, Seniority, Shape, TaskId};
+use wire::{Band, Digest, Event, Fate, Holding, Inventory, RackStatus, Seniority, Shape, TaskId};
 use worker::call::Adopted;
 
 use crate::fence::{Authority, Roster};
@@ -264,7 +264,12 @@
             rack: self.name.clone(),
             epoch: self.epoch,
             free: open().map(|(name, host)| self.free(name, host)).collect(),
-            yielding: open().map(|(name, _)| self.yielding(name)).collect(),
+            yielding: open()
+                .map(|(name, _)| self.yielding(name, Band::Urgent))
+                .collect(),
+            lent: open()
+                .map(|(name, _)| self.yielding(name, Band::Normal))
+                .collect(),
         }
     }
 
@@ -335,12 +340,12 @@
             .saturating_minus(occupied.map(|t| t.reserve).sum())
     }
 
-    /// Batch work on a worker that would make room for urgent work.
-    fn yielding(&self, worker: &str) -> Size {
+    /// What batch work on a worker takes that would make room for work of this band.
+    fn yielding(&self, worker: &str, band: Band) -> Size {
         let batch = |t: &&Placed| {
             t.host == worker
                 && t.task.shape == Shape::Batch
-                && t.task.band < wire::Band::Urgent
+                && place::yields(t.task.band, band)
                 && matches!(t.stage, Stage::Running { .. })
         };
         self.tasks.values().filter(batch).map(|t| t.reserve).sum()
--- a/crates/cell/src/rack/place.rs
+++ b/crates/cell/src/rack/place.rs
@@ -308,7 +308,7 @@
 ///
 /// Borrowed room is taken back by anyone within a quota; within quotas only urgent work goes
 /// before the rest.
-const fn yields(lower: Band, higher: Band) -> bool {
+pub(super) const fn yields(lower: Band, higher: Band) -> bool {
     match higher {
         Band::Urgent => !matches!(lower, Band::Urgent),
         Band::Normal | Band::Standing => matches!(lower, Band::Borrowed),
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -89,8 +89,10 @@
     pub epoch: id::Epoch,
     /// Free room of each worker that takes new work.
     pub free: Vec<Size>,
-    /// Room of each such worker that urgent work could take from lower bands.
+    /// Room of each such worker that urgent work could take from other batch work.
     pub yielding: Vec<Size>,
+    /// Room of each such worker that work within a quota could take from borrowers.
+    pub lent: Vec<Size>,
 }
 
 /// One attempt that a rack holds.
