A proof that a key stays taken while its run can't be asked after

Cause: freeing the key of a run whose outcome is unknown failed no test: in all of them the run was over by then. Change: a test in which the connection breaks during the run.

--- a/crates/placer/tests/requests.rs
+++ b/crates/placer/tests/requests.rs
@@ -371,3 +371,21 @@
     assert_eq!(world.runs("a"), 1);
     world.end().await;
 }
+
+/// Callers see: "may have run" at once for the first, and the second only when the first must be
+/// over. The connection to the worker breaks while it runs the key, and it can't be asked; another
+/// worker would be free at once.
+#[tokio::test(start_paused = true)]
+async fn a_key_stays_taken_while_its_run_can_t_be_asked_after() {
+    let world = one_placer().await;
+    world.placers["p1"].faults.break_runs(true);
+    let first = world.ask(request("a", "seat", true, 450)).await;
+    assert_eq!(kind(&first), Some(Kind::Lost));
+    world.placers["p1"].faults.break_runs(false);
+    let mut asked = request("b", "seat", true, 5);
+    asked.budget_ms = 8_000;
+    let second = world.ask(asked).await;
+    assert_eq!(second.class(), Class::Done);
+    world.check();
+    world.end().await;
+}
--- a/crates/placer/tests/world/faulty.rs
+++ b/crates/placer/tests/world/faulty.rs
@@ -30,6 +30,8 @@
     no_table: watch::Sender<bool>,
     /// Its beats can't read the table; single rows can be read.
     no_beats: watch::Sender<bool>,
+    /// Its connections to workers break right after a run has begun.
+    breaking: watch::Sender<bool>,
     /// It can't reach other placers.
     no_peers: watch::Sender<bool>,
 }
@@ -41,6 +43,7 @@
             unreached: Mutex::default(),
             no_table: watch::Sender::new(false),
             no_beats: watch::Sender::new(false),
+            breaking: watch::Sender::new(false),
             no_peers: watch::Sender::new(false),
         }
     }
@@ -77,6 +80,11 @@
         self.no_beats.send_replace(cut);
     }
 
+    /// Breaks its connections to workers right after a run has begun, or not.
+    pub fn break_runs(&self, breaks: bool) {
+        self.breaking.send_replace(breaks);
+    }
+
     /// Cuts it off from other placers, or not.
     pub fn cut_peers(&self, cut: bool) {
         self.no_peers.send_replace(cut);
@@ -176,6 +184,14 @@
 
     async fn run(&self, address: &str, run: Run, limit: Duration) -> Result<Ran, Error> {
         self.faults.worker(address).await?;
+        if *self.faults.breaking.borrow() {
+            let (racks, address) = (self.racks.clone(), address.to_owned());
+            tokio::spawn(async move { racks.run(&address, run, limit).await });
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            return Err(Error::NoAnswer {
+                reason: "the connection broke".to_owned(),
+            });
+        }
         let result = self.racks.run(address, run, limit).await;
         self.faults.pass().await;
         result
@@ -183,6 +199,11 @@
 
     async fn void(&self, address: &str, void: Void) -> Result<Voided, Error> {
         self.faults.worker(address).await?;
+        if *self.faults.breaking.borrow() {
+            return Err(Error::NoAnswer {
+                reason: "the connection broke".to_owned(),
+            });
+        }
         self.racks.void(address, void).await
     }
 
