--- a/crates/standin/src/bin/lentilyoke-standin.rs
+++ b/crates/standin/src/bin/lentilyoke-standin.rs
@@ -10,7 +10,7 @@
 use resource::Size;
 use snafu::{OptionExt as _, ResultExt as _, Whatever, whatever};
 use standin::serve;
-use standin::{Faults, Machine, Platform};
+use standin::{Counts, Faults, Machine, Platform};
 use telemetry::Stop;
 use tokio::net::TcpListener;
 
@@ -54,6 +54,12 @@
         #[arg(long, default_value_t = 3_000)]
         lag_ms: u64,
     },
+    /// Prints what a running platform has done: writes, reads, rows written.
+    Stats {
+        /// Address of the platform.
+        #[arg(long, default_value = "127.0.0.1:7000")]
+        platform: String,
+    },
     /// Serves the workers of one rack and lists them at the platform.
     Rack {
         /// Name of the rack.
@@ -118,6 +124,18 @@
             reply.whatever_context("the platform does not answer")?;
             stop.drain();
         }
+        Role::Stats { platform } => {
+            let url = format!("http://{platform}/stats");
+            let limit = std::time::Duration::from_secs(2);
+            let client = http::Client::default();
+            let reply = client
+                .call(hyper::Method::GET, &url, Vec::new(), limit)
+                .await;
+            let reply = reply.whatever_context("the platform does not answer")?;
+            let counts: Counts = reply.json().whatever_context("it is not a platform")?;
+            println!("{} {} {}", counts.writes, counts.reads, counts.rows);
+            stop.drain();
+        }
         Role::Rack {
             rack,
             platform,
