The test of preemption reads the latest news

Cause: it read the first event of the preempted task, which is that it had started. Ruled out: a fault of the rack (both events stand there, in order). Change: the last event is read; nothing is expected less.

--- a/crates/cell/tests/rack.rs
+++ b/crates/cell/tests/rack.rs
@@ -141,7 +141,7 @@
     let preempted = rack
         .news()
         .iter()
-        .find(|(_, event)| event.task == stop.task)
+        .rfind(|(_, event)| event.task == stop.task)
         .unwrap();
     assert_eq!(preempted.1.fate, Fate::Preempted { saved_ms: 50 });
 }
