A region that is cut off keeps its racks

Cause: with the link cut, the near side took the far side's racks in the table although it reached none of their workers; it could not act, and when the link was back the far side was deposed (epoch 2, then 4). Ruled out: never taking racks of another region (then a region whose entry hosts are all gone has no owner). Change: a rack is taken only if a majority of its listed workers answered.

--- a/crates/placer/src/shard/adopt.rs
+++ b/crates/placer/src/shard/adopt.rs
@@ -1,8 +1,10 @@
 //! Reads the host list, greets and adopts workers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use cell::fence::majority;
 use cell::{Event, Record};
 use futures::future::join_all;
 use platform::Standing;
@@ -71,7 +73,14 @@
                 },
             ))
         });
-        let greeted = join_all(asked).await.into_iter().flatten().collect();
+        let greeted: BTreeMap<id::Worker, Greeted> =
+            join_all(asked).await.into_iter().flatten().collect();
+        // Without a majority this placer could never act, and would only keep an owner on the
+        // other side of a cut link from going on.
+        if greeted.len() < majority(listed.len()) {
+            self.handle(&Event::Refused);
+            return;
+        }
         self.state().greeted = greeted;
         self.handle(&Event::Greeted);
     }
--- a/crates/placer/tests/ownership.rs
+++ b/crates/placer/tests/ownership.rs
@@ -412,3 +412,59 @@
     world.check();
     world.end().await;
 }
+
+/// Callers see: in each region, answers to what needs no table, all along; and no change of owner
+/// when the link is back. The link between the regions is cut for two minutes, and the table is on
+/// the other side. The north must not take the south's racks: it reaches none of their workers, so
+/// it could never act, and would only depose the south when the link is back.
+#[tokio::test(start_paused = true)]
+async fn a_region_that_is_cut_off_keeps_its_racks() {
+    let mut world = World::new(1, 3).await;
+    let mut raw = world::cell_of(1, 3);
+    raw.regions.push(config::raw::Region {
+        name: "south".to_owned(),
+        data_centres: vec![config::raw::DataCentre {
+            name: "south-1".to_owned(),
+            racks: vec!["s1".to_owned()],
+        }],
+    });
+    world.configure(&raw).await;
+    world.cell = config::Cell::try_from(raw).unwrap();
+    for n in 0..3 {
+        world.add_worker("s1", n);
+    }
+    world.start("p1");
+    world.start_with(placer::Options::new("p2", "p2").place("south", "south-1"));
+    until(secs(20), || {
+        world.active("p1", "r1") && world.active("p2", "s1")
+    })
+    .await;
+    let cut = |cut| {
+        world.placers["p2"].faults.cut_table(cut);
+        world.placers["p2"].faults.cut_peers(cut);
+    };
+    cut(true);
+    for n in 0..3 {
+        world.placers["p1"].faults.cut_worker(&format!("s1-{n}"));
+    }
+    let epoch = |node: &placer::Node| node.status().racks[0].epoch;
+    let before = epoch(&world.placers["p2"].node);
+    for n in 0..24 {
+        let near = world
+            .ask_at("p1", request(&format!("a{n}"), "k", false, 5))
+            .await;
+        assert_eq!(near.class(), Class::Done);
+        let far = world
+            .ask_at("p2", request(&format!("b{n}"), "south:k", true, 5))
+            .await;
+        assert_eq!(far.class(), Class::Done);
+        tokio::time::sleep(secs(5)).await;
+    }
+    cut(false);
+    tokio::time::sleep(secs(10)).await;
+    assert_eq!(epoch(&world.placers["p2"].node), before);
+    let far = world.ask_at("p2", request("c", "south:k", false, 5)).await;
+    assert_eq!(far.class(), Class::Done);
+    world.check();
+    world.end().await;
+}
