Racks that are only watched cost nothing

Ruled out: slower loops (they would delay takes); one loop for all racks (a slow rack would hold up the others). Change: the loops of a watched rack wait to be wanted.

--- a/crates/placer/src/shard.rs
+++ b/crates/placer/src/shard.rs
@@ -8,6 +8,7 @@
 mod run;
 
 use std::collections::{BTreeMap, HashMap};
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
     stage_now: Notify,
     /// There is news or waiting work.
     jobs_now: Notify,
+    /// The rack is not only watched any more.
+    wanted: Notify,
 }
 
 /// A worker as the platform lists it.
@@ -91,6 +94,7 @@
             state: Mutex::new(state),
             stage_now: Notify::new(),
             jobs_now: Notify::new(),
+            wanted: Notify::new(),
         }
     }
 
@@ -127,6 +131,22 @@
         self.state().ownership.stage()
     }
 
+    /// Waits while the rack is only watched; `false` if the placer ends meanwhile. Most racks are
+    /// watched all the time, so their loops must cost nothing.
+    async fn until_wanted(&self, node: &Node) -> bool {
+        loop {
+            let mut wanted = pin!(self.wanted.notified());
+            wanted.as_mut().enable();
+            if self.stage() != Stage::Watching {
+                return true;
+            }
+            tokio::select! {
+                () = wanted => {}
+                () = node.stop.ended() => return false,
+            }
+        }
+    }
+
     /// The epoch under which this placer last took the rack.
     pub(crate) fn epoch(&self) -> id::Epoch {
         self.state().ownership.epoch()
@@ -136,6 +156,7 @@
     pub(crate) fn handle(&self, event: &Event) {
         self.state().ownership.handle(event);
         self.stage_now.notify_one();
+        self.wanted.notify_waiters();
     }
 
     /// Another owner has the rack under this epoch. What waits is told so; what runs at workers is
--- a/crates/placer/src/shard/jobs.rs
+++ b/crates/placer/src/shard/jobs.rs
@@ -30,7 +30,7 @@
 /// Looks after jobs until the placer ends.
 pub(super) async fn run(node: Arc<Node>, shard: Arc<Shard>) {
     let mut saved_at = Duration::ZERO;
-    loop {
+    while shard.until_wanted(&node).await {
         tokio::select! {
             () = tokio::time::sleep(STEP) => {}
             () = shard.jobs_now.notified() => {}
--- a/crates/placer/src/shard/own.rs
+++ b/crates/placer/src/shard/own.rs
@@ -19,7 +19,7 @@
 
 /// Carries out the stages of ownership until the placer ends.
 pub(super) async fn run(node: Arc<Node>, shard: Arc<Shard>) {
-    loop {
+    while shard.until_wanted(&node).await {
         tokio::select! {
             () = tokio::time::sleep(STEP) => {}
             () = shard.stage_now.notified() => {}
--- a/crates/placer/src/shard/pulse.rs
+++ b/crates/placer/src/shard/pulse.rs
@@ -12,7 +12,7 @@
 
 /// Sends heartbeats until the placer ends.
 pub(super) async fn run(node: Arc<Node>, shard: Arc<Shard>) {
-    while node.stop.sleep(node.options.pulse).await {
+    while shard.until_wanted(&node).await && node.stop.sleep(node.options.pulse).await {
         let workers: Vec<id::Worker> = match &shard.state().rack {
             Some(rack) => rack.hosts().map(|(name, _)| name.clone()).collect(),
             None => continue,
