--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -190,3 +190,36 @@
     let progress = await_force(&*platform, version, Duration::from_secs(20)).await;
     assert!(matches!(progress, Progress::Pending { .. }), "{progress:?}");
 }
+
+/// A table in which another operator writes right after each look at it.
+struct Racing {
+    table: Platform,
+}
+
+#[async_trait::async_trait]
+impl platform::Table for Racing {
+    async fn commit(&self, transaction: Transaction) -> Result<u64, platform::Error> {
+        self.table.commit(transaction).await
+    }
+
+    async fn scan(&self, prefixes: &[&str], since: u64) -> Result<platform::Scan, platform::Error> {
+        let scan = self.table.scan(prefixes, since).await;
+        let value = serde_json::to_string(&cell(77)).unwrap();
+        self.table
+            .commit(Transaction::default().put(config::ROW, value))
+            .await?;
+        scan
+    }
+}
+
+/// Operators see: a conflict, and the other's change stays. It was written between this operator's
+/// look at the row and the write.
+#[tokio::test(start_paused = true)]
+async fn a_change_between_look_and_write_is_not_overwritten() {
+    let racing = Racing {
+        table: Platform::default(),
+    };
+    let refused = write(&racing, cell(10), None, false).await.unwrap_err();
+    assert!(matches!(refused, Refused::Conflict { .. }), "{refused}");
+    assert_eq!(in_force(&racing.table).await.unwrap().1, Some(cell(77)));
+}
--- a/crates/placer/tests/jobs.rs
+++ b/crates/placer/tests/jobs.rs
@@ -442,3 +442,55 @@
     world.check();
     world.end().await;
 }
+
+/// Callers see: each task once. The answers to orders are lost although the tasks were placed; the
+/// job's owner asks what the racks hold before it orders anything again.
+#[tokio::test(start_paused = true)]
+async fn orders_whose_answers_are_lost_are_asked_after() {
+    let world = placers(2, 3, 2).await;
+    let desk = world.owner(&world.team_home()).unwrap();
+    world.placers[&desk].faults.lose_orders(true);
+    world
+        .submit(job("report", Shape::Batch, 30, 3, 6_000))
+        .await
+        .unwrap();
+    tokio::time::sleep(secs(1)).await;
+    world.placers[&desk].faults.lose_orders(false);
+    world
+        .await_job("report", secs(60), |s| s.phase == Phase::Finished)
+        .await;
+    assert_eq!(world.journal().starts.len(), 30);
+    world.check();
+    world.end().await;
+}
+
+/// Callers see: no task in two places. The owner of the rack and of the job dies, and the next one
+/// can't reach a worker that still runs some tasks; it starts them elsewhere only when their leases
+/// must have run out.
+#[tokio::test(start_paused = true)]
+async fn tasks_on_a_worker_that_can_t_be_reached_are_not_started_elsewhere_too_soon() {
+    let mut world = placers(1, 3, 2).await;
+    world
+        .submit(job("watch", Shape::Service, 6, 2, 0))
+        .await
+        .unwrap();
+    world.await_job("watch", secs(5), |s| s.running == 6).await;
+    tokio::time::sleep(secs(2)).await;
+    let owner = world.owner("r1").unwrap();
+    world.kill(&owner);
+    let next = world.placers.keys().next().unwrap().clone();
+    world.placers[&next].faults.cut_worker("r1-0");
+    let deadline = tokio::time::Instant::now() + secs(40);
+    while tokio::time::Instant::now() < deadline {
+        world.check_attempts();
+        tokio::time::sleep(ms(100)).await;
+    }
+    world.await_job("watch", secs(5), |s| s.running == 6).await;
+    let started_again = world.journal().starts.len() - 6;
+    assert!(
+        started_again >= 1,
+        "nothing ran on the worker that was cut off"
+    );
+    world.check();
+    world.end().await;
+}
--- a/crates/placer/tests/world/faulty.rs
+++ b/crates/placer/tests/world/faulty.rs
@@ -32,6 +32,8 @@
     no_beats: watch::Sender<bool>,
     /// Its connections to workers break right after a run has begun.
     breaking: watch::Sender<bool>,
+    /// Answers to its orders are lost.
+    losing: watch::Sender<bool>,
     /// It can't reach other placers.
     no_peers: watch::Sender<bool>,
 }
@@ -43,6 +45,7 @@
             unreached: Mutex::default(),
             no_table: watch::Sender::new(false),
             no_beats: watch::Sender::new(false),
+            losing: watch::Sender::new(false),
             breaking: watch::Sender::new(false),
             no_peers: watch::Sender::new(false),
         }
@@ -85,6 +88,11 @@
         self.breaking.send_replace(breaks);
     }
 
+    /// Loses the answers to its orders, or not.
+    pub fn lose_orders(&self, loses: bool) {
+        self.losing.send_replace(loses);
+    }
+
     /// Cuts it off from other placers, or not.
     pub fn cut_peers(&self, cut: bool) {
         self.no_peers.send_replace(cut);
@@ -227,12 +235,11 @@
 impl Peers for Faulty {
     async fn place(&self, address: &str, order: Order) -> Result<Placed, Unreached> {
         self.faults.peer().await?;
-        self.net
-            .reach(address)
-            .await?
-            .place(order)
-            .await
-            .map_err(|_| Unreached::NoAnswer)
+        let placed = self.net.reach(address).await?.place(order).await;
+        if *self.faults.losing.borrow() {
+            return Err(Unreached::NoAnswer);
+        }
+        placed.map_err(|_| Unreached::NoAnswer)
     }
 
     async fn commit(
--- a/crates/placer/tests/world/mod.rs
+++ b/crates/placer/tests/world/mod.rs
@@ -238,11 +238,21 @@
             .ok()
     }
 
+    /// Panics if two attempts at one task run at this moment.
+    pub fn check_attempts(&self) {
+        let held = self.racks.held();
+        for (n, one) in held.iter().enumerate() {
+            let other = held[n + 1..].iter().find(|other| other.same_task(one));
+            assert_eq!(other, None, "two attempts at one task run");
+        }
+    }
+
     /// Waits until a job stands as wanted; panics after so long.
     pub async fn await_job(&self, job: &str, longest: Duration, wanted: impl Fn(&State) -> bool) {
         let deadline = tokio::time::Instant::now() + longest;
         loop {
             let state = self.watch(job).await;
+            self.check_attempts();
             if state.as_ref().is_some_and(&wanted) {
                 return;
             }
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -104,6 +104,11 @@
         self.mischief
     }
 
+    /// Attempts at tasks that it runs.
+    pub fn holds(&self) -> impl Iterator<Item = &TaskId> {
+        self.tasks.keys()
+    }
+
     /// What it did.
     #[must_use]
     pub const fn journal(&self) -> &Journal {
--- a/crates/standin/src/racks.rs
+++ b/crates/standin/src/racks.rs
@@ -7,6 +7,7 @@
 use async_trait::async_trait;
 use resource::Size;
 use telemetry::Since;
+use wire::TaskId;
 use worker::call::{
     Adopt, Adopted, Hello, Moment, Pulse, Ran, Report, Run, Start, Stop, Stopped, Throttle, Void,
     Voided,
@@ -55,6 +56,18 @@
         self.with(address, |machine| machine.set(mischief));
     }
 
+    /// Attempts at tasks that run at this moment, on all machines.
+    #[must_use]
+    pub fn held(&self) -> Vec<TaskId> {
+        let now = self.now();
+        let mut machines = self.lock();
+        machines.values_mut().for_each(|machine| machine.tick(now));
+        machines
+            .values()
+            .flat_map(|machine| machine.holds().cloned())
+            .collect()
+    }
+
     /// Journals of all machines, by address.
     #[must_use]
     pub fn journals(&self) -> BTreeMap<String, Journal> {
