An owned rack is looked after twice a second

Cause: the loop of an owned rack looked at the list, the roster and the memory 20 times a second, and the loop of its jobs 10 times, though all that is urgent wakes them. Ruled out: fewer heartbeats (ownership and leases rest on them). Change: 500 ms and 400 ms when nothing happens.

--- a/crates/placer/src/shard/jobs.rs
+++ b/crates/placer/src/shard/jobs.rs
@@ -15,7 +15,7 @@
 use crate::node::lock;
 
 /// How often jobs are looked at when nothing happens.
-const STEP: Duration = Duration::from_millis(100);
+const STEP: Duration = Duration::from_millis(400);
 /// Shortest time between two rounds of placing, so that what comes together is placed together.
 const ROUND: Duration = Duration::from_millis(5);
 /// An order that is not answered by then is in doubt.
--- a/crates/placer/src/shard/own.rs
+++ b/crates/placer/src/shard/own.rs
@@ -10,8 +10,10 @@
 use super::Shard;
 use crate::Node;
 
-/// How often the stage is looked at.
+/// How often a rack on its way to being owned is looked at.
 const STEP: Duration = Duration::from_millis(50);
+/// How often an owned rack is looked after; nothing there is urgent.
+const KEEP: Duration = Duration::from_millis(500);
 /// A list that differs from the roster for this long is followed.
 const DRIFT: Duration = Duration::from_secs(5);
 /// A worker that the platform has not listed for this long exists no more.
@@ -20,8 +22,9 @@
 /// Carries out the stages of ownership until the placer ends.
 pub(super) async fn run(node: Arc<Node>, shard: Arc<Shard>) {
     while shard.until_wanted(&node).await {
+        let step = if shard.stage() == Stage::Active { KEEP } else { STEP };
         tokio::select! {
-            () = tokio::time::sleep(STEP) => {}
+            () = tokio::time::sleep(step) => {}
             () = shard.stage_now.notified() => {}
             () = node.stop.ended() => return,
         }
