Jobs of a placer in small modules; calls to an owner here or elsewhere stand once

Ruled out: a generic call (the messages differ). Change: node/reach.rs finds the owner and calls it; jobs are split into intake, news, orders, gang, save. No behaviour is changed.

--- a/crates/placer/src/node.rs
+++ b/crates/placer/src/node.rs
@@ -1,6 +1,7 @@
 //! One placer: what it knows, and the loops that keep it going.
 
 mod beat;
+mod reach;
 mod spread;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/placer/src/shard/jobs/gang.rs
@@ -0,0 +1,70 @@
+//! Starts gangs whole, or not at all.
+
+use std::sync::Arc;
+
+use cell::Desk;
+use resource::id;
+use wire::{Gang, Order, Placed, Placement};
+
+use super::Shard;
+use crate::Node;
+
+impl Shard {
+    /// Holds room on all racks of a gang, then starts it; or lets go of everything.
+    pub(super) async fn start_gang(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        gang: &Gang,
+        orders: Vec<Order>,
+    ) {
+        let mut held = Vec::new();
+        for order in &orders {
+            held.push(order.rack.clone());
+            if !self.order(node, order.clone()).await {
+                self.undo_gang(node, gang, &held).await;
+                self.return_gang(&orders);
+                return;
+            }
+        }
+        for rack in &held {
+            if !self.commit_on(node, rack, gang).await {
+                self.undo_gang(node, gang, &held).await;
+                self.with_desk(|desk| held.iter().for_each(|r| desk.doubt(r, node.now())));
+                return;
+            }
+        }
+    }
+
+    /// Members on racks that were not asked any more wait again.
+    fn return_gang(&self, orders: &[Order]) {
+        for order in orders {
+            let placements = vec![Placement::Full; order.tasks.len()];
+            let full = Placed {
+                placements,
+                digest: None,
+            };
+            self.with_desk(|desk| desk.placed(order, &full));
+        }
+    }
+
+    async fn commit_on(self: &Arc<Self>, node: &Arc<Node>, rack: &str, gang: &Gang) -> bool {
+        let Some(from) = self.with_desk(Desk::next_serial) else {
+            return false;
+        };
+        node.commit_at(rack, from, gang).await
+    }
+
+    pub(super) async fn undo_gang(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        gang: &Gang,
+        racks: &[id::Rack],
+    ) {
+        for rack in racks {
+            let Some(from) = self.with_desk(Desk::next_serial) else {
+                return;
+            };
+            node.undo_at(rack, from, gang).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/placer/src/shard/jobs/orders.rs
@@ -0,0 +1,88 @@
+//! What the owners of jobs ask of this rack.
+
+use std::sync::Arc;
+
+use cell::Stage;
+use wire::{Gang, Order, Placed, Placement, Seniority};
+
+use super::Shard;
+use crate::Node;
+
+impl Shard {
+    /// Places the tasks of an order on this rack.
+    pub(crate) fn place(self: &Arc<Self>, node: &Arc<Node>, order: &Order) -> Placed {
+        let now = node.now();
+        let mut state = self.state();
+        let active = state.ownership.stage() == Stage::Active;
+        let Some(rack) = state.rack.as_mut().filter(|_| active) else {
+            let placements = vec![Placement::NotOwner; order.tasks.len()];
+            return Placed {
+                placements,
+                digest: None,
+            };
+        };
+        let (placed, commands) = rack.place(order, now);
+        drop(state);
+        self.carry_out(node, commands);
+        placed
+    }
+
+    /// Starts a gang that is held on this rack.
+    pub(crate) fn commit(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        from: &Seniority,
+        gang: &Gang,
+    ) -> bool {
+        let now = node.now();
+        let mut state = self.state();
+        let Some(rack) = &mut state.rack else {
+            return false;
+        };
+        if !rack.hear(from) {
+            return false;
+        }
+        let Some(commands) = rack.commit(gang, now) else {
+            return false;
+        };
+        drop(state);
+        self.carry_out(node, commands);
+        true
+    }
+
+    /// Gives up a gang on this rack.
+    pub(crate) fn undo(self: &Arc<Self>, node: &Arc<Node>, from: &Seniority, gang: &Gang) -> bool {
+        self.give_up(node, from, |rack, now| rack.undo(gang, now))
+    }
+
+    /// Stops all tasks of a job on this rack.
+    pub(crate) fn stop(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        from: &Seniority,
+        team: &str,
+        job: &str,
+    ) -> bool {
+        self.give_up(node, from, |rack, now| rack.stop(team, job, now))
+    }
+
+    fn give_up(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        from: &Seniority,
+        stop: impl FnOnce(&mut cell::Rack, cell::Now) -> Vec<cell::Command>,
+    ) -> bool {
+        let now = node.now();
+        let mut state = self.state();
+        let Some(rack) = &mut state.rack else {
+            return false;
+        };
+        if !rack.hear(from) {
+            return false;
+        }
+        let commands = stop(rack, now);
+        drop(state);
+        self.carry_out(node, commands);
+        true
+    }
+}
--- a/crates/placer/src/shard/own.rs
+++ b/crates/placer/src/shard/own.rs
@@ -22,7 +22,11 @@
 /// Carries out the stages of ownership until the placer ends.
 pub(super) async fn run(node: Arc<Node>, shard: Arc<Shard>) {
     while shard.until_wanted(&node).await {
-        let step = if shard.stage() == Stage::Active { KEEP } else { STEP };
+        let step = if shard.stage() == Stage::Active {
+            KEEP
+        } else {
+            STEP
+        };
         tokio::select! {
             () = tokio::time::sleep(step) => {}
             () = shard.stage_now.notified() => {}
