--- a/crates/telemetry/src/settings.rs
+++ b/crates/telemetry/src/settings.rs
@@ -6,6 +6,7 @@
 
 /// Settings that every program has.
 #[derive(Args, Clone, Debug)]
+#[group(id = "telemetry")]
 pub struct Settings {
     /// Least severe messages that are logged.
     #[arg(long, env = "LENTILYOKE_LOG", default_value = "info",
