The end of a run of a former time frees nothing; attempts are unique across owners

Cause: found by reading. A placer that lost a rack and took it again within one run's time let the old run's end free its key, though another run worked on it under the new epoch; and attempts were numbered anew by each owner, so that a worker could take one owner's attempt for another's. Ruled out: joining all runs before a rack is taken again (takeovers would wait for them). Change: what is known of a rack begins with an epoch, and ends of older runs change nothing; an attempt's number contains the epoch. Long functions on the way of a request and of an adoption are split.

--- a/crates/cell/src/rack.rs
+++ b/crates/cell/src/rack.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 pub struct Rack {
     name: id::Rack,
+    /// The epoch under which this knowledge began.
+    since: id::Epoch,
     epoch: id::Epoch,
     settings: Settings,
     authority: Authority,
@@ -79,6 +81,7 @@
     pub fn new(name: &str, epoch: id::Epoch, roster: Roster, settings: Settings) -> Self {
         Self {
             name: name.to_owned(),
+            since: epoch,
             epoch,
             settings,
             authority: Authority::new(roster),
--- a/crates/cell/src/rack/run.rs
+++ b/crates/cell/src/rack/run.rs
@@ -13,6 +13,9 @@
 /// Share of its time left that a request may expect to wait; the rest is for its run.
 const PATIENCE: f64 = 0.8;
 
+/// Attempts that one epoch can number; with the epoch above them no two owners give the same.
+const ATTEMPT_BITS: u32 = 32;
+
 impl Rack {
     /// Lets a request wait for a worker.
     ///
@@ -58,23 +61,23 @@
             return Next::Idle;
         };
         self.attempts += 1;
+        let attempt = (self.epoch << ATTEMPT_BITS) | self.attempts;
         let latest = until.min(expires);
         let Some(host) = self.hosts.get_mut(&worker) else {
             return Next::Idle;
         };
         Next::Start(begin(
-            host,
-            worker,
-            ticket,
-            key,
-            self.epoch,
-            self.attempts,
-            latest,
+            host, worker, ticket, key, self.epoch, attempt, latest,
         ))
     }
 
     /// A started request has ended, or is not waited for any more.
     pub fn finish(&mut self, go: &Go, over: Over, took: Duration, now: Now) {
+        // This owner has lost the rack since, and taken it again; the key may be worked on anew,
+        // and must not be freed for a second run.
+        if go.epoch < self.since {
+            return;
+        }
         let host = self
             .hosts
             .get_mut(&go.worker)
--- a/crates/cell/tests/rack.rs
+++ b/crates/cell/tests/rack.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use cell::{Command, Outcome, Rack, Settings};
+use cell::{Command, Next, Outcome, Over, Rack, Settings};
 use resource::Size;
 use wire::{Band, Fate, Mode, Order, Placement, Seniority, Shape, Task, TaskId};
 use worker::call::{Adopted, Report};
@@ -13,8 +13,12 @@
 const NOW: Duration = Duration::from_secs(100);
 
 fn rack() -> Rack {
+    rack_of(EPOCH)
+}
+
+fn rack_of(epoch: u64) -> Rack {
     let roster = ["w0", "w1"].map(String::from).into();
-    let mut rack = Rack::new("r1", EPOCH, roster, Settings::default());
+    let mut rack = Rack::new("r1", epoch, roster, Settings::default());
     for worker in ["w0", "w1"] {
         let size = Size::new(16_000, 65_536, 1);
         let adopted = Adopted {
@@ -156,3 +160,27 @@
     let placed = rack.place(&order(EPOCH, 1, vec![task(0, 1, Band::Normal)]), later);
     assert_eq!(placed.0.placements, [Placement::NotOwner]);
 }
+
+/// Callers see: one run for the key at a time. A placer loses the rack and takes it again; then the
+/// answer to a run of its former time comes, for a key that another run works on now.
+#[test]
+fn the_end_of_a_run_of_a_former_time_frees_nothing() {
+    let expires = NOW + Duration::from_secs(1);
+    let start = |rack: &mut Rack| {
+        rack.enter(0, "seat", expires, NOW).unwrap();
+        let Next::Start(go) = rack.next(NOW) else {
+            panic!("nothing starts")
+        };
+        go
+    };
+    let mut former = rack();
+    let old = start(&mut former);
+    let mut rack = rack_of(EPOCH + 2);
+    let new = start(&mut rack);
+    assert_ne!(old.attempt, new.attempt);
+    rack.enter(0, "seat", expires, NOW).unwrap();
+    rack.finish(&old, Over::Known { failed: false }, Duration::ZERO, NOW);
+    assert_eq!(rack.next(NOW), Next::Idle);
+    rack.finish(&new, Over::Known { failed: false }, Duration::ZERO, NOW);
+    assert!(matches!(rack.next(NOW), Next::Start(_)));
+}
--- a/crates/placer/src/shard/adopt.rs
+++ b/crates/placer/src/shard/adopt.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 use platform::Standing;
 use resource::id;
-use worker::call::Adopt;
+use worker::call::{Adopt, Adopted};
 use worker::{Error, Refusal};
 
 use super::{Greeted, Listed, Shard};
@@ -142,19 +142,7 @@
         state.greeted.remove(name);
         match result {
             Ok(adopted) => {
-                let Some(rack) = state.rack.as_mut().filter(|rack| rack.epoch() == epoch) else {
-                    return true;
-                };
-                rack.adopt(
-                    name,
-                    &listed.address,
-                    greeted.incarnation,
-                    &adopted,
-                    sent,
-                    now,
-                );
-                rack.list(name, listed.leaving);
-                state.takeover.fence(name, now);
+                state.adopted(name, listed, epoch, greeted, &adopted, (sent, now));
                 drop(state);
                 self.dispatch(now);
                 self.jobs_now.notify_one();
@@ -195,3 +183,24 @@
         })
     }
 }
+
+impl super::State {
+    /// Takes note of a worker that obeys this epoch; `asked` is when it was asked and answered.
+    fn adopted(
+        &mut self,
+        name: &str,
+        listed: &Listed,
+        epoch: id::Epoch,
+        greeted: Greeted,
+        adopted: &Adopted,
+        asked: (cell::Now, cell::Now),
+    ) {
+        let Some(rack) = self.rack.as_mut().filter(|rack| rack.epoch() == epoch) else {
+            return;
+        };
+        let (address, (sent, now)) = (&listed.address, asked);
+        rack.adopt(name, address, greeted.incarnation, adopted, sent, now);
+        rack.list(name, listed.leaving);
+        self.takeover.fence(name, now);
+    }
+}
--- a/crates/placer/src/shard/run.rs
+++ b/crates/placer/src/shard/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cell::{Go, Now, Over, Stage};
+use cell::{Go, Now, Over, Stage, Ticket};
 use config::Service;
 use policy::Budget;
 use tokio::sync::oneshot;
@@ -185,12 +185,7 @@
             }
         };
         let now = node.now();
-        if let Some(rack) = self
-            .state()
-            .rack
-            .as_mut()
-            .filter(|rack| rack.epoch() >= go.epoch)
-        {
+        if let Some(rack) = &mut self.state().rack {
             rack.finish(&go, over, took, now);
         }
         self.dispatch(now);
@@ -205,37 +200,12 @@
         service: &Service,
         expires: Now,
     ) -> Result<Go, Fault> {
-        let key = format!("{}/{}", request.service, request.key);
-        let (ticket, mut start) = {
-            let now = node.now();
-            let mut state = self.state();
-            if state.ownership.stage() != Stage::Active {
-                return Err(Fault::new(
-                    Kind::NotOwner,
-                    "another placer owns the rack now",
-                ));
-            }
-            let Some(rack) = &mut state.rack else {
-                return Err(Fault::new(
-                    Kind::NotOwner,
-                    "another placer owns the rack now",
-                ));
-            };
-            let ticket = rack.enter(service.rank, &key, expires, now)?;
-            let (sender, start) = oneshot::channel();
-            state.starts.insert(ticket, sender);
-            (ticket, start)
-        };
+        let (ticket, mut start) = self.queue(node, request, service, expires)?;
         self.dispatch(node.now());
         let deadline = node.since.instant(expires);
         match tokio::time::timeout_at(deadline, &mut start).await {
             Ok(Ok(go)) => return Ok(go),
-            Ok(Err(_)) => {
-                return Err(Fault::new(
-                    Kind::NotOwner,
-                    "another placer owns the rack now",
-                ));
-            }
+            Ok(Err(_)) => return Err(deposed()),
             Err(_) => {}
         }
         let mut state = self.state();
@@ -254,6 +224,24 @@
         ))
     }
 
+    /// Lets a request wait; the start comes over the channel.
+    fn queue(
+        &self,
+        node: &Node,
+        request: &Request,
+        service: &Service,
+        expires: Now,
+    ) -> Result<(Ticket, oneshot::Receiver<Go>), Fault> {
+        let key = format!("{}/{}", request.service, request.key);
+        let mut state = self.state();
+        let active = state.ownership.stage() == Stage::Active;
+        let rack = state.rack.as_mut().filter(|_| active).ok_or_else(deposed)?;
+        let ticket = rack.enter(service.rank, &key, expires, node.now())?;
+        let (sender, start) = oneshot::channel();
+        state.starts.insert(ticket, sender);
+        Ok((ticket, start))
+    }
+
     /// No answer came from the worker: makes sure that the attempt is over, if that can be.
     async fn resolve(
         &self,
@@ -301,6 +289,10 @@
     }
 }
 
+fn deposed() -> Fault {
+    Fault::new(Kind::NotOwner, "another placer owns the rack now")
+}
+
 /// A whole answer came, or the worker says that it failed.
 fn ended(ran: Ran) -> (Over, Next) {
     match ran.result {
