The far region reaches the table over a late link that is counted

Cause: bytes across the regions and the far region's latency towards the table were not measured. Ruled out: latency between all processes (each would need two addresses).

--- a/crates/standin/src/bin/lentilyoke-standin.rs
+++ b/crates/standin/src/bin/lentilyoke-standin.rs
@@ -3,6 +3,8 @@
 use std::future::IntoFuture as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use axum::Router;
 use clap::{Parser, Subcommand};
@@ -10,7 +12,7 @@
 use resource::Size;
 use snafu::{OptionExt as _, ResultExt as _, Whatever, whatever};
 use standin::serve;
-use standin::{Counts, Faults, Machine, Platform};
+use standin::{Carried, Counts, Faults, Machine, Platform};
 use telemetry::Stop;
 use tokio::net::TcpListener;
 
@@ -60,6 +62,15 @@
         #[arg(long, default_value = "127.0.0.1:7000")]
         platform: String,
     },
+    /// Passes connections on to another address, late, and prints each second what it has carried.
+    Link {
+        /// Where to.
+        #[arg(long)]
+        to: SocketAddr,
+        /// How late each byte is, one way, in milliseconds.
+        #[arg(long, default_value_t = 20)]
+        delay_ms: u64,
+    },
     /// Serves the workers of one rack and lists them at the platform.
     Rack {
         /// Name of the rack.
@@ -119,14 +130,14 @@
                 lag_ms,
             };
             let url = format!("http://{platform}/control");
-            let limit = std::time::Duration::from_secs(2);
+            let limit = Duration::from_secs(2);
             let reply = http::Client::default().post(&url, &faults, limit).await;
             reply.whatever_context("the platform does not answer")?;
             stop.drain();
         }
         Role::Stats { platform } => {
             let url = format!("http://{platform}/stats");
-            let limit = std::time::Duration::from_secs(2);
+            let limit = Duration::from_secs(2);
             let client = http::Client::default();
             let reply = client
                 .call(hyper::Method::GET, &url, Vec::new(), limit)
@@ -136,6 +147,7 @@
             println!("{} {} {}", counts.writes, counts.reads, counts.rows);
             stop.drain();
         }
+        Role::Link { to, delay_ms } => link_to(to, delay_ms, &stop).await?,
         Role::Rack {
             rack,
             platform,
@@ -194,7 +206,7 @@
         standing: Standing::Live,
     };
     let url = format!("http://{platform}/register");
-    let limit = std::time::Duration::from_secs(1);
+    let limit = Duration::from_secs(1);
     let client = http::Client::default();
     let mut last = None;
     for _ in 0..50 {
@@ -203,8 +215,37 @@
             Ok(reply) => whatever!("the platform answers {}", reply.status),
             Err(error) => last = Some(error),
         }
-        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
     }
     let error = last.whatever_context("no try was made")?;
     whatever!("the platform does not answer: {error}")
 }
+
+async fn link_to(to: SocketAddr, delay_ms: u64, stop: &Stop) -> Result<(), Whatever> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any)
+        .await
+        .whatever_context("can't listen")?;
+    let address = listener.local_addr().whatever_context("no address")?;
+    println!("link {address}");
+    let carried = Arc::new(Carried::default());
+    let (counts, ended) = (Arc::clone(&carried), stop.clone());
+    stop.spawn(async move {
+        while ended.sleep(Duration::from_secs(1)).await {
+            let (there, back) = (&counts.there, &counts.back);
+            println!(
+                "bytes {} {}",
+                there.load(Ordering::Relaxed),
+                back.load(Ordering::Relaxed)
+            );
+        }
+    });
+    let (delay, ended) = (Duration::from_millis(delay_ms), stop.clone());
+    stop.spawn(async move {
+        tokio::select! {
+            () = standin::link(listener, to.to_string(), delay, carried) => {}
+            () = ended.ended() => {}
+        }
+    });
+    Ok(())
+}
