--- a/crates/placer/tests/requests.rs
+++ b/crates/placer/tests/requests.rs
@@ -4,12 +4,8 @@
 
 mod world;
 
-use std::sync::Arc;
-
-use placer::Server;
 use standin::{Faults, Mischief};
-use wire::rpc::PlacerServer as _;
-use wire::{Answer, Class, Kind, Request};
+use wire::{Answer, Class, Kind};
 use world::{World, ms, request, secs, until};
 
 async fn one_placer() -> World {
@@ -19,12 +15,6 @@
     world
 }
 
-fn ask_later(world: &World, placer: &str, asked: Request) -> tokio::task::JoinHandle<Answer> {
-    let server = Server::new(Arc::clone(&world.placers[placer].node));
-    let rack = world.home(&asked.key);
-    tokio::spawn(async move { server.run(rack, asked).await.unwrap() })
-}
-
 fn kind(answer: &Answer) -> Option<Kind> {
     match answer {
         Answer::Done(_) => None,
@@ -43,9 +33,9 @@
 #[tokio::test(start_paused = true)]
 async fn the_same_request_through_two_entries_runs_once() {
     let world = one_placer().await;
-    let first = ask_later(&world, "p1", request("a", "seat", false, 200));
+    let first = world.ask_later("p1", request("a", "seat", false, 200));
     tokio::time::sleep(ms(100)).await;
-    let second = ask_later(&world, "p1", request("a", "seat", false, 200));
+    let second = world.ask_later("p1", request("a", "seat", false, 200));
     let (first, second) = (first.await.unwrap(), second.await.unwrap());
     assert_eq!(first.class(), Class::Done);
     assert_eq!(first, second);
@@ -74,7 +64,7 @@
     world.start("p2");
     tokio::time::sleep(secs(2)).await;
     let owner = world.owner("r1").unwrap();
-    let first = ask_later(&world, &owner, request("a", "seat", false, 400));
+    let first = world.ask_later(&owner, request("a", "seat", false, 400));
     tokio::time::sleep(ms(200)).await;
     assert_eq!(world.runs("a"), 1);
     world.kill(&owner);
@@ -99,7 +89,7 @@
     // Three requests for one key: the third has its claim and waits for the key.
     let asks: Vec<_> = ["a", "b", "c"]
         .iter()
-        .map(|id| ask_later(&world, &owner, request(id, "seat", false, 400)))
+        .map(|id| world.ask_later(&owner, request(id, "seat", false, 400)))
         .collect();
     tokio::time::sleep(ms(200)).await;
     world.kill(&owner);
@@ -151,7 +141,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_key_on_a_frozen_worker_stays_taken_until_the_run_must_be_over() {
     let world = one_placer().await;
-    let first = ask_later(&world, "p1", request("a", "seat", true, 400));
+    let first = world.ask_later("p1", request("a", "seat", true, 400));
     tokio::time::sleep(ms(100)).await;
     set_all(
         &world,
@@ -196,7 +186,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_request_that_waits_past_its_deadline_does_not_run() {
     let world = one_placer().await;
-    let first = ask_later(&world, "p1", request("a", "seat", true, 450));
+    let first = world.ask_later("p1", request("a", "seat", true, 450));
     tokio::time::sleep(ms(10)).await;
     let mut late = request("b", "seat", true, 5);
     late.budget_ms = 200;
@@ -213,8 +203,7 @@
 async fn everybody_gets_the_answer_to_their_own_request() {
     let world = one_placer().await;
     let ask = |n: u64| {
-        ask_later(
-            &world,
+        world.ask_later(
             "p1",
             request(
                 &format!("a{n}"),
@@ -310,13 +299,7 @@
 async fn what_can_t_be_served_in_time_is_turned_away_at_once() {
     let world = one_placer().await;
     let asks: Vec<_> = (0..2_000)
-        .map(|n| {
-            ask_later(
-                &world,
-                "p1",
-                request(&format!("a{n}"), &format!("k{n}"), true, 400),
-            )
-        })
+        .map(|n| world.ask_later("p1", request(&format!("a{n}"), &format!("k{n}"), true, 400)))
         .collect();
     let mut classes = std::collections::BTreeMap::new();
     for ask in asks {
@@ -337,13 +320,7 @@
 async fn claims_are_written_together() {
     let world = one_placer().await;
     let before = world.platform.counts().writes;
-    let ask = |n: u32| {
-        ask_later(
-            &world,
-            "p1",
-            request(&format!("a{n}"), &format!("k{n}"), false, 5),
-        )
-    };
+    let ask = |n: u32| world.ask_later("p1", request(&format!("a{n}"), &format!("k{n}"), false, 5));
     let asks: Vec<_> = (0..100).map(ask).collect();
     for answer in asks {
         assert_eq!(answer.await.unwrap().class(), Class::Done);
@@ -359,7 +336,7 @@
 async fn a_deposed_owner_can_t_claim() {
     let mut world = one_placer().await;
     world.placers["p1"].faults.pause();
-    let late = ask_later(&world, "p1", request("a", "seat", false, 5));
+    let late = world.ask_later("p1", request("a", "seat", false, 5));
     world.start("p2");
     until(secs(20), || world.active("p2", "r1")).await;
     world.placers["p1"].faults.thaw();
--- a/crates/placer/tests/world/mod.rs
+++ b/crates/placer/tests/world/mod.rs
@@ -198,6 +198,13 @@
         Server::new(node).run(rack, request).await.unwrap()
     }
 
+    /// Asks one placer, and does not wait for the answer.
+    pub fn ask_later(&self, placer: &str, request: Request) -> tokio::task::JoinHandle<Answer> {
+        let server = Server::new(Arc::clone(&self.placers[placer].node));
+        let rack = self.home(&request.key);
+        tokio::spawn(async move { server.run(rack, request).await.unwrap() })
+    }
+
     /// The rack that a key is at home in.
     pub fn home(&self, key: &str) -> String {
         let service = self.cell.service(SERVICE).unwrap();
