--- a/crates/placer/src/shard/jobs/orders.rs
+++ b/crates/placer/src/shard/jobs/orders.rs
@@ -34,25 +34,12 @@
         from: &Seniority,
         gang: &Gang,
     ) -> bool {
-        let now = node.now();
-        let mut state = self.state();
-        let Some(rack) = &mut state.rack else {
-            return false;
-        };
-        if !rack.hear(from) {
-            return false;
-        }
-        let Some(commands) = rack.commit(gang, now) else {
-            return false;
-        };
-        drop(state);
-        self.carry_out(node, commands);
-        true
+        self.obey(node, from, |rack, now| rack.commit(gang, now))
     }
 
     /// Gives up a gang on this rack.
     pub(crate) fn undo(self: &Arc<Self>, node: &Arc<Node>, from: &Seniority, gang: &Gang) -> bool {
-        self.give_up(node, from, |rack, now| rack.undo(gang, now))
+        self.obey(node, from, |rack, now| Some(rack.undo(gang, now)))
     }
 
     /// Stops all tasks of a job on this rack.
@@ -63,14 +50,16 @@
         team: &str,
         job: &str,
     ) -> bool {
-        self.give_up(node, from, |rack, now| rack.stop(team, job, now))
+        self.obey(node, from, |rack, now| Some(rack.stop(team, job, now)))
     }
 
-    fn give_up(
+    /// Does what the owner of a job asks, unless a later message of it was heard before; `false` if
+    /// nothing was done.
+    fn obey(
         self: &Arc<Self>,
         node: &Arc<Node>,
         from: &Seniority,
-        stop: impl FnOnce(&mut cell::Rack, cell::Now) -> Vec<cell::Command>,
+        act: impl FnOnce(&mut cell::Rack, cell::Now) -> Option<Vec<cell::Command>>,
     ) -> bool {
         let now = node.now();
         let mut state = self.state();
@@ -80,7 +69,9 @@
         if !rack.hear(from) {
             return false;
         }
-        let commands = stop(rack, now);
+        let Some(commands) = act(rack, now) else {
+            return false;
+        };
         drop(state);
         self.carry_out(node, commands);
         true
