--- /dev/null
+++ b/crates/host/src/follow.rs
@@ -0,0 +1,73 @@
+//! How a table of the store is followed.
+
+use std::time::Duration;
+
+use crate::outside::{Page, Row, Store, StoreError};
+
+/// A question for changes waits this long. A connection that has gone silent shows when no answer comes soon after, so
+/// this bounds how long a change may go unseen; the configuration has to be in force within 2.5 s.
+const WAIT: Duration = Duration::from_millis(900);
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(120);
+
+/// What a follower learns.
+#[derive(Debug)]
+pub enum Change {
+    /// All rows as they are: what isn't among them is not there.
+    All(Page),
+    /// Rows that changed, the newest last.
+    Some(Vec<Row>),
+    /// The store did not answer or refused.
+    Failed(StoreError),
+}
+
+/// Follows a part of a table for good and tells each change. It starts anew from all rows when the history is gone.
+///
+/// Reads may lag behind while the store compacts its history: a list that is older than what was seen already is read
+/// again, so that nothing older is ever told after something newer.
+pub async fn follow(
+    store: &dyn Store,
+    table: &str,
+    part: &str,
+    from: Option<u64>,
+    mut tell: impl FnMut(Change),
+) {
+    let mut newest = from.unwrap_or(0);
+    let mut listed = from.is_some();
+    loop {
+        if !listed {
+            match store.list(table, part).await {
+                Ok(page) if page.version >= newest => {
+                    newest = page.version;
+                    tell(Change::All(page));
+                }
+                Ok(_) => {
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                }
+                Err(error) => {
+                    tell(Change::Failed(error));
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                }
+            }
+            listed = true;
+        }
+        match store.feed(table, newest, WAIT).await {
+            Ok(feed) => {
+                newest = newest.max(feed.version);
+                let rows: Vec<Row> = feed
+                    .rows
+                    .into_iter()
+                    .filter(|row| row.part == part)
+                    .collect();
+                tell(Change::Some(rows));
+            }
+            Err(StoreError::Gone) => listed = false,
+            Err(error) => {
+                tell(Change::Failed(error));
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/front.rs
@@ -0,0 +1,189 @@
+//! What callers ask.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use pool::{Job, State};
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::host::Host;
+use crate::insert::{Inserted, insert};
+use crate::outside::{StoreError, Transaction};
+use crate::rows::{CANCEL, JOBS, PROGRESS};
+use crate::wire::{Call, Reply, ToOwner};
+
+/// The owner answers a question about a job within this, or the store is asked.
+const OWNER_WAIT: Duration = Duration::from_millis(500);
+/// A host that can't accept anything says to come back after this: a takeover takes about as long.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// What became of a job that a caller sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Submitted {
+    /// It is stored and will run.
+    Accepted,
+    /// It is not stored and will never run; come back after this time.
+    Refused(Duration),
+    /// It can't be told whether it is stored.
+    Unsure,
+}
+
+/// What became of a question or a cancel.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Taken {
+    /// The job's state.
+    State(State),
+    /// There is no such job.
+    Unknown,
+    /// It can't be told now.
+    Unsure,
+}
+
+impl Host {
+    /// Accepts a job, or refuses it.
+    pub async fn submit(self: &Arc<Self>, job: Job, until: Instant) -> Submitted {
+        let began = clock::now();
+        let (id, queue) = (Arc::clone(&job.id), job.queue.clone());
+        let submitted = self.try_submit(job, until).await;
+        let heard = self.heard();
+        info!(
+            job = &*id, queue = queue, outcome:? = submitted, ms = clock::now().saturating_sub(began),
+            epoch = heard.beat.epoch, beat_age = began.saturating_sub(heard.at);
+            "submit"
+        );
+        submitted
+    }
+
+    async fn try_submit(self: &Arc<Self>, job: Job, until: Instant) -> Submitted {
+        let heard = self.heard();
+        if clock::now().saturating_sub(heard.at) < 1_500
+            && let Some(&after) = heard.beat.full.get(&job.queue)
+        {
+            return Submitted::Refused(Duration::from_millis(after));
+        }
+        let mut doubt = false;
+        if self.served() || self.link().is_none() {
+            let first = if self.link().is_some() || self.owner().is_some() {
+                until.min(Instant::now() + Duration::from_millis(900))
+            } else {
+                until
+            };
+            match insert(self.store.as_ref(), Self::PART, &job, first, false).await {
+                Inserted::There => {
+                    self.tell_accepted(job);
+                    return Submitted::Accepted;
+                }
+                Inserted::Refused => {}
+                Inserted::Unsure => doubt = true,
+            }
+        }
+        // The store may serve the owner although it doesn't serve this host.
+        if let Some(link) = self.link() {
+            let left = until.saturating_duration_since(Instant::now());
+            let call = Call::Insert(Box::new(job.clone()));
+            match link
+                .call(call, left.min(Duration::from_millis(1_200)))
+                .await
+            {
+                Some(Reply::Inserted) => return Submitted::Accepted,
+                Some(Reply::Refused) => {}
+                _ => doubt = true,
+            }
+        }
+        if !doubt {
+            return Submitted::Refused(RETRY);
+        }
+        match insert(self.store.as_ref(), Self::PART, &job, until, true).await {
+            Inserted::There => {
+                self.tell_accepted(job);
+                Submitted::Accepted
+            }
+            Inserted::Refused | Inserted::Unsure => Submitted::Unsure,
+        }
+    }
+
+    fn tell_accepted(&self, job: Job) {
+        if let Some(owner) = self.owner() {
+            owner.accepted(job);
+        } else if let Some(link) = self.link() {
+            link.tell(ToOwner::Accepted(Box::new(job)));
+        }
+    }
+
+    async fn ask_owner(&self, call: Call, time: Duration) -> Option<Reply> {
+        if let Some(owner) = self.owner() {
+            return Some(owner.answer(call).await);
+        }
+        self.link()?.call(call, time).await
+    }
+
+    /// The state of a job.
+    pub async fn state(&self, id: &str) -> Taken {
+        let call = Call::State(id.to_owned());
+        if let Some(Reply::State(state)) = self.ask_owner(call, OWNER_WAIT).await {
+            return Taken::State(state);
+        }
+        self.stored_state(id).await
+    }
+
+    async fn stored_state(&self, id: &str) -> Taken {
+        let read = async |table| self.store.get(table, Self::PART, id).await;
+        match read(JOBS).await {
+            Err(_) => return Taken::Unsure,
+            Ok(None) => return Taken::Unknown,
+            Ok(Some(_)) => {}
+        }
+        match read(PROGRESS).await {
+            Err(_) => Taken::Unsure,
+            Ok(None) => Taken::State(State::Queued),
+            Ok(Some(row)) => {
+                let value = row.value.unwrap_or_default();
+                serde_json::from_slice::<pool::Progress>(&value)
+                    .map_or(Taken::Unsure, |progress| Taken::State(progress.state))
+            }
+        }
+    }
+
+    /// Cancels a job; the answer means that this is stored.
+    pub async fn cancel(&self, id: &str, until: Instant) -> Taken {
+        let left = until.saturating_duration_since(Instant::now());
+        let call = Call::Cancel(id.to_owned());
+        let reply = self
+            .ask_owner(call, left.min(Duration::from_millis(1_600)))
+            .await;
+        if reply
+            .as_ref()
+            .is_some_and(|reply| matches!(reply, Reply::Cancelled))
+        {
+            return Taken::State(State::Cancelled);
+        }
+        match self.stored_state(id).await {
+            Taken::State(state) if state.is_final() => return Taken::State(state),
+            Taken::State(_) => {}
+            other => return other,
+        }
+        let transaction = Transaction {
+            part: Self::PART.to_owned(),
+            puts: vec![(JOBS.to_owned(), format!("{CANCEL}{id}"), b"{}".to_vec())],
+            ..Transaction::default()
+        };
+        loop {
+            match self.store.commit(&transaction).await {
+                Ok(_) => return Taken::State(State::Cancelled),
+                Err(StoreError::Conflict { .. }) => return Taken::Unsure,
+                Err(_) if Instant::now() >= until => return Taken::Unsure,
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+    }
+
+    /// How many of a queue's jobs have nothing started; `None` if that isn't known well enough.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> Option<u64> {
+        let heard = self.heard();
+        let recent = clock::now().saturating_sub(heard.at) < 1_900;
+        recent.then(|| heard.beat.pending.get(queue).copied().unwrap_or(0))
+    }
+}
--- /dev/null
+++ b/crates/host/src/peers.rs
@@ -0,0 +1,295 @@
+//! Connections between hosts.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use log::{info, warn};
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
+
+use crate::clock;
+use crate::host::{Host, lock};
+use crate::owner::Owner;
+use crate::wire::{Call, FromOwner, Receiver, Reply, Sender, ToOwner};
+
+/// Time between two beats. A shorter one finds a lost owner sooner and costs each host a wake-up more.
+pub(crate) const BEAT: Duration = Duration::from_millis(250);
+/// An owner that was not heard for this long is taken as lost: three beats, and some for the way between regions.
+pub(crate) const SILENCE: Duration = Duration::from_millis(900);
+/// Time in which a connection has to be made; the way between regions takes 40 ms there and back.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Frames that wait to be written to one host; more means that it doesn't read.
+const QUEUE: usize = 4_096;
+
+/// Why a link to the owner ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ended {
+    /// It could not be reached, went silent or broke off.
+    Lost,
+    /// That host is not the owner.
+    NotOwner,
+    /// It wants this host to take the pool over.
+    Take,
+    /// This host is stopped.
+    Stopped,
+}
+
+/// A link from this host to the owner.
+pub(crate) struct Link {
+    to: mpsc::Sender<ToOwner>,
+    calls: Mutex<FxHashMap<u64, oneshot::Sender<Reply>>>,
+    number: AtomicU64,
+}
+
+impl Link {
+    /// Tells the owner something; `false` if the link is broken or full.
+    pub(crate) fn tell(&self, message: ToOwner) -> bool {
+        self.to.try_send(message).is_ok()
+    }
+
+    /// Asks the owner something.
+    pub(crate) async fn call(&self, call: Call, time: Duration) -> Option<Reply> {
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let (to, answer) = oneshot::channel();
+        lock(&self.calls).insert(number, to);
+        let reply = if self.tell(ToOwner::Ask(number, call)) {
+            timeout(time, answer).await.ok().and_then(Result::ok)
+        } else {
+            None
+        };
+        lock(&self.calls).remove(&number);
+        reply
+    }
+}
+
+/// Writes what comes through a channel, several frames at a time.
+async fn write<T: Serialize>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
+    while let Some(message) = from.recv().await {
+        if sender.feed(&message).await.is_err() {
+            return;
+        }
+        while let Ok(message) = from.try_recv() {
+            if sender.feed(&message).await.is_err() {
+                return;
+            }
+        }
+        if sender.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(stream)
+}
+
+/// Keeps a link to the owner until it ends.
+pub(crate) async fn join(host: &Arc<Host>, address: SocketAddr, epoch: u64) -> Ended {
+    let Some(stream) = connect(address).await else {
+        return Ended::Lost;
+    };
+    let (read, half) = stream.into_split();
+    let mut receiver = Receiver::<FromOwner>::new(read);
+    let (to, from) = mpsc::channel(QUEUE);
+    let link = Arc::new(Link {
+        to,
+        calls: Mutex::default(),
+        number: AtomicU64::new(1),
+    });
+    link.tell(ToOwner::Hello {
+        host: host.settings.id.clone(),
+        epoch,
+    });
+    let beats = async {
+        loop {
+            let catalog = host.catalog().map_or(0, |catalog| catalog.version);
+            let beat = ToOwner::Beat {
+                catalog,
+                served: host.served(),
+                away: host.away(),
+            };
+            if !link.tell(beat) {
+                return;
+            }
+            tokio::time::sleep(BEAT).await;
+        }
+    };
+    let reads = async {
+        loop {
+            let Ok(Ok(Some(message))) = timeout(SILENCE, receiver.next()).await else {
+                return Ended::Lost;
+            };
+            match message {
+                FromOwner::Beat(beat) => {
+                    host.hear(beat);
+                    if host.link().is_none() {
+                        host.set_link(Some(Arc::clone(&link)));
+                        info!(owner:% = address, epoch = epoch; "joined the owner");
+                    }
+                }
+                FromOwner::NotOwner => return Ended::NotOwner,
+                FromOwner::Take { epoch: of } if of == epoch => return Ended::Take,
+                FromOwner::Told(number, reply) => {
+                    if let Some(to) = lock(&link.calls).remove(&number) {
+                        drop(to.send(reply));
+                    }
+                }
+                FromOwner::Advise {
+                    number,
+                    stage,
+                    workers,
+                    takes,
+                } => {
+                    let (host, link) = (Arc::clone(host), Arc::clone(&link));
+                    let stop = host.stop.clone();
+                    stop.spawn(async move {
+                        let stage = pool::StageKey {
+                            job: stage.0.into(),
+                            occurrence: stage.1,
+                            step: stage.2,
+                        };
+                        let workers: Vec<pool::WorkerId> =
+                            workers.iter().map(|id| id.as_str().into()).collect();
+                        let takes = Duration::from_millis(takes);
+                        let allowed = host.advisor.ask(&stage, &workers, takes).await;
+                        let allowed = allowed.map(|(rows, valid)| {
+                            let rows = rows.into_iter().map(|(id, text)| (id.to_string(), text));
+                            (rows.collect(), valid)
+                        });
+                        link.tell(ToOwner::Advised(number, allowed));
+                    });
+                }
+                FromOwner::Take { .. } | FromOwner::Hears(_) => {}
+            }
+        }
+    };
+    let ended = tokio::select! {
+        ended = reads => ended,
+        () = beats => Ended::Lost,
+        () = write(Sender::new(half), from) => Ended::Lost,
+        () = host.stop.ended() => Ended::Stopped,
+    };
+    host.set_link(None);
+    ended
+}
+
+/// Whether another host hears the owner with this epoch.
+pub(crate) async fn hears(address: SocketAddr) -> Option<bool> {
+    let ask = async {
+        let (read, half) = connect(address).await?.into_split();
+        let mut sender = Sender::<ToOwner>::new(half);
+        sender.feed(&ToOwner::Hears).await.ok()?;
+        sender.flush().await.ok()?;
+        match Receiver::<FromOwner>::new(read).next().await.ok()?? {
+            FromOwner::Hears(hears) => Some(hears),
+            _ => None,
+        }
+    };
+    timeout(CONNECT, ask).await.ok()?
+}
+
+/// Answers other hosts.
+pub(crate) async fn listen(host: &Arc<Host>) {
+    let listener = loop {
+        match TcpListener::bind(host.settings.address).await {
+            Ok(listener) => break listener,
+            Err(error) => {
+                warn!(address:% = host.settings.address, error:% = error; "can't listen for other hosts");
+                if !host.stop.sleep(Duration::from_millis(500)).await {
+                    return;
+                }
+            }
+        }
+    };
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = host.stop.ended() => return,
+        };
+        let Ok((stream, _)) = stream else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        drop(stream.set_nodelay(true));
+        let serving = Arc::clone(host);
+        host.stop.spawn(async move {
+            let stop = serving.stop.clone();
+            tokio::select! {
+                () = serve(serving, stream) => {}
+                () = stop.ended() => {}
+            }
+        });
+    }
+}
+
+async fn serve(host: Arc<Host>, stream: TcpStream) {
+    let (read, half) = stream.into_split();
+    let mut receiver = Receiver::<ToOwner>::new(read);
+    let (to, from) = mpsc::channel::<FromOwner>(QUEUE);
+    let reads = async {
+        let first = timeout(SILENCE, receiver.next()).await;
+        let (name, owner) = match first {
+            Ok(Ok(Some(ToOwner::Hello { host: name, epoch }))) => {
+                match host.owner().filter(|owner| owner.epoch() == epoch) {
+                    Some(owner) => (name, owner),
+                    None => {
+                        drop(to.send(FromOwner::NotOwner).await);
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                        return;
+                    }
+                }
+            }
+            Ok(Ok(Some(ToOwner::Hears))) => {
+                let recent = clock::now().saturating_sub(host.heard().at) < 900;
+                let hears = host.owner().is_some() || recent && host.link().is_some();
+                drop(to.send(FromOwner::Hears(hears)).await);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                return;
+            }
+            _ => return,
+        };
+        let since = Instant::now();
+        let member = owner.joined(&name, to.clone());
+        loop {
+            let message = timeout(SILENCE * 2, receiver.next()).await;
+            let Ok(Ok(Some(message))) = message else {
+                break;
+            };
+            owner.told(&name, member, message, &to);
+            if owner.is_over() {
+                drop(to.send(FromOwner::NotOwner).await);
+                break;
+            }
+        }
+        owner.left(&name, member);
+        info!(host = name, ms = since.elapsed().as_millis() as u64; "a host left the owner");
+    };
+    tokio::select! {
+        () = reads => {}
+        () = write(Sender::new(half), from) => {}
+    }
+}
+
+impl Owner {
+    /// Answers a call of a host, or of this one.
+    pub(crate) async fn answer(self: &Arc<Self>, call: Call) -> Reply {
+        match call {
+            Call::State(id) => self.state(&id).map_or(Reply::Unknown, Reply::State),
+            Call::Cancel(id) => self.cancel(&id).await,
+            Call::Insert(job) => self.insert(*job).await,
+            Call::Catalog => self.host().catalog().map_or(Reply::Unsure, |catalog| {
+                Reply::Catalog(Box::new((*catalog).clone()))
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/session.rs
@@ -0,0 +1,97 @@
+//! Holding one worker: renewing its lease, hearing what runs and what ended.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use pool::WorkerId;
+
+use crate::clock;
+use crate::host::lock;
+use crate::outside::HoldFailure;
+use crate::owner::Owner;
+
+/// A hold waits this long for an end. A worker counts as silent after 1.6 s, so one lost hold is borne.
+const WAIT: Duration = Duration::from_millis(600);
+/// Ends are stored in groups; a hold that would be answered with the same ends again waits this long for that.
+const STORED: Duration = Duration::from_millis(80);
+/// Pause after an answer that brought nothing new while ends are not stored.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a hold that failed at once.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// Holds a worker as long as it is known and the owner owns.
+pub(crate) async fn run(owner: &Arc<Owner>, id: &WorkerId) {
+    tokio::select! {
+        () = hold(owner, id) => {}
+        () = owner.over.cancelled() => {}
+    }
+}
+
+async fn hold(owner: &Arc<Owner>, id: &WorkerId) {
+    let mut lost = false;
+    loop {
+        let (address, lease, mut ends) = {
+            let pool = lock(&owner.pool);
+            let Some(worker) = pool.worker(id) else {
+                return;
+            };
+            let clock = worker.clock(clock::now());
+            let lease = (clock > 0).then(|| clock + owner.host().settings.pool.lease_most);
+            (worker.news.address.clone(), lease, worker.ends())
+        };
+        if ends.1 > ends.2 {
+            let stored = owner.stored.notified();
+            drop(tokio::time::timeout(STORED, stored).await);
+            match lock(&owner.pool).worker(id) {
+                Some(worker) => ends = worker.ends(),
+                None => return,
+            }
+        }
+        let all_noted = ends.1 <= ends.2;
+        let wait = if all_noted && lease.is_some() {
+            WAIT
+        } else {
+            Duration::ZERO
+        };
+        let asked = clock::now();
+        let workers = &owner.host().workers;
+        let held = workers
+            .hold(&address, id, owner.epoch(), lease, ends.2, wait)
+            .await;
+        match held {
+            Ok(mut listing) => {
+                listing.asked = asked;
+                let (now, unix) = (clock::now(), clock::unix());
+                let news = {
+                    let mut pool = lock(&owner.pool);
+                    pool.heard(now, unix, id, &listing);
+                    pool.unsaved()
+                };
+                owner.wake.notify_one();
+                if news {
+                    owner.dirty.notify_one();
+                }
+                if lost {
+                    info!(dependency = "worker", worker = &**id; "regained");
+                    lost = false;
+                }
+                if !all_noted {
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+            Err(HoldFailure::Fenced) => {
+                warn!(worker = &**id, epoch = owner.epoch(); "a worker obeys a newer owner");
+                owner.over.cancel();
+                return;
+            }
+            Err(failure) => {
+                if !lost {
+                    warn!(dependency = "worker", worker = &**id, failure:? = failure; "lost");
+                    lost = true;
+                }
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/wire.rs
@@ -0,0 +1,188 @@
+//! What hosts say to each other: frames of JSON over one TCP connection from each host to the owner.
+//!
+//! One connection that both sides write to as they like needs one wake-up a message; a call over HTTP needs four.
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt as _};
+use pool::{Job, State};
+use rustc_hash::FxHashMap;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+/// Longest frame in bytes: the rows of one transaction and some more.
+const FRAME_MOST: usize = 4 << 20;
+
+/// What a host says to the owner.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum ToOwner {
+    /// It is here.
+    Hello {
+        /// Its name.
+        host: String,
+        /// The epoch that it takes the owner to have.
+        epoch: u64,
+    },
+    /// It is alive.
+    Beat {
+        /// Version of the configuration in force there.
+        catalog: u64,
+        /// The store serves it.
+        served: bool,
+        /// Round trip to the store in milliseconds.
+        away: u64,
+    },
+    /// It has accepted a job: the row is written.
+    Accepted(Box<Job>),
+    /// It wants something.
+    Ask(u64, Call),
+    /// Answer to [`FromOwner::Advise`].
+    Advised(u64, Option<(Vec<(String, String)>, u64)>),
+    /// Whether the owner is alive, asked of any host: answered with [`FromOwner::Hears`].
+    Hears,
+}
+
+/// What a host wants from the owner.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Call {
+    /// State of a job.
+    State(String),
+    /// Cancel a job.
+    Cancel(String),
+    /// Write a job's row, since the store doesn't serve the asker.
+    Insert(Box<Job>),
+    /// The configuration as it lies in the store.
+    Catalog,
+}
+
+/// What the owner says to a call.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Reply {
+    /// The job's state, as it is stored.
+    State(State),
+    /// The job isn't known here.
+    Unknown,
+    /// The job is cancelled, and that is stored.
+    Cancelled,
+    /// The row is written.
+    Inserted,
+    /// The row is certainly not written, and won't be.
+    Refused,
+    /// It can't be told.
+    Unsure,
+    /// The configuration in force.
+    Catalog(Box<crate::Catalog>),
+}
+
+/// What the owner says to a host.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum FromOwner {
+    /// It is the owner.
+    Beat(Beat),
+    /// It is not the owner (any more).
+    NotOwner,
+    /// Answer to [`ToOwner::Ask`].
+    Told(u64, Reply),
+    /// Ask the advisor about a step.
+    Advise {
+        /// Number of the question.
+        number: u64,
+        /// The step: job, occurrence, step.
+        stage: (String, u32, u16),
+        /// The workers.
+        workers: Vec<String>,
+        /// Time that it will take, in milliseconds.
+        takes: u64,
+    },
+    /// Take the pool over: the owner leaves, or the store doesn't serve it.
+    Take {
+        /// The owner's epoch.
+        epoch: u64,
+    },
+    /// Whether this host hears the owner.
+    Hears(bool),
+}
+
+/// What all hosts have to know now.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Beat {
+    /// The owner's epoch.
+    pub epoch: u64,
+    /// Version of the configuration in force there.
+    pub catalog: u64,
+    /// The store serves the owner.
+    pub served: bool,
+    /// Jobs of which nothing has started, per queue.
+    pub pending: FxHashMap<String, u64>,
+    /// Queues that can't serve more in time, with the time to come back in milliseconds.
+    pub full: FxHashMap<String, u64>,
+}
+
+/// Sends frames.
+pub struct Sender<T> {
+    to: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    kind: std::marker::PhantomData<fn(T)>,
+}
+
+impl<T: Serialize> Sender<T> {
+    /// Over this half of a connection.
+    #[must_use]
+    pub fn new(half: OwnedWriteHalf) -> Self {
+        Self {
+            to: FramedWrite::new(half, codec()),
+            kind: std::marker::PhantomData,
+        }
+    }
+
+    /// Adds a frame to what is sent with the next [`Sender::flush`].
+    ///
+    /// # Errors
+    /// If the connection is broken.
+    pub async fn feed(&mut self, message: &T) -> std::io::Result<()> {
+        let bytes = serde_json::to_vec(message)?;
+        self.to.feed(Bytes::from(bytes)).await
+    }
+
+    /// Sends what was added.
+    ///
+    /// # Errors
+    /// If the connection is broken.
+    pub async fn flush(&mut self) -> std::io::Result<()> {
+        SinkExt::<Bytes>::flush(&mut self.to).await
+    }
+}
+
+/// Receives frames.
+pub struct Receiver<T> {
+    from: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    kind: std::marker::PhantomData<fn() -> T>,
+}
+
+impl<T: DeserializeOwned> Receiver<T> {
+    /// From this half of a connection.
+    #[must_use]
+    pub fn new(half: OwnedReadHalf) -> Self {
+        Self {
+            from: FramedRead::new(half, codec()),
+            kind: std::marker::PhantomData,
+        }
+    }
+
+    /// The next frame; `None` at the end.
+    ///
+    /// # Errors
+    /// If the connection is broken or the frame can't be read.
+    pub async fn next(&mut self) -> std::io::Result<Option<T>> {
+        match self.from.next().await {
+            None => Ok(None),
+            Some(frame) => Ok(Some(serde_json::from_slice(&frame?)?)),
+        }
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_MOST)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/host/src/writer.rs
@@ -0,0 +1,163 @@
+//! Storing progress in groups.
+//!
+//! Every transaction has the owner's row as a condition, so nothing of an owner that was replaced is written. A lost
+//! answer leaves a transaction that may be carried out later, over newer progress: the next one rewrites the owner's row,
+//! after which the condition of the lost one can't hold any more.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::{info, warn};
+use pool::{Batch, WorkerId};
+
+use crate::clock;
+use crate::host::{Host, lock};
+use crate::outside::{Row, StoreError, Transaction};
+use crate::owner::Owner;
+use crate::rows::{CANCEL, JOBS, OWNER, OwnerRow, PROGRESS};
+
+/// Most rows of progress in one transaction; the store takes 100 entries.
+const ROWS_MOST: usize = 80;
+/// Progress that nobody waits for is collected for this long.
+const COLLECT: Duration = Duration::from_millis(25);
+/// Pause after a transaction that failed.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Time between two looks for jobs that may be forgotten.
+const SWEEP: Duration = Duration::from_secs(5);
+/// Most jobs that are forgotten in one transaction: three rows each.
+const SWEEP_MOST: usize = 30;
+
+/// Stores what the pool wants stored, until the owner is replaced.
+pub(crate) async fn run(owner: &Arc<Owner>, mut row: OwnerRow, mut version: u64) {
+    let mut unsure = false;
+    let mut swept = tokio::time::Instant::now();
+    let mut old: Vec<pool::JobId> = Vec::new();
+    loop {
+        drop(tokio::time::timeout(Duration::from_millis(100), owner.dirty.notified()).await);
+        if !lock(&owner.pool).urgent() {
+            tokio::time::sleep(COLLECT).await;
+        }
+        if old.is_empty() && swept.elapsed() > SWEEP {
+            swept = tokio::time::Instant::now();
+            old = lock(&owner.pool).sweep(clock::now(), clock::unix());
+        }
+        let (batch, roster) = {
+            let mut pool = lock(&owner.pool);
+            (pool.batch(ROWS_MOST), pool.roster())
+        };
+        let roster_changed = !roster
+            .iter()
+            .map(|id| &**id)
+            .eq(row.roster.iter().map(String::as_str));
+        if batch.rows.is_empty() && !roster_changed && !unsure && old.is_empty() {
+            // Ends that change nothing may be forgotten at once.
+            lock(&owner.pool).saved(&batch);
+            owner.stored.notify_waiters();
+            continue;
+        }
+        let mut next = row.clone();
+        next.serial += 1;
+        next.roster = roster.iter().map(ToString::to_string).collect();
+        let rewrite = roster_changed || unsure;
+        let deletes = if batch.rows.is_empty() {
+            old.len().min(SWEEP_MOST)
+        } else {
+            0
+        };
+        let transaction = transaction(&batch, rewrite.then_some(&next), version, &old[..deletes]);
+        match owner.host().store.commit(&transaction).await {
+            Ok(done) => {
+                if rewrite {
+                    version = done;
+                    row = next;
+                }
+                unsure = false;
+                old.drain(..deletes);
+                owner.unserved.store(0, Ordering::Relaxed);
+                let mut pool = lock(&owner.pool);
+                pool.saved(&batch);
+                if rewrite {
+                    pool.enroll(&roster);
+                }
+                drop(pool);
+                owner.stored.notify_waiters();
+                owner.wake.notify_one();
+                continue;
+            }
+            Err(StoreError::Conflict { rows }) => match own_row(&rows, &row) {
+                Some((found, at)) => {
+                    info!(serial = found.serial; "an earlier write of the owner's row came through");
+                    enroll(owner, &found);
+                    row = found;
+                    version = at;
+                    unsure = true;
+                }
+                None => {
+                    warn!(epoch = owner.epoch(); "another host owns the pool");
+                    owner.over.cancel();
+                    return;
+                }
+            },
+            Err(error) => {
+                warn!(error:% = error, rows = batch.rows.len(); "progress is not stored yet");
+                unsure |= matches!(error, StoreError::Lost { .. });
+                let now = clock::now();
+                if owner.unserved.load(Ordering::Relaxed) == 0 {
+                    owner.unserved.store(now, Ordering::Relaxed);
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        lock(&owner.pool).failed(&batch);
+        owner.dirty.notify_one();
+    }
+}
+
+fn enroll(owner: &Owner, row: &OwnerRow) {
+    let ids: Vec<WorkerId> = row.roster.iter().map(|id| id.as_str().into()).collect();
+    lock(&owner.pool).enroll(&ids);
+}
+
+fn transaction(
+    batch: &Batch,
+    row: Option<&OwnerRow>,
+    version: u64,
+    old: &[pool::JobId],
+) -> Transaction {
+    let mut transaction = Transaction {
+        part: Host::PART.to_owned(),
+        checks: vec![(OWNER.to_owned(), OWNER.to_owned(), version)],
+        ..Transaction::default()
+    };
+    for (id, progress) in &batch.rows {
+        if let Ok(value) = serde_json::to_vec(progress) {
+            let put = (PROGRESS.to_owned(), id.to_string(), value);
+            transaction.puts.push(put);
+        }
+    }
+    if let Some(row) = row
+        && let Ok(value) = serde_json::to_vec(row)
+    {
+        let put = (OWNER.to_owned(), OWNER.to_owned(), value);
+        transaction.puts.push(put);
+    }
+    for id in old {
+        transaction.deletes.push((JOBS.to_owned(), id.to_string()));
+        transaction
+            .deletes
+            .push((JOBS.to_owned(), format!("{CANCEL}{id}")));
+        transaction
+            .deletes
+            .push((PROGRESS.to_owned(), id.to_string()));
+    }
+    transaction
+}
+
+/// The owner's row among these, if it is this owner's.
+fn own_row(rows: &[Row], mine: &OwnerRow) -> Option<(OwnerRow, u64)> {
+    let row = rows.iter().find(|row| row.table == OWNER)?;
+    let found: OwnerRow = serde_json::from_slice(row.value.as_deref()?).ok()?;
+    let same = found.host == mine.host && found.epoch == mine.epoch && found.life == mine.life;
+    same.then_some((found, row.version))
+}
--- /dev/null
+++ b/crates/pool/src/answer.rs
@@ -0,0 +1,39 @@
+//! Answers to orders.
+
+use crate::task::Ms;
+
+/// Answer to a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// It runs.
+    Running,
+    /// Another owner has a higher epoch there.
+    Fenced,
+    /// A run with this number or a higher one ended or was stopped there.
+    Old,
+    /// It came after its last moment.
+    Late,
+    /// There is no room.
+    Room,
+    /// The ticket doesn't hold (any more).
+    Ticket,
+    /// The worker can't read the order.
+    Unreadable,
+    /// The worker is not well and did nothing.
+    Unwell,
+    /// The worker is not there; nothing was done.
+    Away,
+    /// No answer: it may run or begin yet.
+    Lost,
+}
+
+/// Answer to a stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopAnswer {
+    /// The run is stopped and won't begin any more; with the worker's clock.
+    Stopped(Ms),
+    /// Another owner has a higher epoch there.
+    Fenced,
+    /// Nothing is known; it is to be sent again.
+    Lost,
+}
--- /dev/null
+++ b/crates/pool/src/ends.rs
@@ -0,0 +1,205 @@
+//! What follows when a run ends.
+
+use std::sync::Arc;
+
+use crate::listing::{End, How};
+use crate::pool::Pool;
+use crate::state::State;
+use crate::task::{Ms, Phase, StageKey, TaskKey, WorkerId};
+
+/// A task that failed waits this long, so that a worker which fails at once doesn't use up all attempts in one place
+/// before its doubt has grown. Short against the objective of quick work.
+const RETRY_FAILED: Ms = 20;
+/// A task that lasts and failed waits this long: it must be back soon, and may not spin.
+const RETRY_LASTING: Ms = 200;
+
+impl Pool {
+    /// Frees the room of a task's run.
+    pub(crate) fn detach(&mut self, key: &TaskKey, worker: &WorkerId) {
+        let Some(size) = self.size(&key.stage) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(worker)
+            && worker.runs.remove(key).is_some()
+        {
+            worker.used = worker.used.minus(size).unwrap_or_default();
+        }
+    }
+
+    /// Takes room for a task's run.
+    pub(crate) fn attach(&mut self, key: &TaskKey, worker: &WorkerId, number: u32) {
+        let Some(size) = self.size(&key.stage) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(worker)
+            && worker.runs.insert(key.clone(), number).is_none()
+        {
+            worker.used = worker.used.plus(size);
+        }
+    }
+
+    /// The task's present run is over, in whatever way; `how` is `None` if nothing is known of an end.
+    pub(crate) fn run_over(&mut self, now: Ms, key: &TaskKey, retry: Ms) {
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let Some(run) = task.run.take() else {
+            return;
+        };
+        task.retry = task.retry.max(now + retry);
+        self.loose.remove(key);
+        self.detach(key, &run.worker);
+    }
+
+    pub(crate) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut crate::task::Task> {
+        self.jobs
+            .get_mut(&key.stage.job)?
+            .task(key.stage.occurrence, key.stage.step, key.index)
+    }
+
+    /// Applies an end that a worker lists.
+    pub(crate) fn apply_end(&mut self, now: Ms, unix: u64, worker: &WorkerId, end: &End) {
+        let key = &end.task;
+        if let Some(host) = self.workers.get_mut(worker)
+            && host
+                .strays
+                .get(key)
+                .is_some_and(|stray| stray.run == end.run)
+            && let Some(stray) = host.strays.remove(key)
+        {
+            host.used = host
+                .used
+                .minus(stray.size.unwrap_or_default())
+                .unwrap_or_default();
+        }
+        let id = Arc::clone(&key.stage.job);
+        let Some(live) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let job = Arc::clone(&live.job);
+        let Some(step) = job.steps.get(usize::from(key.stage.step)) else {
+            return;
+        };
+        let Some(task) = live.task(key.stage.occurrence, key.stage.step, key.index) else {
+            return;
+        };
+        let store = task.note_end(end.run, end.how, &end.saved);
+        let own = task
+            .run
+            .as_ref()
+            .filter(|run| run.number == end.run && run.worker == *worker)
+            .cloned();
+        let other = task.done && own.is_none() && task.run.is_some();
+        let attempts = task.failed.len();
+        if let Some(run) = &own {
+            self.judge(now, worker, end.how, run, key, step.lasting);
+            let retry = match end.how {
+                How::Failed if step.lasting => RETRY_LASTING,
+                How::Failed => RETRY_FAILED,
+                _ => 0,
+            };
+            self.run_over(now, key, retry);
+        }
+        if other {
+            self.stop_run(key);
+        }
+        if store {
+            self.mark(&id);
+        }
+        match end.how {
+            How::Done => self.done(now, unix, &key.stage, end.run, step.gang),
+            How::Failed if !step.lasting => {
+                let attempts = if step.gang {
+                    self.gang_failures(&key.stage)
+                } else {
+                    attempts
+                };
+                let most = job.policy.attempts.max(1) as usize;
+                if attempts >= most && !self.jobs.get(&id).is_none_or(|live| live.state.is_final())
+                {
+                    self.close(now, unix, &id, State::Failed);
+                }
+            }
+            _ => self.settle(now, unix, &key.stage),
+        }
+    }
+
+    /// Number of runs of a gang in which a member failed.
+    fn gang_failures(&self, key: &StageKey) -> usize {
+        let Some(stage) = self.stage(key) else {
+            return 0;
+        };
+        let mut runs: Vec<u32> = stage
+            .tasks
+            .iter()
+            .flat_map(|task| task.failed.iter().copied())
+            .collect();
+        runs.sort_unstable();
+        runs.dedup();
+        runs.len()
+    }
+
+    pub(crate) fn stage(&self, key: &StageKey) -> Option<&crate::live::Stage> {
+        self.jobs
+            .get(&key.job)?
+            .open
+            .get(&key.occurrence)?
+            .stages
+            .get(usize::from(key.step))
+    }
+
+    pub(crate) fn stage_mut(&mut self, key: &StageKey) -> Option<&mut crate::live::Stage> {
+        self.jobs
+            .get_mut(&key.job)?
+            .open
+            .get_mut(&key.occurrence)?
+            .stages
+            .get_mut(usize::from(key.step))
+    }
+
+    /// A task is done: counts it, and lets steps begin that waited for it.
+    fn done(&mut self, now: Ms, unix: u64, key: &StageKey, run: u32, gang: bool) {
+        let Some(stage) = self.stage_mut(key) else {
+            return;
+        };
+        if gang {
+            // One member's end stands for all of its run.
+            for task in &mut stage.tasks {
+                if task.run.as_ref().is_none_or(|own| own.number == run) {
+                    task.done = true;
+                }
+            }
+        }
+        stage.done = stage.tasks.iter().filter(|task| task.done).count();
+        if stage.complete() {
+            self.open.remove(key);
+            self.settle(now, unix, key);
+        }
+    }
+
+    /// Completes the job if its last run is over, and lets steps begin.
+    pub(crate) fn settle(&mut self, now: Ms, unix: u64, key: &StageKey) {
+        let Some(live) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if live.settle() && !live.state.is_final() {
+            live.state = State::Completed;
+            live.closed = unix;
+            self.timed.remove(&key.job);
+            self.mark(&key.job);
+        }
+        self.advance(&key.job, now, unix);
+    }
+
+    /// Marks a task's run as one to be stopped.
+    pub(crate) fn stop_run(&mut self, key: &TaskKey) {
+        if let Some(task) = self.task_mut(key)
+            && let Some(run) = &mut task.run
+            && run.phase != Phase::Stopping
+        {
+            run.phase = Phase::Stopping;
+            run.stop_sent = 0;
+            self.loose.insert(key.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/hear.rs
@@ -0,0 +1,276 @@
+//! What follows from a worker's listing.
+
+use std::sync::Arc;
+
+use crate::listing::{Listing, Running};
+use crate::pool::Pool;
+use crate::task::{Ms, Phase, Run, TaskKey, WorkerId};
+use crate::worker::Stray;
+
+/// A run of a job that nobody knows is stopped after this time. The row of a job may reach this owner later than the
+/// task does (a few milliseconds as a rule, seconds while the store is in trouble).
+const STRANGE: Ms = 3_000;
+/// A run that should be there and is neither listed nor ended for this long is taken as over. Ends come in order and
+/// all of them, so this happens only if the worker contradicts itself.
+const VANISHED: Ms = 4_000;
+/// Time that covers ways, timers and rounding when a lease of a worker is reckoned on our clock.
+const LEASE_SLACK: Ms = 400;
+
+impl Pool {
+    /// A worker answered a hold.
+    pub fn heard(&mut self, now: Ms, unix: u64, id: &WorkerId, listing: &Listing) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.fenced && listing.born < worker.born {
+            return;
+        }
+        if worker.fenced && listing.born != worker.born {
+            self.reborn(now, unix, id);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let newest = listing.clock >= worker.clock(listing.asked).saturating_sub(1);
+        worker.fenced = true;
+        worker.born = listing.born;
+        worker.heard = worker.heard.max(listing.asked);
+        if listing.clock > worker.clock.0 {
+            worker.clock = (listing.clock, now);
+        }
+        if listing.lease > 0 {
+            let left = listing.lease.saturating_sub(listing.clock);
+            // Its clock may be 2% slow.
+            worker.lapses = worker.lapses.max(now + left + left / 33 + LEASE_SLACK);
+        }
+        let applied = worker.applied;
+        self.unseen.remove(id);
+        for end in listing.ended.iter().filter(|end| end.number > applied) {
+            let known = self.jobs.contains_key(&end.task.stage.job);
+            let Some(worker) = self.workers.get_mut(id) else {
+                return;
+            };
+            if known {
+                worker.strange = None;
+            } else if now.saturating_sub(*worker.strange.get_or_insert(now)) < STRANGE {
+                // Its row is on the way; an end that is passed over now would be lost.
+                break;
+            }
+            worker.applied = end.number;
+            self.apply_end(now, unix, id, end);
+        }
+        if newest {
+            self.compare(now, unix, id, listing);
+        }
+    }
+
+    /// The worker lost its former life: nothing of it runs any more.
+    fn reborn(&mut self, now: Ms, unix: u64, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.applied = 0;
+        worker.noted = 0;
+        worker.clock = (0, 0);
+        worker.lapses = 0;
+        worker.doubt = 0.0;
+        worker.slowness = 1.0;
+        if worker.news.draining.is_none() {
+            worker.leaves = None;
+        }
+        for stray in std::mem::take(&mut worker.strays).into_values() {
+            worker.used = worker
+                .used
+                .minus(stray.size.unwrap_or_default())
+                .unwrap_or_default();
+        }
+        let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+        for key in keys {
+            let doubtful = self
+                .task_mut(&key)
+                .and_then(|task| task.run.as_mut())
+                .is_some_and(|run| {
+                    // An order that was not answered may reach the new life, which has forgotten the epoch: its
+                    // room stays taken until a stop is confirmed there.
+                    let doubtful = run.phase == Phase::Ordered || run.phase == Phase::Unsure;
+                    if doubtful {
+                        run.phase = Phase::Stopping;
+                        run.stop_sent = 0;
+                        run.stop_confirmed = 0;
+                    }
+                    doubtful
+                });
+            if doubtful {
+                self.loose.insert(key);
+            } else {
+                let stage = key.stage.clone();
+                self.run_over(now, &key, 0);
+                self.settle(now, unix, &stage);
+            }
+        }
+    }
+
+    /// Compares what runs on a worker with what should.
+    fn compare(&mut self, now: Ms, unix: u64, id: &WorkerId, listing: &Listing) {
+        for row in &listing.running {
+            self.see(now, id, row);
+        }
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if worker.runs.is_empty() && worker.strays.is_empty() {
+            return;
+        }
+        let full = listing.ended.len() >= 500;
+        let there = |key: &TaskKey, number: u32| {
+            listing
+                .running
+                .iter()
+                .any(|row| row.run == number && row.task == *key)
+        };
+        let missing: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(key, number)| !there(key, **number))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let lost_strays: Vec<TaskKey> = worker
+            .strays
+            .iter()
+            .filter(|(key, stray)| !there(key, stray.run))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in missing {
+            let Some(run) = self.task_mut(&key).and_then(|task| task.run.as_mut()) else {
+                continue;
+            };
+            let over = match run.phase {
+                Phase::Ordered | Phase::Unsure => listing.clock > run.latest,
+                Phase::Running => {
+                    !full && now.saturating_sub(run.moved.max(run.ordered)) > VANISHED
+                }
+                Phase::Stopping => {
+                    !full
+                        && (listing.clock > run.latest
+                            || run.stop_confirmed > 0 && listing.clock >= run.stop_confirmed)
+                }
+            };
+            if over {
+                self.run_over(now, &key, 0);
+                self.settle(now, unix, &key.stage);
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            for key in lost_strays {
+                if let Some(stray) = worker.strays.remove(&key) {
+                    worker.used = worker
+                        .used
+                        .minus(stray.size.unwrap_or_default())
+                        .unwrap_or_default();
+                }
+            }
+        }
+    }
+
+    /// A worker lists a run.
+    fn see(&mut self, now: Ms, id: &WorkerId, row: &Running) {
+        let key = &row.task;
+        let closed = self
+            .jobs
+            .get(&key.stage.job)
+            .is_some_and(|live| live.state.is_final());
+        let size = self.size(&key.stage);
+        let Some(task) = self.task_mut(key) else {
+            self.stray(now, id, row, size);
+            return;
+        };
+        task.top = task.top.max(row.run);
+        if !row.saved.is_empty() {
+            row.saved.clone_into(&mut task.saved);
+        }
+        if let Some(run) = &mut task.run
+            && run.number == row.run
+            && run.worker == *id
+        {
+            if matches!(run.phase, Phase::Ordered | Phase::Unsure) {
+                run.phase = Phase::Running;
+                self.loose.remove(key);
+            }
+            let run = self.task_mut(key).and_then(|task| task.run.as_mut());
+            if let Some(run) = run {
+                if run.percent != row.percent {
+                    run.percent = row.percent;
+                    run.moved = now;
+                }
+                run.load = row.load;
+            }
+            return;
+        }
+        if task.run.is_some() || task.done || closed {
+            self.stray(now, id, row, size);
+            return;
+        }
+        task.run = Some(Run {
+            number: row.run,
+            worker: Arc::clone(id),
+            phase: Phase::Running,
+            ordered: now,
+            latest: 0,
+            stop_sent: 0,
+            stop_confirmed: 0,
+            percent: row.percent,
+            moved: now,
+            load: row.load,
+            pace: 100,
+        });
+        if let Some(worker) = self.workers.get_mut(id)
+            && let Some(stray) = worker.strays.remove(key)
+        {
+            worker.used = worker
+                .used
+                .minus(stray.size.unwrap_or_default())
+                .unwrap_or_default();
+        }
+        self.attach(key, id, row.run);
+        self.started(&key.stage.job);
+    }
+
+    /// A run that no task calls its own: it takes room until it is gone.
+    fn stray(&mut self, now: Ms, id: &WorkerId, row: &Running, size: Option<resource::Size>) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let known = worker.strays.get_mut(&row.task);
+        let stray = Stray {
+            run: row.run,
+            size,
+            since: known.as_ref().map_or(now, |stray| stray.since),
+            stop_sent: known.as_ref().map_or(0, |stray| stray.stop_sent),
+        };
+        let before = worker.strays.insert(row.task.clone(), stray);
+        let before = before.and_then(|stray| stray.size).unwrap_or_default();
+        worker.used = worker
+            .used
+            .minus(before)
+            .unwrap_or_default()
+            .plus(size.unwrap_or_default());
+    }
+
+    /// Stops strays: at once if their job is known, after a while if it isn't.
+    pub(crate) fn stop_strays(&mut self, now: Ms) {
+        for worker in self.workers.values_mut() {
+            for (key, stray) in &mut worker.strays {
+                let due = stray.size.is_some() || now.saturating_sub(stray.since) > STRANGE;
+                if due && (stray.stop_sent == 0 || now.saturating_sub(stray.stop_sent) > 400) {
+                    stray.stop_sent = now.max(1);
+                    self.orders.push(crate::Order::Stop(crate::Stop {
+                        task: key.clone(),
+                        run: stray.run,
+                        worker: Arc::clone(&worker.id),
+                        why: "no task calls this run its own",
+                    }));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,41 @@
+//! Decisions of the owner of one pool of workers, without network or clock.
+//!
+//! * [`Job`], [`Step`], [`Policy`]: what a caller asked for, as it is stored.
+//! * [`Progress`]: what must last of a job's course, as it is stored.
+//! * [`Pool`]: the live state; news goes in, [`Order`]s come out.
+//! * [`News`], [`Listing`], [`Answer`]: what workers and the directory of workers say.
+//! * [`rank`]: who goes first; [`fit`]: on which worker; [`advice`]: which workers to ask about; [`pace`]: when
+//!   tasks that fill spare processors are slowed down.
+
+pub mod advice;
+mod answer;
+mod ends;
+pub mod fit;
+mod hear;
+mod job;
+mod listing;
+mod live;
+mod order;
+pub mod pace;
+mod plan;
+#[expect(clippy::module_inception, reason = "the type that the crate is about")]
+mod pool;
+mod progress;
+pub mod rank;
+mod save;
+mod settle;
+mod state;
+mod task;
+mod watch;
+mod worker;
+
+pub use answer::{Answer, StopAnswer};
+pub use job::{Advice, Job, Policy, Schedule, Step, Unfit};
+pub use listing::{End, How, Listing, Running};
+pub use order::{Ask, Order, Pace, Start, Stop};
+pub use pool::{Options, Pool};
+pub use progress::{Course, Progress, StepCourse};
+pub use save::Batch;
+pub use state::State;
+pub use task::{JobId, Ms, StageKey, TaskKey, WorkerId};
+pub use worker::{News, Worker};
--- /dev/null
+++ b/crates/pool/src/live.rs
@@ -0,0 +1,292 @@
+//! The live state of a job.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+
+use crate::job::{Job, Step};
+use crate::progress::{Course, Progress, StepCourse};
+use crate::state::State;
+use crate::task::{Ms, StageKey, Task, WorkerId};
+
+/// A ticket of the advisor.
+#[derive(Clone, Debug)]
+pub(crate) struct Ticket {
+    /// What the worker wants to see.
+    pub text: String,
+    /// It holds until then.
+    pub until: Ms,
+    /// The worker's life it was given for.
+    pub born: u64,
+}
+
+/// What the advisor said about a step. Answers never change; tickets run out.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Advised {
+    /// Workers that may run it, with the newest ticket.
+    pub allowed: FxHashMap<WorkerId, Ticket>,
+    /// Workers that may not.
+    pub denied: BTreeSet<WorkerId>,
+    /// A question is under way since then.
+    pub asking: Option<Ms>,
+    /// No question before this.
+    pub rest: Ms,
+}
+
+/// The live state of one step of one occurrence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Stage {
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// How many are done.
+    pub done: usize,
+    /// When all steps before it were done.
+    pub opened: Option<Ms>,
+    /// What the advisor said.
+    pub advised: Advised,
+}
+
+impl Stage {
+    fn restore(step: &Step, course: Option<&StepCourse>) -> Self {
+        let mut tasks = vec![Task::default(); step.count as usize];
+        if let Some(course) = course {
+            for (index, task) in tasks.iter_mut().enumerate() {
+                task.done = course.is_done(index as u32);
+                task.top = course.top;
+            }
+            for (index, runs) in &course.failed {
+                if let Some(task) = tasks.get_mut(*index as usize) {
+                    task.failed.clone_from(runs);
+                }
+            }
+            for (index, saved) in &course.saved {
+                if let Some(task) = tasks.get_mut(*index as usize) {
+                    task.saved.clone_from(saved);
+                }
+            }
+        }
+        let done = tasks.iter().filter(|task| task.done).count();
+        Self {
+            tasks,
+            done,
+            ..Self::default()
+        }
+    }
+
+    fn course(&self) -> StepCourse {
+        let rows = || self.tasks.iter().enumerate().filter(|(_, task)| !task.done);
+        StepCourse {
+            done: StepCourse::pack(self.tasks.iter().map(|task| task.done)),
+            failed: rows()
+                .filter(|(_, task)| !task.failed.is_empty())
+                .map(|(at, task)| (at as u32, task.failed.clone()))
+                .collect(),
+            saved: rows()
+                .filter(|(_, task)| !task.saved.is_empty())
+                .map(|(at, task)| (at as u32, task.saved.clone()))
+                .collect(),
+            top: self.tasks.iter().map(|task| task.top).max().unwrap_or(0),
+        }
+    }
+
+    /// Highest run number of any task.
+    pub(crate) fn top(&self) -> u32 {
+        self.tasks.iter().map(|task| task.top).max().unwrap_or(0)
+    }
+
+    /// Whether all tasks are done.
+    pub(crate) fn complete(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+
+    /// Whether all tasks are done and no run of them is left anywhere.
+    pub(crate) fn over(&self) -> bool {
+        self.complete() && self.tasks.iter().all(|task| task.run.is_none())
+    }
+}
+
+/// The live state of one occurrence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Occurrence {
+    /// Its steps.
+    pub stages: Vec<Stage>,
+    /// When it was due.
+    pub due: Ms,
+}
+
+impl Occurrence {
+    fn new(job: &Job, course: Option<&Course>, due: Ms) -> Self {
+        let stages = job
+            .steps
+            .iter()
+            .enumerate()
+            .map(|(at, step)| Stage::restore(step, course.and_then(|course| course.steps.get(at))))
+            .collect();
+        Self { stages, due }
+    }
+
+    /// Opens the steps whose turn has come; tells which.
+    pub(crate) fn open(&mut self, job: &Job, now: Ms) -> Vec<usize> {
+        let mut opened = Vec::new();
+        for at in 0..self.stages.len() {
+            let ready = self.stages[at].opened.is_none()
+                && job.steps[at]
+                    .after
+                    .iter()
+                    .all(|&before| self.stages[usize::from(before)].complete());
+            if ready {
+                self.stages[at].opened = Some(now);
+                opened.push(at);
+            }
+        }
+        opened
+    }
+}
+
+/// The live state of a job.
+#[derive(Clone, Debug)]
+pub(crate) struct Live {
+    /// As it was accepted.
+    pub job: Arc<Job>,
+    /// As decided here.
+    pub state: State,
+    /// As stored, and so told.
+    pub shown: State,
+    /// When it became final, in Unix milliseconds.
+    pub closed: u64,
+    /// Occurrences under way.
+    pub open: BTreeMap<u32, Occurrence>,
+    /// Occurrences that are over.
+    pub over: BTreeSet<u32>,
+    /// The next occurrence that will be due.
+    pub next: u32,
+    /// It was accepted before this owner came: what an unreachable worker runs may be of it.
+    pub inherited: bool,
+    /// When it was accepted, on our clock.
+    pub since: Ms,
+    /// It is among those to be stored.
+    pub dirty: bool,
+    /// Longest chain of estimated work from each step on.
+    pub chains: Vec<Ms>,
+}
+
+impl Live {
+    /// Takes up a job from what is stored of it.
+    pub(crate) fn new(job: Arc<Job>, progress: Option<&Progress>, now: Ms, unix: u64) -> Self {
+        let state = progress.map_or(State::Queued, |progress| progress.state);
+        let mut live = Self {
+            state,
+            shown: state,
+            closed: progress.map_or(0, |progress| progress.closed),
+            open: BTreeMap::new(),
+            over: progress.map_or_else(BTreeSet::new, |progress| {
+                progress.over.iter().copied().collect()
+            }),
+            next: 0,
+            inherited: false,
+            since: now.saturating_sub(unix.saturating_sub(job.accepted)),
+            dirty: false,
+            chains: (0..job.steps.len())
+                .map(|step| job.chain_from(step))
+                .collect(),
+            job,
+        };
+        if !state.is_final() {
+            for course in progress.iter().flat_map(|progress| &progress.open) {
+                let occurrence = Occurrence::new(&live.job, Some(course), now);
+                live.open.insert(course.number, occurrence);
+            }
+        }
+        live
+    }
+
+    /// How many occurrences it has.
+    pub(crate) fn times(&self) -> u32 {
+        self.job.schedule.map_or(1, |schedule| schedule.times)
+    }
+
+    /// When the next occurrence is due, in Unix milliseconds, if there is one.
+    pub(crate) fn next_due(&self) -> Option<u64> {
+        if self.state.is_final() || self.next >= self.times() {
+            return None;
+        }
+        Some(self.job.schedule.map_or(0, |schedule| {
+            schedule.first + u64::from(self.next) * schedule.every
+        }))
+    }
+
+    /// Takes up all occurrences that are due, and opens steps whose turn has come.
+    pub(crate) fn advance(&mut self, now: Ms, unix: u64) -> Vec<StageKey> {
+        let mut opened = Vec::new();
+        while self.next_due().is_some_and(|due| due <= unix) {
+            let number = self.next;
+            self.next += 1;
+            if self.over.contains(&number) {
+                continue;
+            }
+            let job = &self.job;
+            self.open
+                .entry(number)
+                .or_insert_with(|| Occurrence::new(job, None, now));
+        }
+        if self.state.is_final() {
+            return opened;
+        }
+        for (&number, occurrence) in &mut self.open {
+            for step in occurrence.open(&self.job, now) {
+                opened.push(StageKey {
+                    job: Arc::clone(&self.job.id),
+                    occurrence: number,
+                    step: step as u16,
+                });
+            }
+        }
+        opened
+    }
+
+    /// Closes occurrences that are over; `true` if the job is completed with that.
+    pub(crate) fn settle(&mut self) -> bool {
+        let over: Vec<u32> = self
+            .open
+            .iter()
+            .filter(|(_, occurrence)| occurrence.stages.iter().all(Stage::over))
+            .map(|(&number, _)| number)
+            .collect();
+        for number in over {
+            self.open.remove(&number);
+            self.over.insert(number);
+        }
+        self.over.len() as u32 >= self.times() && !self.job.lasting()
+    }
+
+    /// What must last.
+    pub(crate) fn progress(&self) -> Progress {
+        Progress {
+            state: self.state,
+            closed: self.closed,
+            over: self.over.iter().copied().collect(),
+            open: if self.state.is_final() {
+                Vec::new()
+            } else {
+                self.open
+                    .iter()
+                    .map(|(&number, occurrence)| Course {
+                        number,
+                        steps: occurrence.stages.iter().map(Stage::course).collect(),
+                    })
+                    .collect()
+            },
+        }
+    }
+
+    /// The task with this place, if its occurrence is under way.
+    pub(crate) fn task(&mut self, occurrence: u32, step: u16, index: u32) -> Option<&mut Task> {
+        self.open
+            .get_mut(&occurrence)?
+            .stages
+            .get_mut(usize::from(step))?
+            .tasks
+            .get_mut(index as usize)
+    }
+}
--- /dev/null
+++ b/crates/pool/src/pool.rs
@@ -0,0 +1,340 @@
+//! The live state of one pool.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use resource::Size;
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::job::Job;
+use crate::live::Live;
+use crate::order::Order;
+use crate::pace::Tempo;
+use crate::progress::Progress;
+use crate::rank::Learned;
+use crate::state::State;
+use crate::task::{JobId, Ms, Phase, StageKey, TaskKey, WorkerId};
+use crate::worker::{News, Worker};
+
+/// What the pool's decisions depend on besides jobs and workers.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How long an order to start may still be carried out after it was sent, in milliseconds. Longer than any answer
+    /// takes on a sound way; shorter means that room in doubt is free again sooner.
+    pub order_life: Ms,
+    /// Longest lease on a worker, in milliseconds.
+    pub lease_most: Ms,
+    /// How long an owner acts after a majority of its workers has confirmed it, in milliseconds.
+    pub proof: Ms,
+    /// How many questions to the advisor may be under way at once.
+    pub askers: usize,
+    /// Most workers in one question.
+    pub ask_most: usize,
+    /// How much slower a task is on another rack than that of its data.
+    pub far_factor: f64,
+    /// Time from a change of pace until it is felt, in milliseconds.
+    pub pace_lag: Ms,
+    /// How long a task may be over its response time before that is harm, in milliseconds.
+    pub harm: Ms,
+    /// Longest time that a stop takes, in milliseconds.
+    pub stop_grace: Ms,
+    /// How long final jobs are remembered, in milliseconds.
+    pub remember: Ms,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            order_life: 1_500,
+            lease_most: 6_000,
+            proof: 2_000,
+            askers: 1,
+            ask_most: 30,
+            far_factor: 1.5,
+            pace_lag: 100,
+            harm: 4_000,
+            stop_grace: 400,
+            remember: 150_000,
+        }
+    }
+}
+
+/// The live state of one pool: its jobs, its workers, and what is under way between them.
+#[derive(Debug, Default)]
+pub struct Pool {
+    pub(crate) options: Options,
+    pub(crate) jobs: FxHashMap<JobId, Live>,
+    pub(crate) workers: FxHashMap<WorkerId, Worker>,
+    /// Steps whose turn has come and that are not complete.
+    pub(crate) open: BTreeSet<StageKey>,
+    /// Runs whose orders are in doubt or that are to be stopped.
+    pub(crate) loose: FxHashSet<TaskKey>,
+    /// Jobs with occurrences still to come.
+    pub(crate) timed: BTreeSet<JobId>,
+    /// Jobs whose progress is to be stored.
+    pub(crate) dirty: FxHashSet<JobId>,
+    /// Workers of the former owner that have not answered this one.
+    pub(crate) unseen: BTreeSet<WorkerId>,
+    /// Until then they may run something that this owner doesn't know.
+    pub(crate) unseen_until: Ms,
+    /// Steps about which the advisor is being asked.
+    pub(crate) asking: BTreeSet<StageKey>,
+    /// Observed durations against estimates.
+    pub(crate) learned: Learned,
+    /// Paces of tasks that fill.
+    pub(crate) tempo: Tempo,
+    /// When workers and paces were looked at last.
+    pub(crate) looked: Ms,
+    /// Orders that came out of news, for the next plan.
+    pub(crate) orders: Vec<Order>,
+    /// Another owner has a higher epoch.
+    pub(crate) deposed: bool,
+}
+
+impl Pool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Changes how many questions may be under way at once.
+    pub fn set_askers(&mut self, askers: usize) {
+        self.options.askers = askers.max(1);
+    }
+
+    /// A new owner has to hear from these workers before jobs it inherits may start anew, but waits no longer than the
+    /// time after which the former owner's orders and leases are surely over.
+    ///
+    /// Without this, a task that still runs on a worker which only the new owner can't reach would run a second time.
+    pub fn inherit(&mut self, now: Ms, workers: impl IntoIterator<Item = WorkerId>) {
+        self.unseen = workers
+            .into_iter()
+            .filter(|id| self.workers.get(id).is_none_or(|worker| !worker.fenced))
+            .collect();
+        // Clocks of workers may be 2% slow; 400 ms cover ways and timers.
+        let leases = self.options.lease_most + self.options.lease_most / 33;
+        self.unseen_until = now + self.options.proof + self.options.order_life + leases + 400;
+    }
+
+    /// Workers of the former owner that have not answered yet.
+    #[must_use]
+    pub fn unseen(&self) -> usize {
+        self.unseen.len()
+    }
+
+    /// Takes up a job. A job that is known already stays as it is.
+    pub fn adopt(
+        &mut self,
+        now: Ms,
+        unix: u64,
+        job: Arc<Job>,
+        progress: Option<&Progress>,
+        inherited: bool,
+    ) {
+        let id = Arc::clone(&job.id);
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let mut live = Live::new(job, progress, now, unix);
+        live.inherited = inherited;
+        self.jobs.insert(Arc::clone(&id), live);
+        self.advance(&id, now, unix);
+    }
+
+    /// Lets a job's occurrences and steps begin whose turn has come.
+    pub(crate) fn advance(&mut self, id: &JobId, now: Ms, unix: u64) {
+        let Some(live) = self.jobs.get_mut(id) else {
+            return;
+        };
+        self.open.extend(live.advance(now, unix));
+        if live.next_due().is_some() {
+            self.timed.insert(Arc::clone(id));
+        } else {
+            self.timed.remove(id);
+        }
+    }
+
+    /// Whether the job is known.
+    #[must_use]
+    pub fn knows(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// The state of a job as it is stored.
+    #[must_use]
+    pub fn state(&self, id: &str) -> Option<State> {
+        self.jobs.get(id).map(|live| {
+            if live.shown == State::Queued && live.state == State::Running {
+                State::Running
+            } else {
+                live.shown
+            }
+        })
+    }
+
+    /// Cancels a job; the state it has then, or `None` if it isn't known.
+    pub fn cancel(&mut self, now: Ms, unix: u64, id: &str) -> Option<State> {
+        let live = self.jobs.get(id)?;
+        let id = Arc::clone(&live.job.id);
+        if !live.state.is_final() {
+            self.close(now, unix, &id, State::Cancelled);
+        }
+        self.jobs.get(&id).map(|live| live.state)
+    }
+
+    /// Makes a job's state final and stops what it has running.
+    pub(crate) fn close(&mut self, now: Ms, unix: u64, id: &JobId, state: State) {
+        let Some(live) = self.jobs.get_mut(id) else {
+            return;
+        };
+        live.state = state;
+        live.closed = unix;
+        let mut running = Vec::new();
+        for (&occurrence, course) in &mut live.open {
+            for (step, stage) in course.stages.iter_mut().enumerate() {
+                let key = StageKey {
+                    job: Arc::clone(id),
+                    occurrence,
+                    step: step as u16,
+                };
+                for (index, task) in stage.tasks.iter_mut().enumerate() {
+                    if let Some(run) = &mut task.run {
+                        run.phase = Phase::Stopping;
+                        run.stop_sent = 0;
+                        running.push(key.task(index as u32));
+                    }
+                }
+                self.open.remove(&key);
+            }
+        }
+        self.loose.extend(running);
+        self.timed.remove(id);
+        self.mark(id);
+        let _ = now;
+    }
+
+    /// A job's progress has to be stored.
+    pub(crate) fn mark(&mut self, id: &JobId) {
+        if let Some(live) = self.jobs.get_mut(id) {
+            live.dirty = true;
+            self.dirty.insert(Arc::clone(id));
+        }
+    }
+
+    /// Jobs of each queue of which nothing has started.
+    #[must_use]
+    pub fn pending(&self) -> FxHashMap<String, u64> {
+        let mut counts: FxHashMap<String, u64> = FxHashMap::default();
+        for live in self.jobs.values() {
+            if live.state == State::Queued {
+                *counts.entry(live.job.queue.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// The directory lists a worker.
+    pub fn listed(&mut self, now: Ms, id: &WorkerId, news: News) {
+        let worker = self.workers.entry(Arc::clone(id)).or_default();
+        if worker.id.is_empty() {
+            worker.id = Arc::clone(id);
+            worker.slowness = 1.0;
+        }
+        worker.listed = true;
+        match (news.draining, worker.leaves) {
+            (Some(left), None) => worker.leaves = Some(now + left),
+            (None, Some(_)) if news.born != worker.news.born => worker.leaves = None,
+            _ => {}
+        }
+        worker.news = news;
+    }
+
+    /// The directory doesn't list a worker any more. What runs there stays in doubt until its lease has lapsed.
+    pub fn unlisted(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = false;
+        }
+    }
+
+    /// Workers that may run something or may be given something: those that must be known to the next owner.
+    #[must_use]
+    pub fn roster(&self) -> Vec<WorkerId> {
+        let mut ids: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| worker.listed || !worker.runs.is_empty() || !worker.strays.is_empty())
+            .map(|worker| Arc::clone(&worker.id))
+            .collect();
+        ids.sort();
+        ids
+    }
+
+    /// The stored roster names these workers.
+    pub fn enroll(&mut self, ids: &[WorkerId]) {
+        for id in ids {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.enrolled = true;
+            }
+        }
+    }
+
+    /// A worker.
+    #[must_use]
+    pub fn worker(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// Whether another owner with a higher epoch was met.
+    #[must_use]
+    pub fn deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Whether a majority of the workers has confirmed this owner recently enough for it to give orders.
+    ///
+    /// A new owner has to reach a majority before it acts, so an owner without one may have been replaced. An owner
+    /// that was paused fails this when it wakes, before it sends anything.
+    #[must_use]
+    pub fn proved(&self, now: Ms) -> bool {
+        let mut known = 0;
+        let mut heard = 0;
+        for worker in self.workers.values().filter(|worker| worker.listed) {
+            known += 1;
+            if worker.fenced && now.saturating_sub(worker.heard) <= self.options.proof {
+                heard += 1;
+            }
+        }
+        heard * 2 > known
+    }
+
+    /// Share of the workers' processors that is taken, and the number of steps that wait.
+    #[must_use]
+    pub fn load(&self) -> (f64, usize) {
+        let (mut used, mut room) = (0, 0);
+        for worker in self.workers.values().filter(|worker| worker.listed) {
+            used += worker.used.millicores;
+            room += worker.news.room.millicores;
+        }
+        (used as f64 / room.max(1) as f64, self.open.len())
+    }
+
+    /// What a task of this step takes on a worker.
+    pub(crate) fn size(&self, key: &StageKey) -> Option<Size> {
+        let step = self
+            .jobs
+            .get(&key.job)?
+            .job
+            .steps
+            .get(usize::from(key.step))?;
+        Some(step.room())
+    }
+}
--- /dev/null
+++ b/crates/pool/src/save.rs
@@ -0,0 +1,112 @@
+//! What is to be stored, in groups.
+
+use std::sync::Arc;
+
+use crate::pool::Pool;
+use crate::progress::Progress;
+use crate::state::State;
+use crate::task::{JobId, Ms, WorkerId};
+
+/// What is stored in one transaction, and what may be forgotten elsewhere once it is.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// Jobs with their progress.
+    pub rows: Vec<(JobId, Progress)>,
+    /// Workers with their life and the number of their last end that these rows cover.
+    pub ends: Vec<(WorkerId, u64, u64)>,
+    /// A job is completed, failed or cancelled with it: somebody waits for that.
+    pub urgent: bool,
+}
+
+impl Pool {
+    /// Whether something is to be stored.
+    #[must_use]
+    pub fn unsaved(&self) -> bool {
+        !self.dirty.is_empty()
+            || self
+                .workers
+                .values()
+                .any(|worker| worker.noted < worker.applied)
+    }
+
+    /// Whether somebody waits for something to be stored.
+    #[must_use]
+    pub fn urgent(&self) -> bool {
+        self.dirty.iter().any(|id| {
+            self.jobs
+                .get(id)
+                .is_some_and(|live| live.state.is_final() && !live.shown.is_final())
+        })
+    }
+
+    /// Takes up to this many jobs. Ends are covered only if all jobs fit.
+    pub fn batch(&mut self, most: usize) -> Batch {
+        let ids: Vec<JobId> = self.dirty.iter().take(most).cloned().collect();
+        let mut batch = Batch::default();
+        for id in ids {
+            self.dirty.remove(&id);
+            if let Some(live) = self.jobs.get_mut(&id) {
+                live.dirty = false;
+                batch.urgent |= live.state.is_final();
+                batch.rows.push((id, live.progress()));
+            }
+        }
+        if self.dirty.is_empty() {
+            batch.ends = self
+                .workers
+                .values()
+                .filter(|worker| worker.noted < worker.applied)
+                .map(|worker| (Arc::clone(&worker.id), worker.born, worker.applied))
+                .collect();
+        }
+        batch
+    }
+
+    /// A batch is stored: callers may be told, and workers may forget.
+    pub fn saved(&mut self, batch: &Batch) {
+        for (id, progress) in &batch.rows {
+            if let Some(live) = self.jobs.get_mut(id) {
+                live.shown = progress.state;
+            }
+        }
+        for (id, born, number) in &batch.ends {
+            if let Some(worker) = self.workers.get_mut(id)
+                && worker.born == *born
+            {
+                worker.noted = worker.noted.max(*number);
+            }
+        }
+    }
+
+    /// A batch was not stored: its jobs are to be stored again.
+    pub fn failed(&mut self, batch: &Batch) {
+        for (id, _) in &batch.rows {
+            self.mark(id);
+        }
+    }
+
+    /// Forgets jobs that have been final for long; their rows may go.
+    pub fn sweep(&mut self, now: Ms, unix: u64) -> Vec<JobId> {
+        let _ = now;
+        let remember = self.options.remember;
+        let old: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|live| {
+                live.shown.is_final()
+                    && live.shown != State::Queued
+                    && !live.dirty
+                    && unix.saturating_sub(live.closed) > remember
+                    && live.open.values().all(|course| {
+                        let mut tasks = course.stages.iter().flat_map(|stage| &stage.tasks);
+                        tasks.all(|task| task.run.is_none())
+                    })
+            })
+            .map(|live| Arc::clone(&live.job.id))
+            .collect();
+        for id in &old {
+            self.jobs.remove(id);
+        }
+        old
+    }
+}
--- /dev/null
+++ b/crates/pool/src/watch.rs
@@ -0,0 +1,161 @@
+//! Evidence about workers, tasks that stand still, and the pace of tasks that fill.
+
+use std::sync::Arc;
+
+use crate::fit::SUSPECT;
+use crate::listing::How;
+use crate::order::{Order, Pace};
+use crate::pool::Pool;
+use crate::task::{Ms, Phase, Run, TaskKey, WorkerId};
+
+/// Time between two looks: listings are no newer than this on most workers.
+const LOOK: Ms = 200;
+/// A task whose progress hasn't moved for this long stands still. Listings come at least every 0.7 s, and a task of 15 s
+/// moves by a percent in 0.15 s.
+const STILL: Ms = 2_500;
+/// A worker that failed as often as a suspect gets nothing for this long, then one task at a time.
+const REST_SUSPECT: Ms = 2_000;
+/// Evidence of a first failure of a task.
+const FIRST: f64 = 1.0;
+/// Evidence of the failure of a task that failed elsewhere too: the task is the likelier cause.
+const FURTHER: f64 = 0.25;
+/// Evidence against a doubt, of a task that ended well.
+const WELL: f64 = 0.6;
+
+impl Pool {
+    /// Draws conclusions about a worker from the end of a run.
+    pub(crate) fn judge(
+        &mut self,
+        now: Ms,
+        id: &WorkerId,
+        how: How,
+        run: &Run,
+        key: &TaskKey,
+        lasting: bool,
+    ) {
+        let Some(live) = self.jobs.get(&key.stage.job) else {
+            return;
+        };
+        let job = Arc::clone(&live.job);
+        let Some(step) = job.steps.get(usize::from(key.stage.step)) else {
+            return;
+        };
+        let before = self.task_mut(key).map_or(0, |task| {
+            task.failed
+                .iter()
+                .filter(|&&number| number != run.number)
+                .count()
+        });
+        let took = now.saturating_sub(run.ordered);
+        let plain = !step.fills && !step.gang && run.latest > 0;
+        if how == How::Done && plain && !lasting {
+            self.learned.took(&job.queue, took, step.estimate);
+        }
+        let expected = step.estimate as f64 * self.learned.scale(&job.queue);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match how {
+            How::Done => {
+                worker.doubt = (worker.doubt - WELL).max(0.0);
+                if plain && !lasting {
+                    let ratio = (took as f64 / expected.max(1.0)).clamp(0.2, 8.0);
+                    worker.slowness += 0.1 * (ratio - worker.slowness);
+                }
+            }
+            How::Failed if lasting => {}
+            How::Failed => {
+                worker.doubt += if before > 0 { FURTHER } else { FIRST };
+                if worker.doubt >= SUSPECT {
+                    worker.rest = worker.rest.max(now + REST_SUSPECT);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Looks for tasks that stand still, and paces tasks that fill.
+    pub(crate) fn watch(&mut self, now: Ms) {
+        if now < self.looked + LOOK {
+            return;
+        }
+        self.looked = now;
+        let mut still = Vec::new();
+        let mut paces = Vec::new();
+        for worker in self.workers.values() {
+            if now.saturating_sub(worker.heard) > 1_500 {
+                continue;
+            }
+            let mut worst = 0.0_f64;
+            let mut fills = Vec::new();
+            for key in worker.runs.keys() {
+                let Some(live) = self.jobs.get(&key.stage.job) else {
+                    continue;
+                };
+                let Some(step) = live.job.steps.get(usize::from(key.stage.step)) else {
+                    continue;
+                };
+                let Some(run) = self
+                    .stage(&key.stage)
+                    .and_then(|stage| stage.tasks.get(key.index as usize))
+                    .and_then(|task| task.run.as_ref())
+                else {
+                    continue;
+                };
+                if run.phase != Phase::Running {
+                    continue;
+                }
+                if step.target > 0 {
+                    worst = worst.max(f64::from(run.load) / step.target as f64);
+                }
+                if step.fills {
+                    fills.push((key.clone(), run.number, run.pace));
+                } else if !step.lasting {
+                    // One percent of a long task may take longer than that.
+                    let patience = STILL.max(step.estimate / 10);
+                    if now.saturating_sub(run.moved) > patience {
+                        still.push((key.clone(), Arc::clone(&worker.id)));
+                    }
+                }
+            }
+            if !fills.is_empty() {
+                paces.push((Arc::clone(&worker.id), worst, fills));
+            }
+        }
+        for (key, id) in still {
+            self.stop_run(&key);
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.doubt += 1.5;
+                if worker.doubt >= SUSPECT {
+                    worker.rest = worker.rest.max(now + REST_SUSPECT);
+                }
+            }
+        }
+        for (id, worst, fills) in paces {
+            let percent = self.tempo.share(now, &id, worst);
+            for (task, run, pace) in fills {
+                if pace == percent {
+                    continue;
+                }
+                if let Some(run) = self.task_mut(&task).and_then(|task| task.run.as_mut()) {
+                    run.pace = percent;
+                }
+                self.orders.push(Order::Pace(Pace {
+                    task,
+                    run,
+                    worker: Arc::clone(&id),
+                    percent,
+                }));
+            }
+        }
+    }
+
+    /// A change of pace was not confirmed: it is sent again with the next look.
+    pub fn pace_lost(&mut self, pace: &Pace) {
+        if let Some(run) = self.task_mut(&pace.task).and_then(|task| task.run.as_mut())
+            && run.number == pace.run
+        {
+            run.pace = u32::MAX;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/worker.rs
@@ -0,0 +1,125 @@
+//! What is known of one worker.
+
+use resource::Size;
+use rustc_hash::FxHashMap;
+
+use crate::task::{Ms, TaskKey, WorkerId};
+
+/// What the directory of workers says about one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct News {
+    /// Its address.
+    pub address: String,
+    /// The service it belongs to.
+    pub service: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its rack; empty if unknown.
+    pub rack: String,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// What it holds.
+    pub room: Size,
+    /// It is leaving; with the least time that is left, in milliseconds.
+    pub draining: Option<Ms>,
+    /// Start of its life in Unix milliseconds; 0 if it doesn't say.
+    pub born: u64,
+}
+
+/// A run that no task calls its own.
+#[derive(Clone, Debug)]
+pub(crate) struct Stray {
+    /// The run.
+    pub run: u32,
+    /// What it takes, if its job is known.
+    pub size: Option<Size>,
+    /// When it was seen first.
+    pub since: Ms,
+    /// When a stop was sent last.
+    pub stop_sent: Ms,
+}
+
+/// What is known of one worker.
+#[derive(Clone, Debug, Default)]
+pub struct Worker {
+    /// Its id.
+    pub id: WorkerId,
+    /// What the directory says.
+    pub news: News,
+    /// The directory lists it.
+    pub listed: bool,
+    /// The next owner would know of it: it is in the stored roster.
+    pub(crate) enrolled: bool,
+    /// Since when it lists the end of a run of a job that nobody knows.
+    pub(crate) strange: Option<Ms>,
+    /// It has answered a hold of this epoch.
+    pub(crate) fenced: bool,
+    /// Start of the life that answered last, in Unix milliseconds.
+    pub(crate) born: u64,
+    /// Its clock as it was last told, and ours when that was received.
+    pub(crate) clock: (Ms, Ms),
+    /// When the last hold that it answered was sent.
+    pub(crate) heard: Ms,
+    /// By then its lease has surely lapsed, unless it is renewed.
+    pub(crate) lapses: Ms,
+    /// It leaves at about this time, if it drains.
+    pub(crate) leaves: Option<Ms>,
+    /// Room that is taken, that of runs in doubt included.
+    pub(crate) used: Size,
+    /// Runs that tasks call their own.
+    pub(crate) runs: FxHashMap<TaskKey, u32>,
+    /// Others.
+    pub(crate) strays: FxHashMap<TaskKey, Stray>,
+    /// Ends up to this number have been applied.
+    pub(crate) applied: u64,
+    /// Ends up to this number are stored.
+    pub(crate) noted: u64,
+    /// Nothing is started before this.
+    pub(crate) rest: Ms,
+    /// Evidence that it fails what it starts; see [`crate::fit::SUSPECT`].
+    pub(crate) doubt: f64,
+    /// Observed duration against the estimate corrected per queue; 1 is as expected.
+    pub(crate) slowness: f64,
+}
+
+impl Worker {
+    /// Its clock now, as far as we can tell.
+    #[must_use]
+    pub fn clock(&self, now: Ms) -> Ms {
+        self.clock.0 + now.saturating_sub(self.clock.1)
+    }
+
+    /// Room that is not taken.
+    #[must_use]
+    pub fn free(&self) -> Size {
+        let (room, used) = (self.news.room, self.used);
+        Size::new(
+            room.millicores.saturating_sub(used.millicores),
+            room.memory_mib.saturating_sub(used.memory_mib),
+            room.accelerators.saturating_sub(used.accelerators),
+        )
+    }
+
+    /// Whether something may be started there now.
+    #[must_use]
+    pub fn takes(&self, now: Ms) -> bool {
+        let strange = self.strays.values().any(|stray| stray.size.is_none());
+        self.listed
+            && self.enrolled
+            && self.fenced
+            && self.leaves.is_none()
+            && self.rest <= now
+            && !strange
+            && now.saturating_sub(self.heard) < Self::SILENCE
+    }
+
+    /// A worker that hasn't answered a hold for this long gets nothing new: most likely it is cut off or down, and
+    /// each order would be in doubt. Holds return every 0.7 s, so this allows one to be lost.
+    pub const SILENCE: Ms = 1_600;
+
+    /// Life, applied and stored number of ends: what the next hold says.
+    #[must_use]
+    pub fn ends(&self) -> (u64, u64, u64) {
+        (self.born, self.applied, self.noted)
+    }
+}
