A new owner takes nothing that runs for lapsed, and holds back jobs the former owner may know

Change: a worker's lease is taken as the longest possible until it is renewed; a clock that was never told is no clock; jobs that arrive while workers have not answered count as inherited until the former owner's orders are surely over.

--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -38,11 +38,14 @@
         if listing.clock > worker.clock.0 {
             worker.clock = (listing.clock, now);
         }
-        if listing.lease > 0 {
-            let left = listing.lease.saturating_sub(listing.clock);
-            // Its clock may be 2% slow.
-            worker.lapses = worker.lapses.max(now + left + left / 33 + LEASE_SLACK);
-        }
+        // A former owner may have asked for the longest lease just before; without one of ours, that is what runs there.
+        let left = if listing.lease > 0 {
+            listing.lease.saturating_sub(listing.clock)
+        } else {
+            self.options.lease_most
+        };
+        // Its clock may be 2% slow.
+        worker.lapses = worker.lapses.max(now + left + left / 33 + LEASE_SLACK);
         let applied = worker.applied;
         self.unseen.remove(id);
         for end in listing.ended.iter().filter(|end| end.number > applied) {
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -47,9 +47,7 @@
         self.chase(now);
         self.stop_strays(now);
         self.watch(now);
-        if now >= self.unseen_until {
-            self.unseen.clear();
-        }
+        self.settle_inheritance(now);
         if !self.deposed && self.proved(now) {
             self.place(now);
         }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -75,8 +75,8 @@
     pub(crate) dirty: FxHashSet<JobId>,
     /// Workers of the former owner that have not answered this one.
     pub(crate) unseen: BTreeSet<WorkerId>,
-    /// Until then they may run something that this owner doesn't know.
-    pub(crate) unseen_until: Ms,
+    /// When a majority of the workers had confirmed this owner first.
+    pub(crate) proved_at: Option<Ms>,
     /// Steps about which the advisor is being asked.
     pub(crate) asking: BTreeSet<StageKey>,
     /// Observed durations against estimates.
@@ -115,9 +115,29 @@
             .into_iter()
             .filter(|id| self.workers.get(id).is_none_or(|worker| !worker.fenced))
             .collect();
+        let _ = now;
+        self.proved_at = None;
+    }
+
+    /// The former owner gives no order after this: it has lost its majority, and its last orders are too late.
+    fn former_orders_end(&self) -> Option<Ms> {
+        let since = self.proved_at?;
+        Some(since + self.options.proof + self.options.order_life)
+    }
+
+    /// Once a majority is behind this owner, the time until which others may run something unknown is bounded.
+    pub(crate) fn settle_inheritance(&mut self, now: Ms) {
+        if self.proved_at.is_none() && self.proved(now) {
+            self.proved_at = Some(now);
+        }
         // Clocks of workers may be 2% slow; 400 ms cover ways and timers.
-        let leases = self.options.lease_most + self.options.lease_most / 33;
-        self.unseen_until = now + self.options.proof + self.options.order_life + leases + 400;
+        let leases = self.options.lease_most + self.options.lease_most / 33 + 400;
+        if self
+            .former_orders_end()
+            .is_some_and(|end| now >= end + leases)
+        {
+            self.unseen.clear();
+        }
     }
 
     /// Workers of the former owner that have not answered yet.
@@ -140,7 +160,9 @@
             return;
         }
         let mut live = Live::new(job, progress, now, unix);
-        live.inherited = inherited;
+        // The former owner may have been told of a job that this one learns of only now.
+        let former = self.former_orders_end().is_none_or(|end| now < end);
+        live.inherited = inherited || former && !self.unseen.is_empty();
         self.jobs.insert(Arc::clone(&id), live);
         self.advance(&id, now, unix);
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -83,9 +83,12 @@
 }
 
 impl Worker {
-    /// Its clock now, as far as we can tell.
+    /// Its clock now, as far as we can tell; 0 if it has never been told.
     #[must_use]
     pub fn clock(&self, now: Ms) -> Ms {
+        if self.clock == (0, 0) {
+            return 0;
+        }
         self.clock.0 + now.saturating_sub(self.clock.1)
     }
 
