What may run on a worker that can't be reached is stored with the owner; owners that follow each other are tested

Cause: an unreachable worker (crashed, cut off, left) at a change of owner held back all inherited jobs for 9 s, since what it runs was not known. Ruled out: shorter leases alone (they only shorten the wait); a mark in the store before each first start (every start would then depend on the store).

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -180,6 +180,9 @@
         life: host.life,
         serial: 0,
         roster,
+        silent: before
+            .as_ref()
+            .map_or_else(Vec::new, |row| row.silent.clone()),
     };
     let Ok(value) = serde_json::to_vec(&row) else {
         return;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -164,7 +164,7 @@
     async fn work(self: Arc<Self>, row: OwnerRow, version: u64, listed: Page) {
         let began = clock::now();
         let after = listed.version;
-        let jobs = self.load(&listed, &row.roster).await;
+        let jobs = self.load(&listed, &row).await;
         self.loaded.store(true, Ordering::Relaxed);
         info!(epoch = self.epoch, ms = clock::now().saturating_sub(began); "jobs are known");
         let part = Host::PART;
@@ -185,7 +185,7 @@
     }
 
     /// Reads all jobs, and takes up the workers; tells up to which transaction the jobs were read.
-    async fn load(self: &Arc<Self>, listed: &Page, roster: &[String]) -> u64 {
+    async fn load(self: &Arc<Self>, listed: &Page, owned: &OwnerRow) -> u64 {
         let (jobs, progress) = loop {
             let store = &self.host.store;
             let (jobs, progress) = tokio::join!(
@@ -222,10 +222,10 @@
             }
         }
         self.workers_changed(Change::All(listed.clone()));
-        let ids: Vec<WorkerId> = roster.iter().map(|id| id.as_str().into()).collect();
+        let ids: Vec<WorkerId> = owned.roster.iter().map(|id| id.as_str().into()).collect();
         let mut pool = lock(&self.pool);
         pool.enroll(&ids);
-        pool.inherit(clock::now(), ids);
+        pool.inherit(clock::now(), ids, &owned.silent);
         jobs.version
     }
 
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -38,8 +38,11 @@
     pub life: u64,
     /// Counts the writes of this owner.
     pub serial: u64,
-    /// Workers that may run something.
+    /// Workers that may be given something.
     pub roster: Vec<String>,
+    /// Workers that can't be reached, with what may run there.
+    #[serde(default)]
+    pub silent: Vec<pool::Silent>,
 }
 
 /// A host.
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -42,14 +42,16 @@
             swept = tokio::time::Instant::now();
             old = lock(&owner.pool).sweep(clock::now(), clock::unix());
         }
-        let (batch, roster) = {
+        let (batch, roster, silent) = {
+            let now = clock::now();
             let mut pool = lock(&owner.pool);
-            (pool.batch(ROWS_MOST), pool.roster())
+            (pool.batch(ROWS_MOST), pool.roster(now), pool.silent(now))
         };
-        let roster_changed = !roster
+        let same_roster = roster
             .iter()
             .map(|id| &**id)
             .eq(row.roster.iter().map(String::as_str));
+        let roster_changed = !same_roster || silent != row.silent;
         if batch.rows.is_empty() && !roster_changed && !unsure && old.is_empty() {
             // Ends that change nothing may be forgotten at once.
             lock(&owner.pool).saved(&batch);
@@ -58,6 +60,7 @@
         }
         let mut next = row.clone();
         next.serial += 1;
+        next.silent = silent;
         next.roster = roster.iter().map(ToString::to_string).collect();
         let rewrite = roster_changed || unsure;
         let deletes = if batch.rows.is_empty() {
--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -32,6 +32,9 @@
             return;
         };
         let newest = listing.clock >= worker.clock(listing.asked).saturating_sub(1);
+        if !worker.fenced {
+            worker.lapses = 0;
+        }
         worker.fenced = true;
         worker.born = listing.born;
         worker.heard = worker.heard.max(listing.asked);
@@ -214,17 +217,10 @@
             return;
         }
         task.run = Some(Run {
-            number: row.run,
-            worker: Arc::clone(id),
             phase: Phase::Running,
-            ordered: now,
-            latest: 0,
-            stop_sent: 0,
-            stop_confirmed: 0,
             percent: row.percent,
-            moved: now,
             load: row.load,
-            pace: 100,
+            ..Run::new(row.run, Arc::clone(id), now, 0)
         });
         if let Some(worker) = self.workers.get_mut(id)
             && let Some(stray) = worker.strays.remove(key)
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -38,4 +38,4 @@
 pub use save::Batch;
 pub use state::State;
 pub use task::{JobId, Ms, StageKey, TaskKey, WorkerId};
-pub use worker::{News, Worker};
+pub use worker::{News, Silent, Worker};
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -406,19 +406,7 @@
             saved.clone_into(&mut task.saved);
         }
         let saved = task.saved.clone();
-        task.run = Some(Run {
-            number,
-            worker: Arc::clone(worker),
-            phase: Phase::Ordered,
-            ordered: now,
-            latest,
-            stop_sent: 0,
-            stop_confirmed: 0,
-            percent: 0,
-            moved: now,
-            load: 0,
-            pace: 100,
-        });
+        task.run = Some(Run::new(number, Arc::clone(worker), now, latest));
         self.attach(key, worker, number);
         self.orders.push(Order::Start(Start {
             task: key.clone(),
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -13,8 +13,8 @@
 use crate::progress::Progress;
 use crate::rank::Learned;
 use crate::state::State;
-use crate::task::{JobId, Ms, Phase, StageKey, TaskKey, WorkerId};
-use crate::worker::{News, Worker};
+use crate::task::{JobId, Ms, Phase, Run, StageKey, TaskKey, WorkerId};
+use crate::worker::{News, Silent, Worker};
 
 /// What the pool's decisions depend on besides jobs and workers.
 #[derive(Clone, Debug)]
@@ -45,9 +45,9 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            order_life: 1_500,
+            order_life: 1_000,
             lease_most: 6_000,
-            proof: 2_000,
+            proof: 1_600,
             askers: 1,
             ask_most: 30,
             far_factor: 1.5,
@@ -107,16 +107,43 @@
     }
 
     /// A new owner has to hear from these workers before jobs it inherits may start anew, but waits no longer than the
-    /// time after which the former owner's orders and leases are surely over.
+    /// time after which the former owner's orders and leases are surely over. Of workers that were silent already it is
+    /// known what may run there: only those tasks wait.
     ///
     /// Without this, a task that still runs on a worker which only the new owner can't reach would run a second time.
-    pub fn inherit(&mut self, now: Ms, workers: impl IntoIterator<Item = WorkerId>) {
+    pub fn inherit(
+        &mut self,
+        now: Ms,
+        workers: impl IntoIterator<Item = WorkerId>,
+        silent: &[Silent],
+    ) {
+        self.proved_at = None;
+        let quiet = |id: &WorkerId| silent.iter().any(|silent| silent.worker == *id);
         self.unseen = workers
             .into_iter()
+            .filter(|id| !quiet(id))
             .filter(|id| self.workers.get(id).is_none_or(|worker| !worker.fenced))
             .collect();
-        let _ = now;
-        self.proved_at = None;
+        for silent in silent {
+            let worker = self.workers.entry(Arc::clone(&silent.worker)).or_default();
+            worker.id = Arc::clone(&silent.worker);
+            worker.slowness = 1.0;
+            worker.lapses = Ms::MAX;
+            for (key, number) in &silent.runs {
+                let Some(task) = self.task_mut(key) else {
+                    continue;
+                };
+                if task.done || task.run.is_some() {
+                    continue;
+                }
+                task.top = task.top.max(*number);
+                task.run = Some(Run {
+                    phase: Phase::Unsure,
+                    ..Run::new(*number, Arc::clone(&silent.worker), now, 0)
+                });
+                self.attach(key, &silent.worker, *number);
+            }
+        }
     }
 
     /// The former owner gives no order after this: it has lost its majority, and its last orders are too late.
@@ -137,6 +164,11 @@
             .is_some_and(|end| now >= end + leases)
         {
             self.unseen.clear();
+            for worker in self.workers.values_mut() {
+                if !worker.fenced {
+                    worker.lapses = worker.lapses.min(now);
+                }
+            }
         }
     }
 
@@ -282,25 +314,51 @@
         }
     }
 
-    /// Workers that may run something or may be given something: those that must be known to the next owner.
+    /// Workers that may be given something: those that the next owner must hear from.
     #[must_use]
-    pub fn roster(&self) -> Vec<WorkerId> {
+    pub fn roster(&self, now: Ms) -> Vec<WorkerId> {
         let mut ids: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| worker.listed || !worker.runs.is_empty() || !worker.strays.is_empty())
+            .filter(|worker| !worker.silent(now) && (worker.listed || !worker.runs.is_empty()))
             .map(|worker| Arc::clone(&worker.id))
+            .chain(self.unseen.iter().cloned())
             .collect();
         ids.sort();
+        ids.dedup();
         ids
     }
 
-    /// The stored roster names these workers.
+    /// Workers that can't be reached, with what may run there. From now on nothing is started there until a roster with
+    /// them is stored: what is written down must not become too little while it is on its way.
+    #[must_use]
+    pub fn silent(&mut self, now: Ms) -> Vec<Silent> {
+        for worker in self.workers.values_mut() {
+            worker.enrolled &= !worker.silent(now);
+        }
+        let mut silent: Vec<Silent> = self
+            .workers
+            .values()
+            .filter(|worker| worker.silent(now) || worker.lapses == Ms::MAX)
+            .filter(|worker| !worker.runs.is_empty())
+            .map(|worker| {
+                let runs = worker.runs.iter();
+                let mut runs: Vec<_> = runs.map(|(key, run)| (key.clone(), *run)).collect();
+                runs.sort();
+                Silent {
+                    worker: Arc::clone(&worker.id),
+                    runs,
+                }
+            })
+            .collect();
+        silent.sort_by(|a, b| a.worker.cmp(&b.worker));
+        silent
+    }
+
+    /// The stored roster names these workers and no others.
     pub fn enroll(&mut self, ids: &[WorkerId]) {
-        for id in ids {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.enrolled = true;
-            }
+        for (id, worker) in &mut self.workers {
+            worker.enrolled = ids.binary_search(id).is_ok();
         }
     }
 
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::listing::How;
 
 /// A job's id, chosen by its caller.
@@ -12,7 +14,7 @@
 pub type Ms = u64;
 
 /// One step of one occurrence of a job.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct StageKey {
     /// The job.
     pub job: JobId,
@@ -34,7 +36,7 @@
 }
 
 /// One task of a step.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TaskKey {
     /// The step it belongs to.
     pub stage: StageKey,
@@ -82,6 +84,25 @@
     pub pace: u32,
 }
 
+impl Run {
+    /// A run that was just ordered.
+    pub(crate) fn new(number: u32, worker: WorkerId, now: Ms, latest: Ms) -> Self {
+        Self {
+            number,
+            worker,
+            phase: Phase::Ordered,
+            ordered: now,
+            latest,
+            stop_sent: 0,
+            stop_confirmed: 0,
+            percent: 0,
+            moved: now,
+            load: 0,
+            pace: 100,
+        }
+    }
+}
+
 /// What is known of one task.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -2,6 +2,7 @@
 
 use resource::Size;
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 
 use crate::task::{Ms, TaskKey, WorkerId};
 
@@ -26,6 +27,18 @@
     pub born: u64,
 }
 
+/// A worker that can't be reached, with what may run there.
+///
+/// The owner starts nothing there, and stores this; so a new owner that can't reach it either need only hold back these
+/// tasks, not all that may have started anywhere.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Silent {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its runs, as far as they may be there.
+    pub runs: Vec<(TaskKey, u32)>,
+}
+
 /// A run that no task calls its own.
 #[derive(Clone, Debug)]
 pub(crate) struct Stray {
@@ -83,6 +96,12 @@
 }
 
 impl Worker {
+    /// Whether it has not been heard for so long that nothing is started there.
+    #[must_use]
+    pub fn silent(&self, now: Ms) -> bool {
+        self.fenced && now.saturating_sub(self.heard) >= Self::SILENCE
+    }
+
     /// Its clock now, as far as we can tell; 0 if it has never been told.
     #[must_use]
     pub fn clock(&self, now: Ms) -> Ms {
@@ -113,7 +132,7 @@
             && self.leaves.is_none()
             && self.rest <= now
             && !strange
-            && now.saturating_sub(self.heard) < Self::SILENCE
+            && !self.silent(now)
     }
 
     /// A worker that hasn't answered a hold for this long gets nothing new: most likely it is cut off or down, and
--- /dev/null
+++ b/crates/pool/tests/schedules.rs
@@ -0,0 +1,174 @@
+//! Owners that follow each other on a simulated cell: nothing runs twice, no room is exceeded, nothing is lost.
+
+mod world;
+
+use pool::{State, WorkerId};
+use rand::Rng as _;
+use world::{World, job};
+
+fn id(at: usize) -> WorkerId {
+    format!("w{at:02}").into()
+}
+
+/// A new owner's first listing renews no lease. It took the leases of all workers for long over, let go what ran, and
+/// started it anew: callers would have seen their bookings made twice, workers more than they hold.
+#[test]
+fn what_runs_goes_on_under_a_new_owner() {
+    let mut world = World::new(1, 6);
+    world.take();
+    world.pass(500);
+    for at in 0..6 {
+        world.accept(job(&format!("{at:016}"), &[(4, 1_000, 3_000)]));
+    }
+    world.pass(1_000);
+    world.owners[0].over = true;
+    world.take();
+    world.pass(5_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.starts, 24, "nothing was started a second time");
+    assert_eq!(world.unfinished(), 0);
+}
+
+/// The former owner starts a job that it was told of directly; the new one learns of it only after its takeover, while
+/// the worker that runs it can't be reached. Starting it elsewhere would run it twice.
+#[test]
+fn a_job_told_to_the_former_owner_only_waits_for_its_worker() {
+    let mut world = World::new(2, 5);
+    world.take();
+    world.pass(500);
+    world.accept(job("00000000000000aa", &[(1, 1_000, 4_000)]));
+    world.pass(100);
+    let job = world
+        .jobs
+        .remove("00000000000000aa")
+        .expect("it was accepted");
+    for at in 0..5 {
+        // Only the former owner reaches the workers that it may have used.
+        if world.owners[0]
+            .pool
+            .worker(&id(at))
+            .is_some_and(|worker| worker.free().millicores < 4_000)
+        {
+            world
+                .machines
+                .get_mut(&id(at))
+                .expect("it exists")
+                .cut
+                .insert(2);
+        }
+    }
+    world.owners[0].frozen = u64::MAX;
+    world.take();
+    world.pass(300);
+    world.accept((*job).clone());
+    world.pass(16_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.stored("00000000000000aa"), Some(State::Completed));
+}
+
+/// An owner is paused in the middle of its work, is replaced, and goes on with what it had in mind. Its orders come too
+/// late or meet a newer epoch.
+#[test]
+fn a_paused_owner_that_goes_on_starts_nothing() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 6);
+        world.take();
+        world.pass(500);
+        for at in 0..30 {
+            world.accept(job(&format!("{at:016}"), &[(3, 900, 700), (2, 900, 700)]));
+            let time = world.rng.random_range(5..60);
+            world.pass(time);
+        }
+        world.owners[0].frozen = world.now + 4_000;
+        world.pass(1_200);
+        world
+            .machines
+            .get_mut(&id(0))
+            .expect("it exists")
+            .cut
+            .insert(2);
+        world.take();
+        world.pass(25_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.unfinished(), 0, "seed {seed}: {}", world.report());
+    }
+}
+
+/// A worker goes dark with a long task; later the owner is replaced. The stored list of what may run there is all that
+/// the new owner holds back: other jobs go on at once, and only the long task waits for the lease.
+#[test]
+fn a_worker_that_was_silent_before_holds_back_only_its_own_tasks() {
+    let mut world = World::new(3, 6);
+    world.take();
+    world.pass(500);
+    for at in 0..6 {
+        world.accept(job(&format!("{at:016}"), &[(1, 3_000, 30_000)]));
+    }
+    world.pass(200);
+    for epoch in 1..3 {
+        world
+            .machines
+            .get_mut(&id(0))
+            .expect("it exists")
+            .cut
+            .insert(epoch);
+    }
+    world.pass(2_500);
+    for at in 1..6 {
+        world.crash(&id(at), 0);
+    }
+    world.pass(200);
+    world.owners[0].over = true;
+    world.accept(job("00000000000000bb", &[(2, 100, 300)]));
+    world.take();
+    world.pass(1_500);
+    assert_eq!(world.stored("00000000000000bb"), Some(State::Completed));
+    world.pass(60_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.unfinished(), 0);
+}
+
+/// Orders that get no answer are carried out up to 12 s later, while workers crash, owners change and the store is away.
+/// Callers must see each job end once, whatever the order of events.
+#[test]
+fn late_orders_crashes_and_changes_of_owner_together() {
+    for seed in 100..130 {
+        let mut world = World::new(seed, 8);
+        world.weather.late = 0.05;
+        world.weather.fails = 0.02;
+        world.take();
+        world.pass(500);
+        for at in 0..60 {
+            world.accept(job(&format!("{at:016}"), &[(4, 800, 600), (2, 1_500, 900)]));
+            let time = world.rng.random_range(20..200);
+            world.pass(time);
+            if world.rng.random_bool(0.05) {
+                let victim = id(world.rng.random_range(0..8));
+                let time = world.rng.random_range(200..4_000);
+                world.crash(&victim, time);
+            }
+            if world.rng.random_bool(0.04) {
+                let last = world.owners.len() - 1;
+                let pause = world.rng.random_range(0..3_000);
+                world.owners[last].frozen = world.now + pause;
+                let epoch = world.owners.len() as u64 + 1;
+                if world.rng.random_bool(0.5) {
+                    let victim = id(world.rng.random_range(0..8));
+                    world
+                        .machines
+                        .get_mut(&victim)
+                        .expect("it exists")
+                        .cut
+                        .insert(epoch);
+                }
+                world.take();
+            }
+            world.weather.store = world.rng.random_bool(0.8);
+        }
+        world.weather.store = true;
+        world.weather.late = 0.0;
+        world.pass(40_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.unfinished(), 0, "seed {seed}: {}", world.report());
+    }
+}
--- /dev/null
+++ b/crates/pool/tests/world/mod.rs
@@ -0,0 +1,548 @@
+//! A simulated cell: workers that obey the contract, a store, and owners that follow each other.
+//!
+//! Everything happens on a clock of 5 ms steps, in an order that the seed decides. The workers check what must never
+//! happen the moment it would happen.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use pool::{
+    Answer, End, How, Job, Listing, Ms, News, Options, Order, Policy, Pool, Progress, Running,
+    Start, State, Step, Stop, StopAnswer, TaskKey, WorkerId,
+};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use resource::Size;
+
+/// Length of a step of the world's clock.
+pub const STEP: Ms = 5;
+/// Unix time at which the world begins.
+pub const UNIX: u64 = 1_700_000_000_000;
+
+/// A run on a simulated worker.
+#[derive(Clone, Debug)]
+struct Run {
+    number: u32,
+    size: Size,
+    ends: Ms,
+    fails: bool,
+    stopping: Option<Ms>,
+}
+
+/// A simulated worker.
+#[derive(Debug, Default)]
+pub struct Machine {
+    born: u64,
+    epoch: u64,
+    lease: Ms,
+    runs: BTreeMap<TaskKey, Run>,
+    highest: HashMap<TaskKey, u32>,
+    ended: Vec<End>,
+    ends: u64,
+    /// Owners with these epochs can't reach it.
+    pub cut: BTreeSet<u64>,
+    /// It is down until then.
+    pub down: Ms,
+}
+
+/// What is on its way.
+#[derive(Clone, Debug)]
+enum Message {
+    Start(usize, Start, bool),
+    Started(usize, Start, Answer),
+    Stop(usize, Stop),
+    Stopped(usize, Stop, StopAnswer),
+    Listing(usize, WorkerId, Listing),
+}
+
+/// An owner.
+pub struct Owner {
+    pub epoch: u64,
+    pub pool: Pool,
+    /// It does nothing until then.
+    pub frozen: Ms,
+    pub over: bool,
+}
+
+/// How the world behaves.
+#[derive(Clone, Debug)]
+pub struct Weather {
+    /// Share of orders that get no answer and are carried out late.
+    pub late: f64,
+    /// Share of runs that fail.
+    pub fails: f64,
+    /// The store answers.
+    pub store: bool,
+}
+
+/// The whole cell.
+pub struct World {
+    pub now: Ms,
+    pub rng: ChaCha8Rng,
+    pub machines: BTreeMap<WorkerId, Machine>,
+    pub owners: Vec<Owner>,
+    pub weather: Weather,
+    pub jobs: BTreeMap<String, Arc<Job>>,
+    stored: BTreeMap<String, Progress>,
+    roster: Vec<WorkerId>,
+    silent: Vec<pool::Silent>,
+    mail: Vec<(Ms, Message)>,
+    noted: BTreeSet<TaskKey>,
+    pub broken: Vec<String>,
+    pub starts: usize,
+    room: Size,
+}
+
+/// A job with these steps: number of tasks, millicores, milliseconds.
+pub fn job(id: &str, steps: &[(u32, u64, Ms)]) -> Job {
+    Job {
+        id: id.into(),
+        queue: "q".into(),
+        service: "s".into(),
+        steps: steps
+            .iter()
+            .enumerate()
+            .map(|(at, &(count, cpu, estimate))| Step {
+                count,
+                size: Size::new(cpu, 100, 0),
+                estimate,
+                after: if at == 0 { vec![] } else { vec![at as u16 - 1] },
+                ..Step::default()
+            })
+            .collect(),
+        policy: Policy {
+            attempts: 4,
+            stretch: 2.0,
+            objective: 500,
+            ..Policy::default()
+        },
+        accepted: UNIX,
+        ..Job::default()
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, workers: usize) -> Self {
+        let room = Size::new(4_000, 10_000, 0);
+        let machines = (0..workers)
+            .map(|at| {
+                let machine = Machine {
+                    born: 1,
+                    ..Machine::default()
+                };
+                (format!("w{at:02}").into(), machine)
+            })
+            .collect();
+        Self {
+            now: 1_000_000,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            machines,
+            owners: Vec::new(),
+            weather: Weather {
+                late: 0.0,
+                fails: 0.0,
+                store: true,
+            },
+            jobs: BTreeMap::new(),
+            stored: BTreeMap::new(),
+            roster: Vec::new(),
+            silent: Vec::new(),
+            mail: Vec::new(),
+            noted: BTreeSet::new(),
+            broken: Vec::new(),
+            starts: 0,
+            room,
+        }
+    }
+
+    pub fn unix(&self) -> u64 {
+        UNIX + self.now - 1_000_000
+    }
+
+    /// The clock of a worker: it begins anew with each life, and differs from ours.
+    fn clock(&self, id: &WorkerId) -> Ms {
+        self.now - 900_000 + self.machines[id].born * 7
+    }
+
+    /// A new owner takes the pool.
+    pub fn take(&mut self) {
+        let epoch = self.owners.len() as u64 + 1;
+        let mut pool = Pool::new(Options::default());
+        for (id, machine) in &self.machines {
+            let news = News {
+                address: id.to_string(),
+                service: "s".into(),
+                room: self.room,
+                born: machine.born,
+                ..News::default()
+            };
+            pool.listed(self.now, id, news);
+        }
+        for job in self.jobs.values() {
+            let progress = self.stored.get(&*job.id);
+            pool.adopt(self.now, self.unix(), Arc::clone(job), progress, true);
+        }
+        let mut roster: Vec<WorkerId> = self.machines.keys().cloned().collect();
+        roster.extend(self.roster.iter().cloned());
+        roster.sort();
+        roster.dedup();
+        pool.enroll(&roster);
+        pool.inherit(self.now, roster.clone(), &self.silent);
+        self.roster = roster;
+        self.owners.push(Owner {
+            epoch,
+            pool,
+            frozen: 0,
+            over: false,
+        });
+    }
+
+    /// A caller's job is accepted and the present owner is told.
+    pub fn accept(&mut self, job: Job) {
+        let job = Arc::new(job);
+        self.jobs.insert(job.id.to_string(), Arc::clone(&job));
+        let (now, unix) = (self.now, self.unix());
+        if let Some(owner) = self.owners.last_mut() {
+            owner.pool.adopt(now, unix, job, None, false);
+        }
+    }
+
+    /// The worker loses its life and comes back with a new one after this time.
+    pub fn crash(&mut self, id: &WorkerId, time: Ms) {
+        let down = self.now + time;
+        if let Some(machine) = self.machines.get_mut(id) {
+            *machine = Machine {
+                born: machine.born + 1,
+                down,
+                cut: machine.cut.clone(),
+                ..Machine::default()
+            };
+        }
+    }
+
+    fn post(&mut self, delay: Ms, message: Message) {
+        let at = self.now + delay + self.rng.random_range(0..2) * STEP;
+        self.mail.push((at, message));
+    }
+
+    /// Lets this much time pass.
+    pub fn pass(&mut self, time: Ms) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            self.work();
+            self.hold();
+            self.plan();
+            if self.now % 20 == 0 {
+                self.store();
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, left): (Vec<_>, Vec<_>) = self.mail.drain(..).partition(|(at, _)| *at <= now);
+        self.mail = left;
+        for (_, message) in due {
+            match message {
+                Message::Start(owner, start, answers) => self.start(owner, start, answers),
+                Message::Stop(owner, stop) => self.stop(owner, stop),
+                Message::Started(owner, start, answer) => {
+                    self.owners[owner].pool.answered(now, &start, answer);
+                }
+                Message::Stopped(owner, stop, answer) => {
+                    self.owners[owner].pool.stopped(now, &stop, answer);
+                }
+                Message::Listing(owner, id, listing) => {
+                    let unix = self.unix();
+                    self.owners[owner].pool.heard(now, unix, &id, &listing);
+                }
+            }
+        }
+    }
+
+    fn reaches(&self, owner: usize, id: &WorkerId) -> bool {
+        let machine = &self.machines[id];
+        machine.down <= self.now && !machine.cut.contains(&self.owners[owner].epoch)
+    }
+
+    fn start(&mut self, owner: usize, start: Start, answers: bool) {
+        if !self.reaches(owner, &start.worker) {
+            return;
+        }
+        let (now, clock) = (self.now, self.clock(&start.worker));
+        let epoch = self.owners[owner].epoch;
+        let size = start.job.steps[usize::from(start.task.stage.step)].room();
+        let takes = start.job.steps[usize::from(start.task.stage.step)].estimate;
+        let fails = self.rng.random_bool(self.weather.fails);
+        let elsewhere = self
+            .machines
+            .iter()
+            .any(|(id, machine)| *id != start.worker && machine.runs.contains_key(&start.task));
+        let noted = self.noted.contains(&start.task);
+        let Some(machine) = self.machines.get_mut(&start.worker) else {
+            return;
+        };
+        let answer = if epoch < machine.epoch {
+            Answer::Fenced
+        } else if machine
+            .runs
+            .get(&start.task)
+            .is_some_and(|run| run.number == start.run)
+        {
+            Answer::Running
+        } else if machine
+            .highest
+            .get(&start.task)
+            .is_some_and(|&high| high >= start.run)
+        {
+            Answer::Old
+        } else if clock > start.latest {
+            Answer::Late
+        } else {
+            machine.epoch = epoch;
+            machine.lease = machine.lease.max(start.latest);
+            let used = machine
+                .runs
+                .values()
+                .fold(Size::ZERO, |sum, run| sum.plus(run.size));
+            if !used.plus(size).fits(self.room) {
+                self.broken
+                    .push(format!("{now}: over the room of {}", start.worker));
+            }
+            if elsewhere || machine.runs.contains_key(&start.task) {
+                self.broken
+                    .push(format!("{now}: {:?} runs twice", start.task));
+            }
+            if noted {
+                self.broken
+                    .push(format!("{now}: {:?} runs after its end", start.task));
+            }
+            machine.highest.insert(start.task.clone(), start.run);
+            let run = Run {
+                number: start.run,
+                size,
+                ends: now + takes,
+                fails,
+                stopping: None,
+            };
+            machine.runs.insert(start.task.clone(), run);
+            self.starts += 1;
+            Answer::Running
+        };
+        if answers {
+            self.post(STEP, Message::Started(owner, start, answer));
+        }
+    }
+
+    fn stop(&mut self, owner: usize, stop: Stop) {
+        if !self.reaches(owner, &stop.worker) {
+            self.post(450, Message::Stopped(owner, stop, StopAnswer::Lost));
+            return;
+        }
+        let (now, clock) = (self.now, self.clock(&stop.worker));
+        let epoch = self.owners[owner].epoch;
+        let Some(machine) = self.machines.get_mut(&stop.worker) else {
+            return;
+        };
+        let answer = if epoch < machine.epoch {
+            StopAnswer::Fenced
+        } else {
+            machine.epoch = epoch;
+            let high = machine.highest.entry(stop.task.clone()).or_default();
+            *high = (*high).max(stop.run);
+            if let Some(run) = machine.runs.get_mut(&stop.task)
+                && run.number == stop.run
+            {
+                run.stopping.get_or_insert(now + 100);
+            }
+            StopAnswer::Stopped(clock)
+        };
+        self.post(STEP, Message::Stopped(owner, stop, answer));
+    }
+
+    /// Runs end by themselves, by stops, and by leases.
+    fn work(&mut self) {
+        let now = self.now;
+        let clocks: Vec<Ms> = self.machines.keys().map(|id| self.clock(id)).collect();
+        for (machine, clock) in self.machines.values_mut().zip(clocks) {
+            let lapsed = clock > machine.lease;
+            let over: Vec<(TaskKey, How)> = machine
+                .runs
+                .iter()
+                .filter_map(|(key, run)| {
+                    let how = if lapsed {
+                        How::Lapsed
+                    } else if run.stopping.is_some_and(|at| now >= at) {
+                        How::Stopped
+                    } else if now >= run.ends {
+                        if run.fails { How::Failed } else { How::Done }
+                    } else {
+                        return None;
+                    };
+                    Some((key.clone(), how))
+                })
+                .collect();
+            for (task, how) in over {
+                let run = machine.runs.remove(&task).map_or(0, |run| run.number);
+                machine.ends += 1;
+                machine.ended.push(End {
+                    number: machine.ends,
+                    task,
+                    run,
+                    how,
+                    saved: String::new(),
+                });
+            }
+        }
+    }
+
+    /// Each owner holds each worker every 50 ms.
+    fn hold(&mut self) {
+        if self.now % 50 != 0 {
+            return;
+        }
+        let ids: Vec<WorkerId> = self.machines.keys().cloned().collect();
+        for owner in 0..self.owners.len() {
+            if self.owners[owner].over || self.owners[owner].frozen > self.now {
+                continue;
+            }
+            for id in &ids {
+                if !self.reaches(owner, id) {
+                    continue;
+                }
+                let clock = self.clock(id);
+                let epoch = self.owners[owner].epoch;
+                let Some((born, _, noted)) = self.owners[owner]
+                    .pool
+                    .worker(id)
+                    .map(|worker| worker.ends())
+                else {
+                    continue;
+                };
+                let Some(machine) = self.machines.get_mut(id) else {
+                    continue;
+                };
+                if epoch < machine.epoch {
+                    self.owners[owner].over = true;
+                    break;
+                }
+                machine.epoch = epoch;
+                machine.lease = machine.lease.max(clock + 6_000);
+                if born == machine.born {
+                    for end in machine.ended.iter().filter(|end| end.number <= noted) {
+                        if end.how == How::Done {
+                            self.noted.insert(end.task.clone());
+                        }
+                    }
+                    machine.ended.retain(|end| end.number > noted);
+                }
+                let listing = Listing {
+                    clock,
+                    born: machine.born,
+                    lease: clock + 6_000,
+                    asked: self.now,
+                    running: machine
+                        .runs
+                        .iter()
+                        .map(|(task, run)| Running {
+                            task: task.clone(),
+                            run: run.number,
+                            saved: String::new(),
+                            percent: (self.now / 10 % 100) as u32,
+                            load: 0,
+                        })
+                        .collect(),
+                    ended: machine.ended.clone(),
+                };
+                self.post(STEP, Message::Listing(owner, id.clone(), listing));
+            }
+        }
+    }
+
+    fn plan(&mut self) {
+        for owner in 0..self.owners.len() {
+            if self.owners[owner].over || self.owners[owner].frozen > self.now {
+                continue;
+            }
+            let (now, unix) = (self.now, self.unix());
+            let orders = self.owners[owner].pool.plan(now, unix);
+            if self.owners[owner].pool.deposed() {
+                self.owners[owner].over = true;
+            }
+            for order in orders {
+                match order {
+                    Order::Start(start) => {
+                        if self.rng.random_bool(self.weather.late) {
+                            let delay = self.rng.random_range(2_000..12_000);
+                            self.post(delay, Message::Start(owner, start.clone(), false));
+                            self.post(450, Message::Started(owner, start, Answer::Lost));
+                        } else if self.reaches(owner, &start.worker) {
+                            self.post(STEP, Message::Start(owner, start, true));
+                        } else {
+                            self.post(450, Message::Started(owner, start, Answer::Lost));
+                        }
+                    }
+                    Order::Stop(stop) => self.post(STEP, Message::Stop(owner, stop)),
+                    Order::Pace(_) | Order::Ask(_) => {}
+                }
+            }
+        }
+    }
+
+    /// The newest owner stores what it has; a replaced one can't, by the condition on the owner's row.
+    fn store(&mut self) {
+        if !self.weather.store {
+            return;
+        }
+        let Some(owner) = self.owners.last_mut() else {
+            return;
+        };
+        if owner.over || owner.frozen > self.now {
+            return;
+        }
+        let batch = owner.pool.batch(80);
+        for (id, progress) in &batch.rows {
+            self.stored.insert(id.to_string(), progress.clone());
+        }
+        owner.pool.saved(&batch);
+        self.roster = owner.pool.roster(self.now);
+        self.silent = owner.pool.silent(self.now);
+        owner.pool.enroll(&self.roster);
+    }
+
+    /// Jobs that are not over, as the store has them.
+    pub fn unfinished(&self) -> usize {
+        self.jobs
+            .keys()
+            .filter(|id| {
+                !self
+                    .stored
+                    .get(*id)
+                    .is_some_and(|course| course.state.is_final())
+            })
+            .count()
+    }
+
+    /// What the newest owner has of jobs that are not over.
+    pub fn report(&self) -> String {
+        let pool = &self.owners[self.owners.len() - 1].pool;
+        let open: Vec<_> = self
+            .jobs
+            .keys()
+            .filter(|id| !self.stored(id).is_some_and(State::is_final))
+            .collect();
+        format!(
+            "{open:?} unseen {} proved {} {:?}",
+            pool.unseen(),
+            pool.proved(self.now),
+            pool.workers().collect::<Vec<_>>()
+        )
+    }
+
+    /// A stored state.
+    pub fn stored(&self, id: &str) -> Option<pool::State> {
+        self.stored.get(id).map(|course| course.state)
+    }
+}
