An owner goes on until its heir has the pool; completed jobs are told at once

The owner, not served there, handed the pool over and stopped; its heir could not write the owner's row either, so for four seconds nobody owned the pool, and jobs that had ended were not told as completed because the end could not be stored. Ruled out: choosing the heir better (a host can't know beforehand whether that part serves it). Change: the owner urges another host and goes on until a worker or the store tells it of the new owner; a completed job is told at once, since its ends lie with the workers until they are stored.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -30,6 +30,8 @@
 const CANCEL_WAIT: Duration = Duration::from_millis(1_500);
 /// An owner that the store has not served for this long gives the pool to a host that it serves.
 const UNSERVED: Ms = 800;
+/// A host that was urged to take the pool has this long to do so before another is urged.
+const URGE: Ms = 1_000;
 /// A host that was not heard for this long gets no questions.
 const QUIET: Ms = 800;
 
@@ -96,11 +98,11 @@
         host.set_owner(Some(Arc::clone(&owner)));
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&owner).beat());
+        tasks.spawn(Arc::clone(&owner).hand_over());
         tasks.spawn(Arc::clone(&owner).work(row, version, listed));
         tokio::select! {
             () = owner.over.cancelled() => {}
             () = host.stop.ended() => {}
-            () = Arc::clone(&owner).leave() => {}
         }
         owner.over.cancel();
         host.set_owner(None);
@@ -122,41 +124,34 @@
         self.over.is_cancelled()
     }
 
-    /// When the host is stopped, or the store doesn't serve it, hands the pool to another host.
-    async fn leave(self: Arc<Self>) {
+    /// When the host is stopped, or the store doesn't serve it, urges another host to take the pool.
+    ///
+    /// The owner goes on until the other has it, and learns that from the workers or the store. If it stopped before, and
+    /// the other couldn't write the owner's row (a part of the store may be down for all), nobody would own the pool.
+    async fn hand_over(self: Arc<Self>) {
+        let mut urged: FxHashMap<String, Ms> = FxHashMap::default();
         loop {
-            tokio::select! {
-                () = tokio::time::sleep(Duration::from_millis(100)) => {}
-                () = self.host.stop.draining() => {}
-            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let now = clock::now();
             let since = self.unserved.load(Ordering::Relaxed);
-            let unserved = since > 0 && clock::now().saturating_sub(since) > UNSERVED;
-            if !unserved && !self.host.stop.is_draining() {
+            let unserved = since > 0 && now.saturating_sub(since) > UNSERVED;
+            let recent = urged.values().any(|&at| now.saturating_sub(at) < URGE);
+            if recent || !unserved && !self.host.stop.is_draining() {
                 continue;
             }
-            let heir = {
-                let now = clock::now();
-                let members = lock(&self.members);
-                let mut fit: Vec<_> = members
-                    .iter()
-                    .filter(|(_, member)| member.served && now.saturating_sub(member.heard) < QUIET)
-                    .collect();
-                fit.sort_by_key(|(name, member)| (member.away, (*name).clone()));
-                fit.first()
-                    .map(|(name, member)| ((*name).clone(), member.to.clone()))
-            };
-            if let Some((name, to)) = heir {
-                info!(heir = name, epoch = self.epoch, unserved = unserved; "hands the pool over");
-                let take = FromOwner::Take { epoch: self.epoch };
-                if to.try_send(take).is_ok() {
-                    // The frame has to leave before the connection does.
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                    return;
-                }
-            } else if self.host.stop.is_draining() {
-                return;
+            let members = lock(&self.members);
+            let heir = members
+                .iter()
+                .filter(|(_, member)| member.served && now.saturating_sub(member.heard) < QUIET)
+                .min_by_key(|(name, member)| {
+                    let urged = urged.get(*name).copied().unwrap_or(0);
+                    (urged, member.away, (*name).clone())
+                });
+            if let Some((name, member)) = heir {
+                info!(heir = name.as_str(), epoch = self.epoch, unserved = unserved; "urges a host to take the pool");
+                drop(member.to.try_send(FromOwner::Take { epoch: self.epoch }));
+                urged.insert(name.clone(), now);
             }
-            tokio::time::sleep(Duration::from_millis(100)).await;
         }
     }
 
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -218,16 +218,19 @@
         self.jobs.contains_key(id)
     }
 
-    /// The state of a job as it is stored.
+    /// The state of a job that its caller may be told.
+    ///
+    /// A job that is completed is told so at once: its ends lie with the workers until they are stored here, so that a new
+    /// owner finds them. A job that failed or was cancelled is told so when that is stored.
     #[must_use]
     pub fn state(&self, id: &str) -> Option<State> {
-        self.jobs.get(id).map(|live| {
-            if live.shown == State::Queued && live.state == State::Running {
-                State::Running
-            } else {
-                live.shown
-            }
-        })
+        self.jobs
+            .get(id)
+            .map(|live| match (live.shown, live.state) {
+                (_, State::Completed) => State::Completed,
+                (State::Queued, State::Running) => State::Running,
+                (shown, _) => shown,
+            })
     }
 
     /// Cancels a job; the state it has then, or `None` if it isn't known.
