--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -154,7 +154,7 @@
     others.truncate(WITNESSES);
     let asked = others.iter().map(|other| peers::hears(other.address));
     let told = futures::future::join_all(asked).await;
-    told.iter().any(|told| *told == Some(true))
+    told.contains(&Some(true))
 }
 
 /// Takes the pool, and owns it until another does or this host leaves.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,7 +12,6 @@
 mod election;
 pub mod follow;
 mod front;
-#[expect(clippy::module_inception, reason = "the type that the crate is about")]
 mod host;
 pub mod insert;
 mod outside;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -445,28 +445,26 @@
                 self.host.stop.spawn(async move {
                     let advisor = Arc::clone(&owner.host.advisor);
                     let allowed = advisor.ask(&ask.stage, &ask.workers, takes).await;
-                    owner.advised(&ask, allowed);
+                    owner.advised(&ask, allowed.as_ref());
                 });
             }
         }
     }
 
-    fn told_advice(&self, number: u64, allowed: Option<Allowed>) {
+    fn told_advice(&self, number: u64, allowed: Option<&Allowed>) {
         let question = lock(&self.questions).remove(&number);
         if let Some(question) = question {
             self.advised(&question.ask, allowed);
         }
     }
 
-    fn advised(&self, ask: &Ask, allowed: Option<Allowed>) {
+    fn advised(&self, ask: &Ask, allowed: Option<&Allowed>) {
         info!(
             job = &*ask.stage.job, step = ask.stage.step, asked = ask.workers.len(), takes = ask.takes,
-            allowed = allowed.as_ref().map_or(-1, |(rows, _)| rows.len() as i64);
+            allowed = allowed.map_or(-1, |(rows, _)| rows.len() as i64);
             "advice"
         );
-        let rows = allowed
-            .as_ref()
-            .map(|(rows, valid)| (rows.as_slice(), *valid));
+        let rows = allowed.map(|(rows, valid)| (rows.as_slice(), *valid));
         lock(&self.pool).advised(clock::now(), ask, rows);
         self.wake.notify_one();
     }
@@ -568,7 +566,7 @@
                         .map(|(id, text)| (WorkerId::from(id), text));
                     (rows.collect(), valid)
                 });
-                self.told_advice(number, allowed);
+                self.told_advice(number, allowed.as_ref());
             }
             ToOwner::Ask(number, call) => {
                 let (owner, to) = (Arc::clone(self), to.clone());
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -18,7 +18,6 @@
 mod order;
 pub mod pace;
 mod plan;
-#[expect(clippy::module_inception, reason = "the type that the crate is about")]
 mod pool;
 mod progress;
 pub mod rank;
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -480,7 +480,7 @@
 
 /// How many times `size` goes into `room`.
 fn times(size: Size, room: Size) -> u32 {
-    let part = |size: u64, room: u64| if size == 0 { u64::MAX } else { room / size };
+    let part = |size: u64, room: u64| room.checked_div(size).unwrap_or(u64::MAX);
     part(size.millicores, room.millicores)
         .min(part(size.memory_mib, room.memory_mib))
         .min(part(size.accelerators, room.accelerators))
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -15,9 +15,9 @@
 use resource::Size;
 
 /// Length of a step of the world's clock.
-pub const STEP: Ms = 5;
+pub(crate) const STEP: Ms = 5;
 /// Unix time at which the world begins.
-pub const UNIX: u64 = 1_700_000_000_000;
+pub(crate) const UNIX: u64 = 1_700_000_000_000;
 
 /// A run on a simulated worker.
 #[derive(Clone, Debug)]
@@ -31,7 +31,7 @@
 
 /// A simulated worker.
 #[derive(Debug, Default)]
-pub struct Machine {
+pub(crate) struct Machine {
     born: u64,
     epoch: u64,
     lease: Ms,
@@ -40,9 +40,9 @@
     ended: Vec<End>,
     ends: u64,
     /// Owners with these epochs can't reach it.
-    pub cut: BTreeSet<u64>,
+    pub(crate) cut: BTreeSet<u64>,
     /// It is down until then.
-    pub down: Ms,
+    pub(crate) down: Ms,
 }
 
 /// What is on its way.
@@ -56,45 +56,45 @@
 }
 
 /// An owner.
-pub struct Owner {
-    pub epoch: u64,
-    pub pool: Pool,
+pub(crate) struct Owner {
+    pub(crate) epoch: u64,
+    pub(crate) pool: Pool,
     /// It does nothing until then.
-    pub frozen: Ms,
-    pub over: bool,
+    pub(crate) frozen: Ms,
+    pub(crate) over: bool,
 }
 
 /// How the world behaves.
 #[derive(Clone, Debug)]
-pub struct Weather {
+pub(crate) struct Weather {
     /// Share of orders that get no answer and are carried out late.
-    pub late: f64,
+    pub(crate) late: f64,
     /// Share of runs that fail.
-    pub fails: f64,
+    pub(crate) fails: f64,
     /// The store answers.
-    pub store: bool,
+    pub(crate) store: bool,
 }
 
 /// The whole cell.
-pub struct World {
-    pub now: Ms,
-    pub rng: ChaCha8Rng,
-    pub machines: BTreeMap<WorkerId, Machine>,
-    pub owners: Vec<Owner>,
-    pub weather: Weather,
-    pub jobs: BTreeMap<String, Arc<Job>>,
+pub(crate) struct World {
+    pub(crate) now: Ms,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) machines: BTreeMap<WorkerId, Machine>,
+    pub(crate) owners: Vec<Owner>,
+    pub(crate) weather: Weather,
+    pub(crate) jobs: BTreeMap<String, Arc<Job>>,
     stored: BTreeMap<String, Progress>,
     roster: Vec<WorkerId>,
     silent: Vec<pool::Silent>,
     mail: Vec<(Ms, Message)>,
     noted: BTreeSet<TaskKey>,
-    pub broken: Vec<String>,
-    pub starts: usize,
+    pub(crate) broken: Vec<String>,
+    pub(crate) starts: usize,
     room: Size,
 }
 
 /// A job with these steps: number of tasks, millicores, milliseconds.
-pub fn job(id: &str, steps: &[(u32, u64, Ms)]) -> Job {
+pub(crate) fn job(id: &str, steps: &[(u32, u64, Ms)]) -> Job {
     Job {
         id: id.into(),
         queue: "q".into(),
@@ -122,7 +122,7 @@
 }
 
 impl World {
-    pub fn new(seed: u64, workers: usize) -> Self {
+    pub(crate) fn new(seed: u64, workers: usize) -> Self {
         let room = Size::new(4_000, 10_000, 0);
         let machines = (0..workers)
             .map(|at| {
@@ -155,7 +155,7 @@
         }
     }
 
-    pub fn unix(&self) -> u64 {
+    pub(crate) fn unix(&self) -> u64 {
         UNIX + self.now - 1_000_000
     }
 
@@ -165,7 +165,7 @@
     }
 
     /// A new owner takes the pool.
-    pub fn take(&mut self) {
+    pub(crate) fn take(&mut self) {
         let epoch = self.owners.len() as u64 + 1;
         let mut pool = Pool::new(Options::default());
         for (id, machine) in &self.machines {
@@ -198,7 +198,7 @@
     }
 
     /// A caller's job is accepted and the present owner is told.
-    pub fn accept(&mut self, job: Job) {
+    pub(crate) fn accept(&mut self, job: Job) {
         let job = Arc::new(job);
         self.jobs.insert(job.id.to_string(), Arc::clone(&job));
         let (now, unix) = (self.now, self.unix());
@@ -208,7 +208,7 @@
     }
 
     /// The worker loses its life and comes back with a new one after this time.
-    pub fn crash(&mut self, id: &WorkerId, time: Ms) {
+    pub(crate) fn crash(&mut self, id: &WorkerId, time: Ms) {
         let down = self.now + time;
         if let Some(machine) = self.machines.get_mut(id) {
             *machine = Machine {
@@ -226,7 +226,7 @@
     }
 
     /// Lets this much time pass.
-    pub fn pass(&mut self, time: Ms) {
+    pub(crate) fn pass(&mut self, time: Ms) {
         let end = self.now + time;
         while self.now < end {
             self.now += STEP;
@@ -234,7 +234,7 @@
             self.work();
             self.hold();
             self.plan();
-            if self.now % 20 == 0 {
+            if self.now.is_multiple_of(20) {
                 self.store();
             }
         }
@@ -400,7 +400,7 @@
 
     /// Each owner holds each worker every 50 ms.
     fn hold(&mut self) {
-        if self.now % 50 != 0 {
+        if !self.now.is_multiple_of(50) {
             return;
         }
         let ids: Vec<WorkerId> = self.machines.keys().cloned().collect();
@@ -414,10 +414,8 @@
                 }
                 let clock = self.clock(id);
                 let epoch = self.owners[owner].epoch;
-                let Some((born, _, noted)) = self.owners[owner]
-                    .pool
-                    .worker(id)
-                    .map(|worker| worker.ends())
+                let Some((born, _, noted)) =
+                    self.owners[owner].pool.worker(id).map(pool::Worker::ends)
                 else {
                     continue;
                 };
@@ -513,7 +511,7 @@
     }
 
     /// Jobs that are not over, as the store has them.
-    pub fn unfinished(&self) -> usize {
+    pub(crate) fn unfinished(&self) -> usize {
         self.jobs
             .keys()
             .filter(|id| {
@@ -526,7 +524,7 @@
     }
 
     /// What the newest owner has of jobs that are not over.
-    pub fn report(&self) -> String {
+    pub(crate) fn report(&self) -> String {
         let pool = &self.owners[self.owners.len() - 1].pool;
         let open: Vec<_> = self
             .jobs
@@ -542,7 +540,7 @@
     }
 
     /// A stored state.
-    pub fn stored(&self, id: &str) -> Option<pool::State> {
+    pub(crate) fn stored(&self, id: &str) -> Option<pool::State> {
         self.stored.get(id).map(|course| course.state)
     }
 }
