--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -18,11 +18,17 @@
 use crate::rows::{HOSTS, HostRow, OWNER, OwnerRow};
 
 /// A store that answers within this is in the same region.
-const NEAR_MS: u64 = 12;
+pub(crate) const NEAR_MS: u64 = 12;
 /// Hosts far from the store leave the others this much time to take the pool.
 const FAR_WAIT: Duration = Duration::from_millis(500);
 /// Hosts equally near go one after the other.
 const SPREAD_MS: u64 = 120;
+/// Hosts with less of a processor than another leave it this much time to take the pool.
+const SMALL_WAIT: Duration = Duration::from_millis(350);
+/// At the first start, hosts wait this long for the rows of the others.
+const GATHER: Duration = Duration::from_millis(150);
+/// A new owner may be known by its row before it answers for the pool; it has this long.
+const BEGINS: Duration = Duration::from_millis(700);
 /// How many other hosts are asked whether they hear the owner.
 const WITNESSES: usize = 4;
 
@@ -38,12 +44,14 @@
     register(host).await;
     let mut urged = false;
     let mut lost: Option<(u64, Instant)> = None;
+    let mut began: Option<(u64, Instant)> = None;
     loop {
         let Some(found) = read_owner(host).await else {
             tokio::time::sleep(Duration::from_millis(120)).await;
             continue;
         };
         let Some((row, version)) = found else {
+            tokio::time::sleep(GATHER).await;
             wait_turn(host).await;
             if read_owner(host).await.is_some_and(|found| found.is_none()) {
                 own(host, None, 0).await;
@@ -55,6 +63,15 @@
             match peers::join(host, row.address, row.epoch).await {
                 Ended::Stopped => return,
                 Ended::Take => urged = true,
+                Ended::NotOwner
+                    if began
+                        .is_none_or(|(epoch, at)| epoch != row.epoch || at.elapsed() < BEGINS) =>
+                {
+                    if began.is_none_or(|(epoch, _)| epoch != row.epoch) {
+                        began = Some((row.epoch, Instant::now()));
+                    }
+                    tokio::time::sleep(Duration::from_millis(60)).await;
+                }
                 Ended::NotOwner | Ended::Lost => {
                     lost = Some((row.epoch, Instant::now()));
                     info!(owner = row.host.as_str(), epoch = row.epoch; "lost the owner");
@@ -122,12 +139,23 @@
     Some((owner, row.version))
 }
 
-/// Lets hosts go first that are better placed.
+/// Lets hosts go first that are better placed: near the store, and with the most of a processor.
 async fn wait_turn(host: &Host) {
     let mut wait = Duration::from_millis(xxh3_64(host.settings.id.as_bytes()) % SPREAD_MS);
     if host.away() > NEAR_MS {
         wait += FAR_WAIT;
     }
+    let rows = host.store.list(HOSTS, Host::PART).await;
+    let most = rows.map_or(0.0, |page| {
+        page.rows
+            .iter()
+            .filter_map(|row| serde_json::from_slice::<HostRow>(row.value.as_deref()?).ok())
+            .map(|row| row.processors)
+            .fold(0.0, f64::max)
+    });
+    if host.settings.processors < most {
+        wait += SMALL_WAIT;
+    }
     tokio::time::sleep(wait).await;
 }
 
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -38,15 +38,11 @@
     let mut listed = from.is_some();
     loop {
         if !listed {
-            match list(store, table, parts).await {
-                Ok(page) if page.version >= newest => {
+            match list(store, table, parts, newest).await {
+                Ok(page) => {
                     newest = page.version;
                     tell(Change::All(page));
                 }
-                Ok(_) => {
-                    tokio::time::sleep(PAUSE).await;
-                    continue;
-                }
                 Err(error) => {
                     tell(Change::Failed(error));
                     tokio::time::sleep(PAUSE).await;
@@ -74,11 +70,16 @@
     }
 }
 
-/// Reads all rows of parts of a table, as of the oldest moment among them.
+/// Reads all rows of parts of a table, as of the oldest moment among them, but not before the transaction `least`.
 ///
 /// # Errors
-/// If one of them can't be read.
-pub async fn list(store: &dyn Store, table: &str, parts: &[String]) -> Result<Page, StoreError> {
+/// If one of them can't be read, or only as it was before.
+pub async fn list(
+    store: &dyn Store,
+    table: &str,
+    parts: &[String],
+    least: u64,
+) -> Result<Page, StoreError> {
     let lists = parts.iter().map(|part| store.list(table, part));
     let mut all = Page {
         version: u64::MAX,
@@ -88,5 +89,10 @@
         all.version = all.version.min(page.version);
         all.rows.extend(page.rows);
     }
+    if all.version < least {
+        return Err(StoreError::Refused {
+            why: format!("it reads as of {}, before {least}", all.version),
+        });
+    }
     Ok(all)
 }
--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -129,10 +129,17 @@
     }
 
     async fn stored_state(&self, id: &str) -> Taken {
-        match self.store.get(JOBS, &job_part(id), id).await {
+        // Reads may lag behind, and a job that was just accepted would look unknown. A transaction sees what is there: one
+        // that demands the row's absence, and writes nothing, tells.
+        let absent = Transaction {
+            part: job_part(id),
+            checks: vec![(JOBS.to_owned(), id.to_owned(), 0)],
+            ..Transaction::default()
+        };
+        match self.store.commit(&absent).await {
+            Ok(_) => return Taken::Unknown,
+            Err(StoreError::Conflict { .. }) => {}
             Err(_) => return Taken::Unsure,
-            Ok(None) => return Taken::Unknown,
-            Ok(Some(_)) => {}
         }
         match self.store.get(PROGRESS, Self::PART, id).await {
             Err(_) => Taken::Unsure,
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
+use crate::election::NEAR_MS;
 use crate::follow::{Change, follow, list};
 use crate::host::{Host, lock};
 use crate::insert::{Inserted, insert};
@@ -38,6 +39,7 @@
 /// Another host, as the owner sees it.
 struct Member {
     number: u64,
+    processors: f64,
     to: mpsc::Sender<FromOwner>,
     heard: Ms,
     served: bool,
@@ -46,6 +48,40 @@
     busy: Ms,
 }
 
+/// How well a host is placed to own the pool.
+#[derive(Clone, Copy, Debug)]
+struct Post {
+    /// It is in the store's region.
+    near: bool,
+    /// Its share of a processor.
+    processors: f64,
+}
+
+impl Post {
+    /// The higher, the better. A host near the store may have half the processor of one that is far.
+    fn rank(self) -> f64 {
+        if self.near {
+            self.processors * 2.0
+        } else {
+            self.processors
+        }
+    }
+
+    /// Whether it is so much better placed that handing the pool over pays: a change costs about a second of starts.
+    fn better(self, than: Self) -> bool {
+        self.rank() >= than.rank() * 1.9
+    }
+}
+
+impl Member {
+    fn post(&self) -> Post {
+        Post {
+            near: self.away <= NEAR_MS,
+            processors: self.processors,
+        }
+    }
+}
+
 /// A question that another host asks the advisor.
 struct Question {
     ask: Ask,
@@ -136,16 +172,24 @@
             let since = self.unserved.load(Ordering::Relaxed);
             let unserved = since > 0 && now.saturating_sub(since) > UNSERVED;
             let recent = urged.values().any(|&at| now.saturating_sub(at) < URGE);
-            if recent || !unserved && !self.host.stop.is_draining() {
+            if recent {
                 continue;
             }
+            let leaving = unserved || self.host.stop.is_draining();
+            let own = Post {
+                near: self.host.away() <= NEAR_MS,
+                processors: self.host.settings.processors,
+            };
             let members = lock(&self.members);
             let heir = members
                 .iter()
                 .filter(|(_, member)| member.served && now.saturating_sub(member.heard) < QUIET)
-                .min_by_key(|(name, member)| {
-                    let urged = urged.get(*name).copied().unwrap_or(0);
-                    (urged, member.away, (*name).clone())
+                .filter(|(_, member)| leaving || member.post().better(own))
+                .min_by(|(a, a_is), (b, b_is)| {
+                    let urged = |name| urged.get(name).copied().unwrap_or(0);
+                    (urged(*a).cmp(&urged(*b)))
+                        .then_with(|| b_is.post().rank().total_cmp(&a_is.post().rank()))
+                        .then_with(|| a.cmp(b))
                 });
             if let Some((name, member)) = heir {
                 info!(heir = name.as_str(), epoch = self.epoch, unserved = unserved; "urges a host to take the pool");
@@ -159,7 +203,7 @@
     async fn work(self: Arc<Self>, row: OwnerRow, version: u64, listed: Page) {
         let began = clock::now();
         let after = listed.version;
-        let jobs = self.load(&listed, &row).await;
+        let jobs = self.load(&listed, &row, version).await;
         self.loaded.store(true, Ordering::Relaxed);
         info!(epoch = self.epoch, ms = clock::now().saturating_sub(began); "jobs are known");
         let parts: Vec<String> = job_parts().collect();
@@ -187,13 +231,16 @@
     }
 
     /// Reads all jobs, and takes up the workers; tells up to which transaction the jobs were read.
-    async fn load(self: &Arc<Self>, listed: &Page, owned: &OwnerRow) -> u64 {
+    async fn load(self: &Arc<Self>, listed: &Page, owned: &OwnerRow, taken: u64) -> u64 {
         let parts: Vec<String> = job_parts().collect();
+        // What the former owner stored is all there as of the transaction by which this one took the pool. Reads may lag
+        // behind; without that bound, tasks whose ends were noted would start again.
+        let own = [Host::PART.to_owned()];
         let (jobs, progress) = loop {
             let store = &self.host.store;
             let (jobs, progress) = tokio::join!(
-                list(store.as_ref(), JOBS, &parts),
-                store.list(PROGRESS, Host::PART),
+                list(store.as_ref(), JOBS, &parts, taken),
+                list(store.as_ref(), PROGRESS, &own, taken),
             );
             match (jobs, progress) {
                 (Ok(jobs), Ok(progress)) => break (jobs, progress),
@@ -511,13 +558,14 @@
     }
 
     /// A host has joined; tells the number of its connection.
-    pub(crate) fn joined(&self, name: &str, to: mpsc::Sender<FromOwner>) -> u64 {
+    pub(crate) fn joined(&self, name: &str, processors: f64, to: mpsc::Sender<FromOwner>) -> u64 {
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         drop(to.try_send(FromOwner::Beat(self.host.heard().beat)));
         lock(&self.members).insert(
             name.to_owned(),
             Member {
                 number,
+                processors,
                 to,
                 heard: clock::now(),
                 served: false,
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -109,6 +109,7 @@
     link.tell(ToOwner::Hello {
         host: host.settings.id.clone(),
         epoch,
+        processors: host.settings.processors,
     });
     let beats = async {
         loop {
@@ -238,17 +239,19 @@
     let (to, from) = mpsc::channel::<FromOwner>(QUEUE);
     let reads = async {
         let first = timeout(SILENCE, receiver.next()).await;
-        let (name, owner) = match first {
-            Ok(Ok(Some(ToOwner::Hello { host: name, epoch }))) => {
-                match host.owner().filter(|owner| owner.epoch() == epoch) {
-                    Some(owner) => (name, owner),
-                    None => {
-                        drop(to.send(FromOwner::NotOwner).await);
-                        tokio::time::sleep(Duration::from_millis(50)).await;
-                        return;
-                    }
+        let (name, processors, owner) = match first {
+            Ok(Ok(Some(ToOwner::Hello {
+                host: name,
+                epoch,
+                processors,
+            }))) => match host.owner().filter(|owner| owner.epoch() == epoch) {
+                Some(owner) => (name, processors, owner),
+                None => {
+                    drop(to.send(FromOwner::NotOwner).await);
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    return;
                 }
-            }
+            },
             Ok(Ok(Some(ToOwner::Hears))) => {
                 let recent = clock::now().saturating_sub(host.heard().at) < 900;
                 let hears = host.owner().is_some() || recent && host.link().is_some();
@@ -259,7 +262,7 @@
             _ => return,
         };
         let since = Instant::now();
-        let member = owner.joined(&name, to.clone());
+        let member = owner.joined(&name, processors, to.clone());
         loop {
             let message = timeout(SILENCE * 2, receiver.next()).await;
             let Ok(Ok(Some(message))) = message else {
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -23,6 +23,8 @@
         host: String,
         /// The epoch that it takes the owner to have.
         epoch: u64,
+        /// Its share of a processor.
+        processors: f64,
     },
     /// It is alive.
     Beat {
--- a/crates/telemetry/src/stop.rs
+++ b/crates/telemetry/src/stop.rs
@@ -46,6 +46,22 @@
         });
     }
 
+    /// Calls `reload` whenever the process gets SIGHUP. Without this the signal would end the process.
+    pub fn on_hangup(&self, reload: impl Fn() + Send + 'static) {
+        let stop = self.clone();
+        self.spawn(async move {
+            let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+                return;
+            };
+            loop {
+                tokio::select! {
+                    Some(()) = hangup.recv() => reload(),
+                    () = stop.end.cancelled() => return,
+                }
+            }
+        });
+    }
+
     /// Begins to drain.
     pub fn drain(&self) {
         self.drain.cancel();
