--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -42,7 +42,7 @@
 
 async fn take_part(host: &Arc<Host>) {
     register(host).await;
-    let mut urged = false;
+    let mut urged: Option<u64> = None;
     let mut lost: Option<(u64, Instant)> = None;
     let mut began: Option<(u64, Instant)> = None;
     loop {
@@ -59,10 +59,11 @@
             continue;
         };
         let mine = row.host == host.settings.id;
-        if !mine && !urged && lost.is_none_or(|(epoch, _)| epoch != row.epoch) {
+        if !mine && urged != Some(row.epoch) && lost.is_none_or(|(epoch, _)| epoch != row.epoch) {
             match peers::join(host, row.address, row.epoch).await {
                 Ended::Stopped => return,
-                Ended::Take => urged = true,
+                // An owner that was replaced and doesn't know it may urge too: its epoch tells.
+                Ended::Take => urged = Some(row.epoch),
                 Ended::NotOwner
                     if began
                         .is_none_or(|(epoch, at)| epoch != row.epoch || at.elapsed() < BEGINS) =>
@@ -84,7 +85,7 @@
             tokio::time::sleep(Duration::from_millis(200)).await;
             continue;
         }
-        if !urged {
+        if urged != Some(row.epoch) {
             wait_turn(host).await;
             if !mine && witnessed(host, &row).await {
                 lost = None;
@@ -92,7 +93,7 @@
                 continue;
             }
         }
-        urged = false;
+        urged = None;
         lost = None;
         let unchanged = read_owner(host)
             .await
@@ -127,7 +128,7 @@
     }
 }
 
-async fn read_owner(host: &Host) -> Option<Option<(OwnerRow, u64)>> {
+pub(crate) async fn read_owner(host: &Host) -> Option<Option<(OwnerRow, u64)>> {
     match host.store.get(OWNER, Host::PART, OWNER).await {
         Ok(row) => Some(row.as_ref().and_then(parse)),
         Err(_) => None,
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
-use crate::election::NEAR_MS;
+use crate::election::{NEAR_MS, read_owner};
 use crate::follow::{Change, follow, list};
 use crate::host::{Host, lock};
 use crate::insert::{Inserted, insert};
@@ -31,6 +31,10 @@
 const CANCEL_WAIT: Duration = Duration::from_millis(1_500);
 /// An owner that the store has not served for this long gives the pool to a host that it serves.
 const UNSERVED: Ms = 800;
+/// An owner that works well gives the pool to a better placed host only after this long: hosts come and go at a start.
+const SETTLED: Ms = 5_000;
+/// Time between two looks at the owner's row.
+const LOOK: Duration = Duration::from_millis(1_000);
 /// A host that was urged to take the pool has this long to do so before another is urged.
 const URGE: Ms = 1_000;
 /// A host that was not heard for this long gets no questions.
@@ -135,6 +139,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&owner).beat());
         tasks.spawn(Arc::clone(&owner).hand_over());
+        tasks.spawn(Arc::clone(&owner).look());
         tasks.spawn(Arc::clone(&owner).work(row, version, listed));
         tokio::select! {
             () = owner.over.cancelled() => {}
@@ -165,6 +170,7 @@
     /// The owner goes on until the other has it, and learns that from the workers or the store. If it stopped before, and
     /// the other couldn't write the owner's row (a part of the store may be down for all), nobody would own the pool.
     async fn hand_over(self: Arc<Self>) {
+        let began = clock::now();
         let mut urged: FxHashMap<String, Ms> = FxHashMap::default();
         loop {
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -176,6 +182,11 @@
                 continue;
             }
             let leaving = unserved || self.host.stop.is_draining();
+            let settled =
+                self.loaded.load(Ordering::Relaxed) && now.saturating_sub(began) > SETTLED;
+            if !leaving && !settled {
+                continue;
+            }
             let own = Post {
                 near: self.host.away() <= NEAR_MS,
                 processors: self.host.settings.processors,
@@ -199,6 +210,21 @@
         }
     }
 
+    /// Looks whether another host has taken the pool. An owner usually learns that from the workers or from a write, but
+    /// one that can't reach either would go on telling other hosts that it is the owner.
+    async fn look(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let found = read_owner(&self.host).await.flatten();
+            if let Some((row, _)) = found
+                && row.epoch > self.epoch
+            {
+                warn!(epoch = self.epoch, newer = row.epoch, owner = row.host; "another host owns the pool");
+                self.over.cancel();
+            }
+        }
+    }
+
     /// Takes up jobs and workers, then works.
     async fn work(self: Arc<Self>, row: OwnerRow, version: u64, listed: Page) {
         let began = clock::now();
--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -83,7 +83,13 @@
         let Some(task) = live.task(key.stage.occurrence, key.stage.step, key.index) else {
             return;
         };
-        let store = task.note_end(end.run, end.how, &end.saved);
+        // A task that lasts is never done, however it ends.
+        let how = if step.lasting && end.how == How::Done {
+            How::Stopped
+        } else {
+            end.how
+        };
+        let store = task.note_end(end.run, how, &end.saved);
         let own = task
             .run
             .as_ref()
@@ -92,7 +98,7 @@
         let other = task.done && own.is_none() && task.run.is_some();
         let attempts = task.failed.len();
         if let Some(run) = &own {
-            self.judge(now, worker, end.how, run, key, step.lasting);
+            self.judge(now, worker, how, run, key, step.lasting);
             let retry = match end.how {
                 How::Failed if step.lasting => RETRY_LASTING,
                 How::Failed => RETRY_FAILED,
@@ -106,7 +112,7 @@
         if store {
             self.mark(&id);
         }
-        match end.how {
+        match how {
             How::Done => self.done(now, unix, &key.stage, end.run, step.gang),
             How::Failed if !step.lasting => {
                 let attempts = if step.gang {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod advice;
 mod answer;
 mod ends;
+mod evacuate;
 pub mod fit;
 mod hear;
 mod job;
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -44,9 +44,9 @@
             self.advance(&id, now, unix);
         }
         self.lapse(now, unix);
+        self.watch(now);
         self.chase(now);
         self.stop_strays(now);
-        self.watch(now);
         self.settle_inheritance(now);
         if !self.deposed && self.proved(now) {
             self.place(now);
--- a/crates/pool/src/watch.rs
+++ b/crates/pool/src/watch.rs
@@ -80,6 +80,7 @@
             return;
         }
         self.looked = now;
+        self.evacuate(now);
         let mut still = Vec::new();
         let mut paces = Vec::new();
         for worker in self.workers.values() {
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -1,5 +1,6 @@
 //! Owners that follow each other on a simulated cell: nothing runs twice, no room is exceeded, nothing is lost.
 
+#[allow(dead_code, reason = "the other test file uses the rest")]
 mod world;
 
 use pool::{State, WorkerId};
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -1,6 +1,6 @@
 //! A simulated cell: workers that obey the contract, a store, and owners that follow each other.
 //!
-//! Everything happens on a clock of 5 ms steps, in an order that the seed decides. The workers check what must never
+//! Each test file uses a part of it. Everything happens on a clock of 5 ms steps, in an order that the seed decides. The workers check what must never
 //! happen the moment it would happen.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -90,6 +90,10 @@
     noted: BTreeSet<TaskKey>,
     pub(crate) broken: Vec<String>,
     pub(crate) starts: usize,
+    /// Workers that fail all that they start.
+    pub(crate) bad: BTreeSet<WorkerId>,
+    /// How often they did.
+    pub(crate) failures: usize,
     room: Size,
 }
 
@@ -151,6 +155,8 @@
             noted: BTreeSet::new(),
             broken: Vec::new(),
             starts: 0,
+            bad: BTreeSet::new(),
+            failures: 0,
             room,
         }
     }
@@ -275,7 +281,9 @@
         let epoch = self.owners[owner].epoch;
         let size = start.job.steps[usize::from(start.task.stage.step)].room();
         let takes = start.job.steps[usize::from(start.task.stage.step)].estimate;
-        let fails = self.rng.random_bool(self.weather.fails);
+        let bad = self.bad.contains(&start.worker);
+        let fails = bad || self.rng.random_bool(self.weather.fails);
+        self.failures += usize::from(bad);
         let elsewhere = self
             .machines
             .iter()
