Workers that have their share of a spread step are not asked about again

Its step may have one task on a worker; the workers that the advisor had allowed had one each, and since they had room, they were asked about again and again, each time in vain. Ruled out: the advisor's queue (a third of its capacity was used); a lost question. Change: a worker counts for a step only as far as its limit leaves.

--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -95,6 +95,15 @@
         self.tasks.iter().map(|task| task.top).max().unwrap_or(0)
     }
 
+    /// How many of its tasks run on each worker.
+    pub(crate) fn spread(&self) -> FxHashMap<WorkerId, u32> {
+        let mut spread = FxHashMap::default();
+        for run in self.tasks.iter().filter_map(|task| task.run.as_ref()) {
+            *spread.entry(Arc::clone(&run.worker)).or_default() += 1;
+        }
+        spread
+    }
+
     /// Whether all tasks are done.
     pub(crate) fn complete(&self) -> bool {
         self.done == self.tasks.len()
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -273,10 +273,7 @@
             // The members start together, so all must be back first.
             return 0;
         }
-        let mut same: FxHashMap<WorkerId, u32> = FxHashMap::default();
-        for run in stage.tasks.iter().filter_map(|task| task.run.as_ref()) {
-            *same.entry(Arc::clone(&run.worker)).or_default() += 1;
-        }
+        let same = stage.spread();
         let places = self.assign(now, key, job, step, waiting.len(), &same, mix);
         let enough = if step.gang {
             places.len() == waiting.len()
@@ -431,6 +428,7 @@
         if stage.advised.asking.is_some() || stage.advised.rest > now {
             return;
         }
+        let same = stage.spread();
         let mut choices = Vec::new();
         for worker in self.workers.values() {
             if !fit::allowed(worker, &job.service, step)
@@ -445,8 +443,9 @@
             }) {
                 continue;
             }
+            let here = same.get(&worker.id).copied().unwrap_or(0);
             let most = if step.per_worker > 0 {
-                step.per_worker
+                step.per_worker.saturating_sub(here)
             } else {
                 need
             };
--- a/crates/pool/tests/policies.rs
+++ b/crates/pool/tests/policies.rs
@@ -381,6 +381,38 @@
     );
 }
 
+/// At most one task of a step may run on a worker. The workers that the advisor allowed have one each, so a task that is
+/// left needs others; asking about the same ones again and again left it waiting for ten seconds.
+#[test]
+fn workers_that_have_their_share_are_not_asked_about_again() {
+    let mut pool = pool(4);
+    let mut spread = job("00000000000000a2", &[(2, 100, 500)]);
+    spread.steps[0].per_worker = 1;
+    spread.policy.advice = Some(Advice {
+        base: 20.0,
+        each: 1.0,
+        valid: 2_000,
+    });
+    adopt(&mut pool, 1_000, spread);
+    let orders = pool.plan(1_001, UNIX);
+    let [Order::Ask(first)] = orders.as_slice() else {
+        panic!("{orders:?}");
+    };
+    let rows = vec![(first.workers[0].clone(), "t1".to_owned())];
+    pool.advised(1_050, first, Some((&rows, 50)));
+    // The ticket has run out when the start is due, so the worker is asked about again, and runs one task.
+    pool.advised(1_051, first, Some((&rows, 2_000)));
+    let started = run(&mut pool, 1_060);
+    assert_eq!(started.len(), 1);
+    hold_all(&mut pool, 3_300, &started);
+    let orders = pool.plan(3_400, UNIX);
+    for order in &orders {
+        if let Order::Ask(ask) = order {
+            assert!(!ask.workers.contains(&first.workers[0]), "{ask:?}");
+        }
+    }
+}
+
 /// A serving task comes near its response time because of what fills beside it. That is slowed down before the harm, goes
 /// down to a standstill if that is not enough, and comes back only after calm.
 #[test]
