--- a/crates/cli/src/bin/lentilyoke.rs
+++ b/crates/cli/src/bin/lentilyoke.rs
@@ -1,7 +1,7 @@
 //! Operates a lentilyoke cell.
 
 use std::io::Read as _;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -34,6 +34,7 @@
     match settings.command {
         Command::Config(command) => return configure(&table, command).await,
         Command::Show(command) => show(&table, &command).await?,
+        Command::Explain { id, files } => explain(&id, &files)?,
         Command::Drain { placer } => drain(&table, &placer).await?,
         Command::Report(ReportCommand::Burn { entries, svg }) => {
             report_burn(&entries, svg.as_deref()).await?;
@@ -83,6 +84,22 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn explain(id: &str, files: &[PathBuf]) -> Result<(), Whatever> {
+    let mut text = String::new();
+    if files.is_empty() {
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.whatever_context("can't read standard input")?;
+    }
+    for file in files {
+        let more = std::fs::read_to_string(file);
+        text += &more.with_whatever_context(|e| format!("can't read {}: {e}", file.display()))?;
+        text.push('\n');
+    }
+    let told = cli::explain::explain(id, text.lines());
+    print!("{}", told.with_whatever_context(|error| error.to_string())?);
+    Ok(())
+}
+
 fn tell(progress: Progress) -> ExitCode {
     match progress {
         Progress::Accepted { version, processes } => {
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -39,6 +39,13 @@
     /// Reports.
     #[command(subcommand)]
     Report(ReportCommand),
+    /// Tells the course of a job from the log lines of any number of processes.
+    Explain {
+        /// The job's id.
+        id: String,
+        /// Files of log lines; standard input if none is named.
+        files: Vec<PathBuf>,
+    },
 }
 
 /// Checks, compares and applies configurations.
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,76 @@
+//! The course of a job from log lines: order over processes, plain words, clear errors.
+
+use cli::explain::{Error, explain};
+
+fn line(time: &str, message: &str, attributes: &str) -> String {
+    format!(
+        "{{\"time\":\"2026-01-01T00:00:{time}Z\",\"level\":\"INFO\",\"message\":\"{message}\",\"attributes\":{{{attributes}}}}}"
+    )
+}
+
+#[test]
+fn lines_of_several_processes_come_in_order_of_time() {
+    let lines = [
+        format!(
+            "h2 {}",
+            line(
+                "02.500",
+                "start",
+                r#""job":"j1","step":"0","task":"3","run":"1","worker":"w9","outcome":"Lost","ms":"450","epoch":"4""#
+            )
+        ),
+        format!(
+            "h1 {}",
+            line(
+                "01.000",
+                "submit",
+                r#""job":"j1","outcome":"Accepted","ms":"12","epoch":"4","beat_age":"40""#
+            )
+        ),
+        "not a line".to_owned(),
+        format!(
+            "h2 {}",
+            line(
+                "03.100",
+                "end",
+                r#""job":"j1","step":"0","task":"3","run":"1","worker":"w9","how":"failed""#
+            )
+        ),
+        format!(
+            "h2 {}",
+            line(
+                "03.000",
+                "end",
+                r#""job":"other","step":"0","task":"3","run":"1","worker":"w9","how":"done""#
+            )
+        ),
+    ];
+    let told = explain("j1", lines.iter().map(String::as_str)).expect("it is there");
+    let rows: Vec<&str> = told.lines().collect();
+    assert_eq!(rows.len(), 4);
+    assert_eq!(
+        rows[0],
+        "00:00:01.000 h1: handed in: Accepted after 12 ms (owner's epoch 4, news of it 40 ms old)"
+    );
+    assert_eq!(
+        rows[1],
+        "00:00:02.500 h2: task 0.3 run 1 ordered on w9: Lost after 450 ms (epoch 4)"
+    );
+    assert_eq!(
+        rows[2],
+        "00:00:03.100 h2: task 0.3 run 1 ended on w9: failed"
+    );
+    assert_eq!(rows[3], "3 lines; 1 of 5 lines read are not JSON");
+}
+
+#[test]
+fn an_id_that_is_not_there_and_lines_that_are_none_are_told() {
+    let lines = [line("01.000", "submit", r#""job":"j1""#)];
+    let error = explain("j2", lines.iter().map(String::as_str)).expect_err("it isn't there");
+    assert_eq!(
+        error.to_string(),
+        "no line names \"j2\"; 1 lines were read, 0 of them are not JSON"
+    );
+    let error = explain("j2", ["a", "b"].into_iter()).expect_err("they are none");
+    assert_eq!(error, Error::NotLines { lines: 2 });
+}
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -25,6 +25,9 @@
 
 /// Follows parts of a table for good and tells each change. It starts anew from all rows when the history is gone.
 ///
+/// Between two questions it pauses for `pace`: a table that changes all the time would be asked about all the time, and
+/// each call costs.
+///
 /// Reads may lag behind while the store compacts its history: a list that is older than what was seen already is read
 /// again, so that nothing older is ever told after something newer.
 pub async fn follow(
@@ -32,6 +35,7 @@
     table: &str,
     parts: &[String],
     from: Option<u64>,
+    pace: Duration,
     mut tell: impl FnMut(Change),
 ) {
     let mut newest = from.unwrap_or(0);
@@ -59,7 +63,11 @@
                     .into_iter()
                     .filter(|row| parts.contains(&row.part))
                     .collect();
+                let any = !rows.is_empty();
                 tell(Change::Some(rows));
+                if any && !pace.is_zero() {
+                    tokio::time::sleep(pace).await;
+                }
             }
             Err(StoreError::Gone) => listed = false,
             Err(error) => {
--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -48,6 +48,14 @@
         let (id, queue) = (Arc::clone(&job.id), job.queue.clone());
         let submitted = self.try_submit(job, until).await;
         let heard = self.heard();
+        let outcome = match submitted {
+            Submitted::Accepted => "accepted",
+            Submitted::Refused(_) => "refused",
+            Submitted::Unsure => "unsure",
+        };
+        let took = clock::now().saturating_sub(began) as f64;
+        metrics::counter!("lentilyoke_submits_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("lentilyoke_submit_ms", "outcome" => outcome).record(took);
         info!(
             job = &*id, queue = queue, outcome:? = submitted, ms = clock::now().saturating_sub(began),
             epoch = heard.beat.epoch, beat_age = began.saturating_sub(heard.at);
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -167,6 +167,9 @@
 
     /// The store answered a call after this long, or did not.
     pub fn note_store(&self, answered: bool, took: Duration) {
+        let outcome = if answered { "answered" } else { "failed" };
+        metrics::counter!("lentilyoke_store_calls_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("lentilyoke_store_ms").record(took.as_secs_f64() * 1_000.0);
         if answered {
             self.served_at.store(clock::now(), Ordering::Relaxed);
             let took = took.as_millis() as u64;
@@ -216,21 +219,28 @@
     async fn follow_catalog(self: &Arc<Self>) {
         let (table, key) = self.settings.places.catalog.clone();
         let parts = [String::new()];
-        let from_store = follow(self.store.as_ref(), &table, &parts, None, |change| {
-            let rows = match change {
-                Change::All(page) => page.rows,
-                Change::Some(rows) => rows,
-                Change::Failed(_) => return,
-            };
-            self.confirm(clock::now());
-            for row in rows.iter().filter(|row| row.key == key) {
-                let value = row.value.as_deref().unwrap_or_default();
-                match self.decode.catalog(value) {
-                    Some(catalog) => self.put_catalog(catalog),
-                    None => warn!(bytes = value.len(); "the configuration can't be read"),
+        let from_store = follow(
+            self.store.as_ref(),
+            &table,
+            &parts,
+            None,
+            Duration::ZERO,
+            |change| {
+                let rows = match change {
+                    Change::All(page) => page.rows,
+                    Change::Some(rows) => rows,
+                    Change::Failed(_) => return,
+                };
+                self.confirm(clock::now());
+                for row in rows.iter().filter(|row| row.key == key) {
+                    let value = row.value.as_deref().unwrap_or_default();
+                    match self.decode.catalog(value) {
+                        Some(catalog) => self.put_catalog(catalog),
+                        None => warn!(bytes = value.len(); "the configuration can't be read"),
+                    }
                 }
-            }
-        });
+            },
+        );
         let from_owner = async {
             loop {
                 tokio::time::sleep(Duration::from_millis(150)).await;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -23,6 +23,11 @@
 use crate::wire::{Beat, FromOwner, Reply, ToOwner};
 use crate::{session, writer};
 
+/// Jobs are told to the owner directly; the table tells those whose hosts could not.
+const JOBS_PACE: Duration = Duration::from_millis(200);
+/// Rows of workers change with each of their heartbeats, some thirty a second for 48 workers. A worker that drains gets
+/// nothing new from 2.5 s after its row says so.
+const WORKERS_PACE: Duration = Duration::from_millis(350);
 /// Longest time between two plans: leases, doubts and paces are looked at so often.
 const TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two plans: news that comes together is planned together.
@@ -231,19 +236,30 @@
         let after = listed.version;
         let jobs = self.load(&listed, &row, version).await;
         self.loaded.store(true, Ordering::Relaxed);
-        info!(epoch = self.epoch, ms = clock::now().saturating_sub(began); "jobs are known");
+        let took = clock::now().saturating_sub(began);
+        metrics::counter!("lentilyoke_takeovers_total").increment(1);
+        metrics::histogram!("lentilyoke_takeover_ms").record(took as f64);
+        info!(epoch = self.epoch, ms = took; "jobs are known");
         let parts: Vec<String> = job_parts().collect();
         let common = [String::new()];
         let store = Arc::clone(&self.host.store);
         let places = self.host.settings.places.clone();
-        let on_jobs = follow(store.as_ref(), JOBS, &parts, Some(jobs), |change| {
-            self.jobs_changed(change);
-        });
+        let on_jobs = follow(
+            store.as_ref(),
+            JOBS,
+            &parts,
+            Some(jobs),
+            JOBS_PACE,
+            |change| {
+                self.jobs_changed(change);
+            },
+        );
         let on_workers = follow(
             store.as_ref(),
             &places.workers,
             &common,
             Some(after),
+            WORKERS_PACE,
             |change| {
                 self.workers_changed(change);
             },
@@ -427,6 +443,8 @@
                     let began = clock::now();
                     let answer = workers.start(&address, epoch, &start).await;
                     let now = clock::now();
+                    metrics::counter!("lentilyoke_starts_total", "outcome" => answer.name())
+                        .increment(1);
                     let key = &start.task;
                     info!(
                         job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
@@ -532,6 +550,12 @@
     }
 
     fn advised(&self, ask: &Ask, allowed: Option<&Allowed>) {
+        let outcome = if allowed.is_some() {
+            "answered"
+        } else {
+            "failed"
+        };
+        metrics::counter!("lentilyoke_advice_total", "outcome" => outcome).increment(1);
         info!(
             job = &*ask.stage.job, step = ask.stage.step, asked = ask.workers.len(), takes = ask.takes,
             allowed = allowed.map_or(-1, |(rows, _)| rows.len() as i64);
@@ -557,10 +581,13 @@
     /// Tells all hosts that the owner is alive and what they have to know.
     async fn beat(self: Arc<Self>) {
         loop {
-            let (pending, full) = {
+            let (pending, full, (used, waiting)) = {
                 let pool = lock(&self.pool);
-                (pool.pending(), FxHashMap::default())
+                (pool.pending(), FxHashMap::default(), pool.load())
             };
+            metrics::gauge!("lentilyoke_room_used_share").set(used);
+            metrics::gauge!("lentilyoke_steps_open").set(waiting as f64);
+            metrics::gauge!("lentilyoke_jobs_pending").set(pending.values().sum::<u64>() as f64);
             let beat = Beat {
                 epoch: self.epoch,
                 catalog: self.host.catalog().map_or(0, |catalog| catalog.version),
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -62,6 +62,14 @@
         match held {
             Ok(mut listing) => {
                 listing.asked = asked;
+                let same_life = listing.born == ends.0;
+                for end in listing
+                    .ended
+                    .iter()
+                    .filter(|end| !same_life || end.number > ends.1)
+                {
+                    tell_end(id, end);
+                }
                 let (now, unix) = (clock::now(), clock::unix());
                 let news = {
                     let mut pool = lock(&owner.pool);
@@ -95,3 +103,15 @@
         }
     }
 }
+
+/// Logs and counts an end that a worker lists for the first time. An end that is not good says more than a good one, of
+/// which there are hundreds a second.
+fn tell_end(id: &WorkerId, end: &pool::End) {
+    metrics::counter!("lentilyoke_ends_total", "how" => end.how.name()).increment(1);
+    let key = &end.task;
+    info!(
+        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
+        task = key.index, run = end.run, worker = &**id, how = end.how.name();
+        "end"
+    );
+}
--- a/crates/pool/src/answer.rs
+++ b/crates/pool/src/answer.rs
@@ -27,6 +27,25 @@
     Lost,
 }
 
+impl Answer {
+    /// A short name, as logs and metrics have it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Fenced => "fenced",
+            Self::Old => "old",
+            Self::Late => "late",
+            Self::Room => "room",
+            Self::Ticket => "ticket",
+            Self::Unreadable => "unreadable",
+            Self::Unwell => "unwell",
+            Self::Away => "away",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// Answer to a stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StopAnswer {
--- a/crates/pool/src/listing.rs
+++ b/crates/pool/src/listing.rs
@@ -19,6 +19,21 @@
     Alone,
 }
 
+impl How {
+    /// A short name, as logs and metrics have it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// A run that is there.
 #[derive(Clone, Debug)]
 pub struct Running {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,11 +1,13 @@
 //! What every program of the system has in common.
 //!
 //! * [`Settings`]: flags and environment variables for logs and metrics.
-//! * [`logs`]: JSON lines.
+//! * [`logs`]: JSON lines, bounded.
+//! * [`exposed`]: metrics as text.
 //! * [`Health`]: metrics, health and readiness over HTTP.
 //! * [`Stop`]: SIGTERM, and the tasks that are joined before the program ends.
 //! * [`Since`]: time since the program began.
 
+pub mod exposed;
 mod health;
 pub mod logs;
 mod settings;
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,9 +1,9 @@
-//! Logs as JSON lines on standard output, without waiting for whoever reads them.
+//! Logs as JSON lines on standard output, without waiting for whoever reads them, and bounded in volume.
 
+use std::collections::HashMap;
 use std::io::Write as _;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, OnceLock, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
@@ -13,19 +13,98 @@
 use log4rs::encode::writer::simple::SimpleWriter;
 use snafu::{ResultExt as _, Whatever};
 
-/// Most bytes that wait to be written; what comes beyond is counted and dropped.
+/// Most bytes that wait to be written; what comes beyond is counted and left out.
 const WAITING_MOST: usize = 512 * 1024;
 /// Lines are written together so often. Each write costs a system call and a wake-up.
 const EVERY: Duration = Duration::from_millis(200);
+/// Most lines of one kind in a second: the starts of today's rushes, and half of a percent of a core. A kind is a place in
+/// the code.
+const KIND_MOST: u32 = 300;
+/// The time over which lines of a kind are counted.
+const WINDOW: Duration = Duration::from_secs(1);
 
-/// Lines that wait to be written.
+/// A place in the code that logs.
+type Kind = (&'static str, u32);
+
+/// Lines of one kind in the present window.
+#[derive(Debug)]
+struct Count {
+    since: Instant,
+    written: u32,
+    left_out: u64,
+}
+
+/// Lines that wait to be written, and what was left out.
 #[derive(Debug, Default)]
-struct Waiting {
-    lines: Mutex<Vec<u8>>,
-    dropped: AtomicU64,
+pub struct Lines {
+    waiting: Vec<u8>,
+    kinds: HashMap<Kind, Count>,
+    dropped: u64,
+}
+
+impl Lines {
+    /// Whether another line of this kind may be written now. The first line of a new window that follows lines left out
+    /// is preceded by one that tells how many.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut lines = telemetry::logs::Lines::default();
+    /// let now = Instant::now();
+    /// let taken = (0..1_000).filter(|_| lines.admit(("here", 1), now)).count();
+    /// assert_eq!(taken, 300);
+    /// ```
+    pub fn admit(&mut self, kind: (&'static str, u32), now: Instant) -> bool {
+        if self.waiting.len() > WAITING_MOST {
+            self.dropped += 1;
+            return false;
+        }
+        let count = self.kinds.entry(kind).or_insert(Count {
+            since: now,
+            written: 0,
+            left_out: 0,
+        });
+        if now.duration_since(count.since) >= WINDOW {
+            let left_out = std::mem::take(&mut count.left_out);
+            count.since = now;
+            count.written = 0;
+            if left_out > 0 {
+                let (file, line) = kind;
+                let text = format!(
+                    "{{\"level\":\"WARN\",\"message\":\"lines left out\",\"attributes\":{{\"file\":\"{file}\",\"line\":{line},\"count\":{left_out}}}}}\n"
+                );
+                self.waiting.extend_from_slice(text.as_bytes());
+            }
+        }
+        if count.written >= KIND_MOST {
+            count.left_out += 1;
+            return false;
+        }
+        count.written += 1;
+        true
+    }
+
+    /// Takes what is to be written, with a line on what was dropped for want of room.
+    pub fn take(&mut self) -> Vec<u8> {
+        let mut lines = std::mem::take(&mut self.waiting);
+        let dropped = std::mem::take(&mut self.dropped);
+        if dropped > 0 {
+            metrics::counter!("lentilyoke_log_lines_dropped_total").increment(dropped);
+            let text = format!(
+                "{{\"level\":\"WARN\",\"message\":\"lines dropped: nobody reads them\",\"attributes\":{{\"count\":{dropped}}}}}\n"
+            );
+            lines.extend_from_slice(text.as_bytes());
+        }
+        lines
+    }
 }
 
-static WAITING: OnceLock<Waiting> = OnceLock::new();
+static LINES: OnceLock<Mutex<Lines>> = OnceLock::new();
+
+fn lines() -> std::sync::MutexGuard<'static, Lines> {
+    let lines = LINES.get_or_init(Mutex::default);
+    lines.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 #[derive(Debug)]
 struct Queue {
@@ -34,13 +113,16 @@
 
 impl Append for Queue {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
-        let waiting = WAITING.get_or_init(Waiting::default);
-        let mut lines = waiting.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        if lines.len() > WAITING_MOST {
-            waiting.dropped.fetch_add(1, Ordering::Relaxed);
+        let kind = (
+            record.file_static().unwrap_or(""),
+            record.line().unwrap_or(0),
+        );
+        let mut lines = lines();
+        if !lines.admit(kind, Instant::now()) {
             return Ok(());
         }
-        self.encoder.encode(&mut SimpleWriter(&mut *lines), record)
+        self.encoder
+            .encode(&mut SimpleWriter(&mut lines.waiting), record)
     }
 
     fn flush(&self) {
@@ -50,19 +132,9 @@
 
 /// Writes all lines that wait.
 pub fn flush() {
-    let waiting = WAITING.get_or_init(Waiting::default);
-    let lines = std::mem::take(&mut *waiting.lines.lock().unwrap_or_else(PoisonError::into_inner));
-    let dropped = waiting.dropped.swap(0, Ordering::Relaxed);
+    let text = lines().take();
     let mut out = std::io::stdout().lock();
-    if !lines.is_empty() {
-        drop(out.write_all(&lines));
-    }
-    if dropped > 0 {
-        drop(writeln!(
-            out,
-            "{{\"level\":\"WARN\",\"message\":\"log lines were dropped\",\"count\":{dropped}}}"
-        ));
-    }
+    drop(out.write_all(&text));
     drop(out.flush());
 }
 
@@ -76,9 +148,8 @@
     let queue = Queue {
         encoder: JsonEncoder::new(),
     };
-    let lines = Appender::builder().build("lines", Box::new(queue));
     let config = Config::builder()
-        .appender(lines)
+        .appender(Appender::builder().build("lines", Box::new(queue)))
         .logger(log4rs::config::Logger::builder().build("hyper", LevelFilter::Warn))
         .build(Root::builder().appender("lines").build(level))
         .whatever_context("log: the configuration is not accepted")?;
