64 parts for jobs; an insert is sent again by the time in which the store answers now

Ruled out: longer waits of callers; fewer tries alone (the parts are full without them). Change: 64 parts; an insert goes out again after three times the present time of an answer, 160 to 900 ms.

--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -78,7 +78,7 @@
             } else {
                 until
             };
-            match insert(self.store.as_ref(), &job, first, false).await {
+            match insert(self.store.as_ref(), &job, first, self.patience(), false).await {
                 Inserted::There => {
                     self.tell_accepted(job);
                     return Submitted::Accepted;
@@ -103,7 +103,7 @@
         if !doubt {
             return Submitted::Refused(RETRY);
         }
-        match insert(self.store.as_ref(), &job, until, true).await {
+        match insert(self.store.as_ref(), &job, until, self.patience(), true).await {
             Inserted::There => {
                 self.tell_accepted(job);
                 Submitted::Accepted
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -24,6 +24,12 @@
 /// The store counts as serving this host if it has done so within this time.
 const SERVED: Ms = 1_500;
 
+/// Answers to questions for changes take as long as nothing changes; they say nothing about the store's speed.
+const LONGEST_ANSWER: u64 = 10_000;
+/// A sound store answers within 50 ms from any region, so a lost answer is found out after this.
+const PATIENCE_LEAST: Duration = Duration::from_millis(160);
+/// Callers wait three seconds, so a third call would come too late.
+const PATIENCE_MOST: Duration = Duration::from_millis(900);
 /// A store that has failed all calls for this long doesn't serve this host.
 const FAILING: Ms = 400;
 
@@ -50,6 +56,8 @@
     /// Since when the store has only refused or not answered; 0 if it serves.
     failing: AtomicU64,
     away: AtomicU64,
+    /// Time in which the store has answered lately, in milliseconds.
+    usual: AtomicU64,
     owner: ArcSwapOption<Owner>,
     link: Mutex<Option<Arc<Link>>>,
     heard: Mutex<Heard>,
@@ -82,6 +90,7 @@
             served_at: AtomicU64::new(0),
             failing: AtomicU64::new(0),
             away: AtomicU64::new(u64::MAX),
+            usual: AtomicU64::new(0),
             owner: ArcSwapOption::empty(),
             link: Mutex::default(),
             heard: Mutex::default(),
@@ -175,6 +184,10 @@
             let took = took.as_millis() as u64;
             let before = self.away.load(Ordering::Relaxed);
             self.away.store(before.min(took), Ordering::Relaxed);
+            if took < LONGEST_ANSWER {
+                let usual = self.usual.load(Ordering::Relaxed);
+                self.usual.store((usual * 3 + took) / 4, Ordering::Relaxed);
+            }
         }
         let since = if answered { 0 } else { clock::now() };
         let before = self.failing.load(Ordering::Relaxed);
@@ -197,6 +210,12 @@
             && now.saturating_sub(self.served_at.load(Ordering::Relaxed)) < SERVED
     }
 
+    /// How long an answer of the store is awaited before the same call is made again.
+    pub(crate) fn patience(&self) -> Duration {
+        let usual = Duration::from_millis(self.usual.load(Ordering::Relaxed));
+        (usual * 3).clamp(PATIENCE_LEAST, PATIENCE_MOST)
+    }
+
     /// Shortest time in which the store answered, in milliseconds.
     pub(crate) fn away(&self) -> u64 {
         self.away.load(Ordering::Relaxed)
--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -10,9 +10,6 @@
 use crate::outside::{Store, StoreError, Transaction};
 use crate::rows::{JOBS, job_part};
 
-/// Without an answer, the same insert is sent again after this time, and then after twice that, while the earlier ones are
-/// still waited for. A sound store answers within 50 ms from any region; a slow one must not be flooded.
-const AGAIN: Duration = Duration::from_millis(160);
 /// After a refusal of an insert that is in doubt, it is tried again after this time.
 const REFUSED: Duration = Duration::from_millis(40);
 
@@ -31,8 +28,16 @@
 ///
 /// A lost answer leaves the insert in doubt: it may be carried out seconds later. From then on "refused" is not true any
 /// more, whatever a further try says; only the row itself ends the doubt, since the same insert has no second effect.
-/// That also makes it safe to send it again while an answer is awaited: the first answer that tells of the row decides.
-pub async fn insert(store: &dyn Store, job: &Job, until: Instant, mut doubt: bool) -> Inserted {
+/// That also makes it safe to send it again while an answer is awaited, after `again`, then twice that, and so on: the
+/// first answer that tells of the row decides. `again` has to be well above the time in which the store answers now, or a
+/// slow store gets several times the load.
+pub async fn insert(
+    store: &dyn Store,
+    job: &Job,
+    until: Instant,
+    again: Duration,
+    mut doubt: bool,
+) -> Inserted {
     let Ok(value) = serde_json::to_vec(job) else {
         return Inserted::Refused;
     };
@@ -44,7 +49,7 @@
     };
     let mut calls = FuturesUnordered::new();
     let mut next = Instant::now();
-    let mut gap = AGAIN;
+    let mut gap = again;
     loop {
         let now = Instant::now();
         if now >= until {
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -722,7 +722,15 @@
     /// Inserts a job's row for a host that the store doesn't serve.
     pub(crate) async fn insert(&self, job: Job) -> Reply {
         let until = Instant::now() + Duration::from_millis(1_000);
-        match insert(self.host.store.as_ref(), &job, until, false).await {
+        match insert(
+            self.host.store.as_ref(),
+            &job,
+            until,
+            self.host.patience(),
+            false,
+        )
+        .await
+        {
             Inserted::There => {
                 self.accepted(job);
                 Reply::Inserted
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -6,8 +6,8 @@
 //!
 //! | table | part | key | written | holds |
 //! |---|---|---|---|---|
-//! | `jobs` | by id, one of 16 | id | once, when a job is accepted, by the host that took it | [`pool::Job`] |
-//! | `jobs` | by id, one of 16 | `!` and id | when a job is cancelled and the owner can't be asked | nothing |
+//! | `jobs` | by id, one of 64 | id | once, when a job is accepted, by the host that took it | [`pool::Job`] |
+//! | `jobs` | by id, one of 64 | `!` and id | when a job is cancelled and the owner can't be asked | nothing |
 //! | `progress` | the pool's | id | in groups, by the owner | [`pool::Progress`] |
 //! | `owner` | the pool's | `owner` | when the owner or its roster changes | [`OwnerRow`] |
 //! | `hosts` | the pool's | host | when a host starts | [`HostRow`] |
@@ -19,9 +19,10 @@
 
 /// Accepted jobs and cancels; followed by the owner.
 pub(crate) const JOBS: &str = "jobs";
-/// Number of parts that jobs are spread over. The present deployments take 40 jobs a second in a rush, and a store that
-/// is 50 times slower carries out 6 transactions a second in a part: 16 parts take 100.
-const JOB_PARTS: u64 = 16;
+/// Number of parts that jobs are spread over. A store that is 50 times slower carries out 6 transactions a second in a
+/// part, so 64 parts take some 400 a second: four times the rushes of the largest deployment so far. A new owner reads
+/// each part once.
+const JOB_PARTS: u64 = 64;
 
 /// The part in which a job's row is.
 pub(crate) fn job_part(id: &str) -> String {
--- a/crates/host/tests/insert.rs
+++ b/crates/host/tests/insert.rs
@@ -90,10 +90,21 @@
 }
 
 async fn try_insert(fates: &[Fate], doubt: bool) -> (Inserted, Duration, usize) {
+    insert_again(fates, 160, doubt).await
+}
+
+async fn insert_again(fates: &[Fate], again: u64, doubt: bool) -> (Inserted, Duration, usize) {
     let store = Fake::new(fates);
     let began = Instant::now();
     let until = began + Duration::from_secs(2);
-    let inserted = insert(&store, &Job::default(), until, doubt).await;
+    let inserted = insert(
+        &store,
+        &Job::default(),
+        until,
+        Duration::from_millis(again),
+        doubt,
+    )
+    .await;
     let calls = *store.calls.lock().expect("not poisoned");
     (inserted, began.elapsed(), calls)
 }
@@ -116,6 +127,12 @@
     assert_eq!(inserted, Inserted::There);
     assert!(took <= Duration::from_millis(270), "{took:?}");
     assert!(calls <= 2, "{calls} calls");
+    let (inserted, _, calls) = insert_again(&[Fate::Slow(270)], 810, false).await;
+    assert_eq!(
+        (inserted, calls),
+        (Inserted::There, 1),
+        "known to be slow, it is asked once"
+    );
 }
 
 /// The first call goes unanswered, later ones are refused. The first may still be carried out, so callers must not be told
