Inherited jobs wait only for workers that the former owner might use; leaving and unheard workers are stored with their runs

The new owner waited nine seconds for four workers. The list of workers was six seconds old (the store was compacting) and named some that had left; they were held to be the former owner's, and nothing asked after them any more. Ruled out, by a line on what is waited for: reading jobs (0.1 s), workers that left just before. Change: only the stored roster of the former owner counts, and its workers are asked until they answer; a worker that leaves, or whose last hold got no answer, is stored with its runs at once; a line tells what inherited jobs wait for.

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -192,9 +192,10 @@
     let Ok(listed) = host.store.list(&host.settings.places.workers, "").await else {
         return;
     };
-    let mut roster: Vec<String> = before
+    let former: Vec<String> = before
         .as_ref()
         .map_or_else(Vec::new, |row| row.roster.clone());
+    let mut roster = former.clone();
     let named = listed.rows.iter().filter(|row| {
         let value = row.value.as_deref().unwrap_or_default();
         host.decode.worker(&row.key, value).is_some()
@@ -231,5 +232,5 @@
         Err(_) => return,
     };
     info!(epoch = row.epoch, before = before.as_ref().map_or("", |row| row.host.as_str()), workers = row.roster.len(), ms = clock::now().saturating_sub(began); "took the pool");
-    Owner::run(host, row, taken, listed).await;
+    Owner::run(host, row, former, taken, listed).await;
 }
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -40,6 +40,8 @@
 const SETTLED: Ms = 5_000;
 /// Time between two looks at the owner's row.
 const LOOK: Duration = Duration::from_millis(1_000);
+/// Time between two lines about what inherited jobs wait for.
+const TELL: Ms = 500;
 /// A host that was urged to take the pool has this long to do so before another is urged.
 const URGE: Ms = 1_000;
 /// A host that was not heard for this long gets no questions.
@@ -123,7 +125,13 @@
 
 impl Owner {
     /// Owns the pool until another host does, or this one leaves.
-    pub(crate) async fn run(host: &Arc<Host>, row: OwnerRow, version: u64, listed: Page) {
+    pub(crate) async fn run(
+        host: &Arc<Host>,
+        row: OwnerRow,
+        former: Vec<String>,
+        version: u64,
+        listed: Page,
+    ) {
         let owner = Arc::new(Self {
             host: Arc::clone(host),
             epoch: row.epoch,
@@ -145,7 +153,7 @@
         tasks.spawn(Arc::clone(&owner).beat());
         tasks.spawn(Arc::clone(&owner).hand_over());
         tasks.spawn(Arc::clone(&owner).look());
-        tasks.spawn(Arc::clone(&owner).work(row, version, listed));
+        tasks.spawn(Arc::clone(&owner).work(row, former, version, listed));
         tokio::select! {
             () = owner.over.cancelled() => {}
             () = host.stop.ended() => {}
@@ -231,10 +239,10 @@
     }
 
     /// Takes up jobs and workers, then works.
-    async fn work(self: Arc<Self>, row: OwnerRow, version: u64, listed: Page) {
+    async fn work(self: Arc<Self>, row: OwnerRow, former: Vec<String>, version: u64, listed: Page) {
         let began = clock::now();
         let after = listed.version;
-        let jobs = self.load(&listed, &row, version).await;
+        let jobs = self.load(&listed, &row, &former, version).await;
         self.loaded.store(true, Ordering::Relaxed);
         let took = clock::now().saturating_sub(began);
         metrics::counter!("lentilyoke_takeovers_total").increment(1);
@@ -273,7 +281,13 @@
     }
 
     /// Reads all jobs, and takes up the workers; tells up to which transaction the jobs were read.
-    async fn load(self: &Arc<Self>, listed: &Page, owned: &OwnerRow, taken: u64) -> u64 {
+    async fn load(
+        self: &Arc<Self>,
+        listed: &Page,
+        owned: &OwnerRow,
+        former: &[String],
+        taken: u64,
+    ) -> u64 {
         let parts: Vec<String> = job_parts().collect();
         // What the former owner stored is all there as of the transaction by which this one took the pool. Reads may lag
         // behind; without that bound, tasks whose ends were noted would start again.
@@ -314,10 +328,12 @@
             }
         }
         self.workers_changed(Change::All(listed.clone()));
-        let ids: Vec<WorkerId> = owned.roster.iter().map(|id| id.as_str().into()).collect();
+        let names =
+            |ids: &[String]| -> Vec<WorkerId> { ids.iter().map(|id| id.as_str().into()).collect() };
         let mut pool = lock(&self.pool);
-        pool.enroll(&ids);
-        pool.inherit(clock::now(), ids, &owned.silent);
+        pool.enroll(&names(&owned.roster));
+        // Only workers that the former owner might use count: the list may be old, and name some that are gone.
+        pool.inherit(clock::now(), names(former), &owned.silent);
         jobs.version
     }
 
@@ -398,6 +414,7 @@
 
     /// Plans and gives orders.
     async fn drive(self: &Arc<Self>) {
+        let mut told = clock::now();
         loop {
             tokio::select! {
                 () = self.wake.notified() => {}
@@ -408,6 +425,10 @@
                 let orders = pool.plan(clock::now(), clock::unix());
                 (orders, pool.unsaved(), pool.deposed())
             };
+            if clock::now().saturating_sub(told) > TELL {
+                told = clock::now();
+                self.tell_unseen();
+            }
             if deposed {
                 warn!(epoch = self.epoch; "a worker obeys a newer owner");
                 self.over.cancel();
@@ -424,6 +445,14 @@
         }
     }
 
+    fn tell_unseen(&self) {
+        let pool = lock(&self.pool);
+        if let Some(first) = pool.unseen().first() {
+            let (count, proved) = (pool.unseen().len(), pool.proved(clock::now()));
+            warn!(epoch = self.epoch, workers = count, first = &**first, majority = proved; "inherited jobs wait for workers");
+        }
+    }
+
     fn address(&self, id: &str) -> Option<String> {
         let pool = lock(&self.pool);
         pool.worker(id).map(|worker| worker.news.address.clone())
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -94,6 +94,8 @@
                 return;
             }
             Err(failure) => {
+                lock(&owner.pool).unheard(id);
+                owner.dirty.notify_one();
                 if !lost {
                     warn!(dependency = "worker", worker = &**id, failure:? = failure; "lost");
                     lost = true;
--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -36,6 +36,7 @@
             worker.lapses = 0;
         }
         worker.fenced = true;
+        worker.unheard = false;
         worker.born = listing.born;
         worker.heard = worker.heard.max(listing.asked);
         if listing.clock > worker.clock.0 {
@@ -70,6 +71,14 @@
         }
     }
 
+    /// A hold got no answer. Until one does, nothing is started there: the order would be in doubt, and if the owner were
+    /// lost as well, the next one would have to wait for that worker before it could start anything it inherits.
+    pub fn unheard(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unheard = true;
+        }
+    }
+
     /// The worker lost its former life: nothing of it runs any more.
     fn reborn(&mut self, now: Ms, unix: u64, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -88,8 +88,12 @@
                 }
             }
         }
-        self.workers.retain(|_, worker| {
-            worker.listed || !worker.runs.is_empty() || !worker.strays.is_empty()
+        let unseen = &self.unseen;
+        self.workers.retain(|id, worker| {
+            worker.listed
+                || unseen.contains(id)
+                || !worker.runs.is_empty()
+                || !worker.strays.is_empty()
         });
     }
 
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -172,10 +172,10 @@
         }
     }
 
-    /// Workers of the former owner that have not answered yet.
+    /// Workers of the former owner that have not answered yet: inherited jobs wait for them.
     #[must_use]
-    pub fn unseen(&self) -> usize {
-        self.unseen.len()
+    pub fn unseen(&self) -> &BTreeSet<WorkerId> {
+        &self.unseen
     }
 
     /// Takes up a job. A job that is known already stays as it is.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -27,7 +27,7 @@
     pub born: u64,
 }
 
-/// A worker that can't be reached, with what may run there.
+/// A worker that can't be reached or is about to leave, with what may run there.
 ///
 /// The owner starts nothing there, and stores this; so a new owner that can't reach it either need only hold back these
 /// tasks, not all that may have started anywhere.
@@ -71,6 +71,8 @@
     pub(crate) born: u64,
     /// Its clock as it was last told, and ours when that was received.
     pub(crate) clock: (Ms, Ms),
+    /// Its last hold got no answer.
+    pub(crate) unheard: bool,
     /// When the last hold that it answered was sent.
     pub(crate) heard: Ms,
     /// By then its lease has surely lapsed, unless it is renewed.
@@ -96,10 +98,13 @@
 }
 
 impl Worker {
-    /// Whether it has not been heard for so long that nothing is started there.
+    /// Whether nothing is started there because it can't be reached or is about to leave.
     #[must_use]
     pub fn silent(&self, now: Ms) -> bool {
-        self.fenced && now.saturating_sub(self.heard) >= Self::SILENCE
+        self.fenced
+            && (self.unheard
+                || self.leaves.is_some()
+                || now.saturating_sub(self.heard) >= Self::SILENCE)
     }
 
     /// Its clock now, as far as we can tell; 0 if it has never been told.
@@ -129,7 +134,6 @@
         self.listed
             && self.enrolled
             && self.fenced
-            && self.leaves.is_none()
             && self.rest <= now
             && !strange
             && !self.silent(now)
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -129,6 +129,51 @@
     assert_eq!(world.unfinished(), 0);
 }
 
+/// A worker drains, gets nothing new, and is gone; in the same second the owner is lost. What the worker had is stored
+/// with the owner's row since it began to leave, so the new owner starts all other inherited jobs at once.
+#[test]
+fn a_leaving_worker_does_not_hold_up_a_new_owner() {
+    let mut world = World::new(6, 4);
+    world.take();
+    world.pass(500);
+    for at in 0..4 {
+        world.accept(job(
+            &format!("{at:016}"),
+            &[(1, 3_000, 1_500), (1, 500, 200)],
+        ));
+    }
+    world.pass(300);
+    let mut news = world.owners[0]
+        .pool
+        .worker("w00")
+        .expect("it is there")
+        .news
+        .clone();
+    news.draining = Some(2_000);
+    let now = world.now;
+    world.owners[0].pool.listed(now, &id(0), news);
+    world.pass(100);
+    for epoch in 1..3 {
+        world
+            .machines
+            .get_mut(&id(0))
+            .expect("it exists")
+            .cut
+            .insert(epoch);
+    }
+    world.owners[0].over = true;
+    world.take();
+    world.pass(3_000);
+    assert_eq!(
+        world.unfinished(),
+        1,
+        "all but the job on the worker that left"
+    );
+    world.pass(12_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.unfinished(), 0);
+}
+
 /// Orders that get no answer are carried out up to 12 s later, while workers crash, owners change and the store is away.
 /// Callers must see each job end once, whatever the order of events.
 #[test]
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -541,7 +541,7 @@
             .collect();
         format!(
             "{open:?} unseen {} proved {} {:?}",
-            pool.unseen(),
+            pool.unseen().len(),
             pool.proved(self.now),
             pool.workers().collect::<Vec<_>>()
         )
