A job is inserted by the owner as well when the own store keeps silent; known outages refuse at once

Ruled out: a shorter wait alone (a slow store then gets twice the load). Change: after three usual answer times the owner inserts as well, both inserts being the same; a host that the store doesn't serve, whose owner isn't served either, refuses at once, which is true and can be followed by a retry.

--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -1,11 +1,13 @@
 //! What callers ask.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::info;
 use pool::{Job, State};
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
 
 use crate::clock;
 use crate::host::Host;
@@ -71,44 +73,69 @@
         {
             return Submitted::Refused(Duration::from_millis(after));
         }
-        let mut doubt = false;
-        if self.served() || self.link().is_none() {
-            let first = if self.link().is_some() || self.owner().is_some() {
-                until.min(Instant::now() + Duration::from_millis(900))
-            } else {
-                until
-            };
-            match insert(self.store.as_ref(), &job, first, self.patience(), false).await {
-                Inserted::There => {
+        if !self.served() && !self.owner_served() {
+            return Submitted::Refused(RETRY);
+        }
+        match self.insert_both_ways(&job, until).await {
+            (Inserted::There, by_owner) => {
+                if !by_owner {
                     self.tell_accepted(job);
-                    return Submitted::Accepted;
                 }
-                Inserted::Refused => {}
-                Inserted::Unsure => doubt = true,
+                Submitted::Accepted
             }
+            (Inserted::Refused, _) => Submitted::Refused(RETRY),
+            (Inserted::Unsure, _) => Submitted::Unsure,
         }
-        // The store may serve the owner although it doesn't serve this host.
-        if let Some(link) = self.link() {
-            let left = until.saturating_duration_since(Instant::now());
-            let call = Call::Insert(Box::new(job.clone()));
-            match link
-                .call(call, left.min(Duration::from_millis(1_200)))
-                .await
-            {
-                Some(Reply::Inserted) => return Submitted::Accepted,
-                Some(Reply::Refused) => {}
-                _ => doubt = true,
+    }
+
+    /// Inserts a job's row by this host and, if its store doesn't answer in the usual time or refuses, by the owner as
+    /// well; tells whether it was the owner.
+    ///
+    /// The store may serve the owner although it doesn't serve this host. Both inserts are the same, so whichever tells of
+    /// the row decides; "refused" needs both.
+    async fn insert_both_ways(&self, job: &Job, until: Instant) -> (Inserted, bool) {
+        let patience = self.patience();
+        let refused = Notify::new();
+        let own = async {
+            let inserted = insert(self.store.as_ref(), job, until, patience, false).await;
+            refused.notify_one();
+            inserted
+        };
+        let by_owner = async {
+            if self.served() {
+                drop(timeout(patience, refused.notified()).await);
             }
+            self.insert_by_owner(job, until).await
+        };
+        let (mut own, mut by_owner) = (pin!(own), pin!(by_owner));
+        let (first, owner_first) = tokio::select! {
+            inserted = own.as_mut() => (inserted, false),
+            inserted = by_owner.as_mut() => (inserted, true),
+        };
+        if first == Inserted::There {
+            return (first, owner_first);
         }
-        if !doubt {
-            return Submitted::Refused(RETRY);
+        let second = if owner_first {
+            own.await
+        } else {
+            by_owner.await
+        };
+        match (first, second) {
+            (_, Inserted::There) => (second, !owner_first),
+            (Inserted::Refused, Inserted::Refused) => (second, false),
+            _ => (Inserted::Unsure, false),
         }
-        match insert(self.store.as_ref(), &job, until, self.patience(), true).await {
-            Inserted::There => {
-                self.tell_accepted(job);
-                Submitted::Accepted
-            }
-            Inserted::Refused | Inserted::Unsure => Submitted::Unsure,
+    }
+
+    async fn insert_by_owner(&self, job: &Job, until: Instant) -> Inserted {
+        let Some(link) = self.link() else {
+            return Inserted::Refused;
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        match link.call(Call::Insert(Box::new(job.clone())), left).await {
+            Some(Reply::Inserted) => Inserted::There,
+            Some(Reply::Refused) => Inserted::Refused,
+            _ => Inserted::Unsure,
         }
     }
 
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -189,7 +189,14 @@
                 self.usual.store((usual * 3 + took) / 4, Ordering::Relaxed);
             }
         }
-        let since = if answered { 0 } else { clock::now() };
+        // A call that went unanswered tells that the store has been silent for as long as it took, unless another call
+        // was answered meanwhile.
+        let began = clock::now().saturating_sub(took.as_millis() as u64);
+        let since = if answered {
+            0
+        } else {
+            began.max(self.served_at.load(Ordering::Relaxed)).max(1)
+        };
         let before = self.failing.load(Ordering::Relaxed);
         if answered || before == 0 {
             self.failing.store(since, Ordering::Relaxed);
@@ -210,6 +217,12 @@
             && now.saturating_sub(self.served_at.load(Ordering::Relaxed)) < SERVED
     }
 
+    /// Whether the store serves the owner, as far as this host knows.
+    pub(crate) fn owner_served(&self) -> bool {
+        let heard = self.heard();
+        self.link().is_some() && heard.beat.served && clock::now().saturating_sub(heard.at) < SERVED
+    }
+
     /// How long an answer of the store is awaited before the same call is made again.
     pub(crate) fn patience(&self) -> Duration {
         let usual = Duration::from_millis(self.usual.load(Ordering::Relaxed));
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -750,6 +750,9 @@
 
     /// Inserts a job's row for a host that the store doesn't serve.
     pub(crate) async fn insert(&self, job: Job) -> Reply {
+        if !self.host.served() {
+            return Reply::Refused;
+        }
         let until = Instant::now() + Duration::from_millis(1_000);
         match insert(
             self.host.store.as_ref(),
