--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -4,7 +4,7 @@
 
 use crate::listing::{Listing, Running};
 use crate::pool::Pool;
-use crate::task::{Ms, Phase, Run, TaskKey, WorkerId};
+use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
 use crate::worker::Stray;
 
 /// A run of a job that nobody knows is stopped after this time. The row of a job may reach this owner later than the
@@ -50,24 +50,85 @@
         };
         // Its clock may be 2% slow.
         worker.lapses = worker.lapses.max(now + left + left / 33 + LEASE_SLACK);
-        let applied = worker.applied;
         self.unseen.remove(id);
-        for end in listing.ended.iter().filter(|end| end.number > applied) {
+        self.apply_ends(now, unix, id, listing);
+        for job in self.awaiting.remove(id).unwrap_or_default() {
+            if let Some(live) = self.jobs.get_mut(&job) {
+                live.awaits = live.awaits.saturating_sub(1);
+            }
+        }
+        if newest {
+            self.compare(now, unix, id, listing);
+        }
+    }
+
+    /// Applies the ends that are new. One of a job that nobody knows stops it there: its row is on the way, and an end that
+    /// is passed over would be lost.
+    fn apply_ends(&mut self, now: Ms, unix: u64, id: &WorkerId, listing: &Listing) {
+        let applied = self.workers.get(id).map_or(0, |worker| worker.applied);
+        let mut new = listing.ended.iter().filter(|end| end.number > applied);
+        while let Some(end) = new.next() {
             let known = self.jobs.contains_key(&end.task.stage.job);
             let Some(worker) = self.workers.get_mut(id) else {
                 return;
             };
             if known {
                 worker.strange = None;
-            } else if now.saturating_sub(*worker.strange.get_or_insert(now)) < STRANGE {
-                // Its row is on the way; an end that is passed over now would be lost.
-                break;
+            } else {
+                let since = worker.strange.as_ref().map_or(now, |(since, _)| *since);
+                if now.saturating_sub(since) < STRANGE {
+                    let jobs = std::iter::once(end)
+                        .chain(new)
+                        .map(|end| Arc::clone(&end.task.stage.job));
+                    worker.strange = Some((since, jobs.collect()));
+                    return;
+                }
             }
             worker.applied = end.number;
             self.apply_end(now, unix, id, end);
         }
-        if newest {
-            self.compare(now, unix, id, listing);
+    }
+
+    /// A job has become known. Workers may have listed runs and ends of it before: it has to take up the runs, and wait
+    /// for the ends to be listed again, before it starts anything.
+    ///
+    /// The former owner may have started it just before it was fenced, while its row reached this owner after the
+    /// workers' listings. Without this it was started a second time beside the first.
+    pub(crate) fn recognise(&mut self, now: Ms, job: &JobId) {
+        let mut runs = Vec::new();
+        let mut waits = Vec::new();
+        for worker in self.workers.values() {
+            let of = |key: &&TaskKey| key.stage.job == *job;
+            for key in worker.strays.keys().filter(of) {
+                let run = worker.strays.get(key).map_or(0, |stray| stray.run);
+                runs.push((Arc::clone(&worker.id), key.clone(), run));
+            }
+            if worker
+                .strange
+                .as_ref()
+                .is_some_and(|(_, jobs)| jobs.contains(job))
+            {
+                waits.push(Arc::clone(&worker.id));
+            }
+        }
+        for (worker, task, run) in runs {
+            let row = Running {
+                task,
+                run,
+                saved: String::new(),
+                percent: 0,
+                load: 0,
+            };
+            self.see(now, &worker, &row);
+        }
+        if let Some(live) = self.jobs.get_mut(job) {
+            live.awaits = waits.len();
+        }
+        for worker in waits {
+            self.awaiting
+                .entry(worker)
+                .or_default()
+                .push(Arc::clone(job));
         }
     }
 
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -172,6 +172,8 @@
     pub next: u32,
     /// It was accepted before this owner came: what an unreachable worker runs may be of it.
     pub inherited: bool,
+    /// How many workers have to be heard before it may start anything.
+    pub awaits: usize,
     /// When it was accepted, on our clock.
     pub since: Ms,
     /// It is among those to be stored.
@@ -194,6 +196,7 @@
             }),
             next: 0,
             inherited: false,
+            awaits: 0,
             since: now.saturating_sub(unix.saturating_sub(job.accepted)),
             dirty: false,
             chains: (0..job.steps.len())
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -66,7 +66,10 @@
         let lapsed: Vec<(WorkerId, Vec<TaskKey>)> = self
             .workers
             .values()
-            .filter(|worker| worker.lapses < now && !worker.runs.is_empty())
+            .filter(|worker| {
+                let held = !worker.runs.is_empty() || self.awaiting.contains_key(&worker.id);
+                worker.lapses < now && held
+            })
             .map(|worker| {
                 (
                     Arc::clone(&worker.id),
@@ -74,7 +77,12 @@
                 )
             })
             .collect();
-        for (_, keys) in lapsed {
+        for (id, keys) in lapsed {
+            for job in self.awaiting.remove(&id).unwrap_or_default() {
+                if let Some(live) = self.jobs.get_mut(&job) {
+                    live.awaits = live.awaits.saturating_sub(1);
+                }
+            }
             for key in keys {
                 self.run_over(now, &key, 0);
                 self.settle(now, unix, &key.stage);
@@ -168,7 +176,7 @@
             let Some(live) = self.jobs.get(&key.job) else {
                 continue;
             };
-            if live.inherited && !self.unseen.is_empty() {
+            if live.awaits > 0 || live.inherited && !self.unseen.is_empty() {
                 continue;
             }
             let Some(stage) = self.stage(key) else {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -1,6 +1,6 @@
 //! The live state of one pool.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use resource::Size;
@@ -67,6 +67,8 @@
     pub(crate) workers: FxHashMap<WorkerId, Worker>,
     /// Steps whose turn has come and that are not complete.
     pub(crate) open: BTreeSet<StageKey>,
+    /// Jobs that wait until a worker is heard again: it has listed ends of theirs when they weren't known.
+    pub(crate) awaiting: BTreeMap<WorkerId, Vec<JobId>>,
     /// Runs whose orders are in doubt or that are to be stopped.
     pub(crate) loose: FxHashSet<TaskKey>,
     /// Jobs with occurrences still to come.
@@ -197,6 +199,7 @@
         live.inherited = inherited || former && !self.unseen.is_empty();
         self.jobs.insert(Arc::clone(&id), live);
         self.advance(&id, now, unix);
+        self.recognise(now, &id);
     }
 
     /// Lets a job's occurrences and steps begin whose turn has come.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -4,7 +4,7 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-use crate::task::{Ms, TaskKey, WorkerId};
+use crate::task::{JobId, Ms, TaskKey, WorkerId};
 
 /// What the directory of workers says about one.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -63,8 +63,8 @@
     pub listed: bool,
     /// The next owner would know of it: it is in the stored roster.
     pub(crate) enrolled: bool,
-    /// Since when it lists the end of a run of a job that nobody knows.
-    pub(crate) strange: Option<Ms>,
+    /// Jobs that nobody knows, whose ends it lists, and since when.
+    pub(crate) strange: Option<(Ms, Vec<JobId>)>,
     /// It has answered a hold of this epoch.
     pub(crate) fenced: bool,
     /// Start of the life that answered last, in Unix milliseconds.
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -95,6 +95,30 @@
     }
 }
 
+/// The former owner starts a job in the moment before the new one fences the worker; the new owner reads the job's row only
+/// after the worker has listed the run, and even its end. It must take the run up, and not start the job once more.
+#[test]
+fn a_job_that_becomes_known_after_its_runs_is_not_started_again() {
+    for pause in [30, 400] {
+        let mut world = World::new(9, 3);
+        world.take();
+        world.pass(500);
+        let job = job("00000000000000dd", &[(2, 500, 200)]);
+        world.accept(job.clone());
+        world.pass(30);
+        assert_eq!(world.starts, 2);
+        world.jobs.clear();
+        world.owners[0].over = true;
+        world.take();
+        world.pass(pause);
+        world.accept(job);
+        world.pass(2_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "after {pause} ms");
+        assert_eq!(world.starts, 2, "after {pause} ms");
+        assert_eq!(world.unfinished(), 0);
+    }
+}
+
 /// A worker goes dark with a long task; later the owner is replaced. The stored list of what may run there is all that
 /// the new owner holds back: other jobs go on at once, and only the long task waits for the lease.
 #[test]
