--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -164,26 +164,34 @@
     }
 
     async fn stored_state(&self, id: &str) -> Taken {
-        // Reads may lag behind, and a job that was just accepted would look unknown. A transaction sees what is there: one
-        // that demands the row's absence, and writes nothing, tells.
+        match self.present(JOBS, &job_part(id), id).await {
+            Err(()) => return Taken::Unsure,
+            Ok(None) => return Taken::Unknown,
+            Ok(Some(_)) => {}
+        }
+        match self.present(PROGRESS, Self::PART, id).await {
+            Err(()) => Taken::Unsure,
+            Ok(None) => Taken::State(State::Queued),
+            Ok(Some(value)) => serde_json::from_slice::<pool::Progress>(&value)
+                .map_or(Taken::Unsure, |progress| Taken::State(progress.state)),
+        }
+    }
+
+    /// What a row holds at this moment. Reads may lag behind: a job that was just accepted would look unknown, a completed
+    /// one as if it ran. A transaction sees what is there, so one that demands the row's absence, and writes nothing, tells.
+    async fn present(&self, table: &str, part: &str, key: &str) -> Result<Option<Vec<u8>>, ()> {
         let absent = Transaction {
-            part: job_part(id),
-            checks: vec![(JOBS.to_owned(), id.to_owned(), 0)],
+            part: part.to_owned(),
+            checks: vec![(table.to_owned(), key.to_owned(), 0)],
             ..Transaction::default()
         };
         match self.store.commit(&absent).await {
-            Ok(_) => return Taken::Unknown,
-            Err(StoreError::Conflict { .. }) => {}
-            Err(_) => return Taken::Unsure,
-        }
-        match self.store.get(PROGRESS, Self::PART, id).await {
-            Err(_) => Taken::Unsure,
-            Ok(None) => Taken::State(State::Queued),
-            Ok(Some(row)) => {
-                let value = row.value.unwrap_or_default();
-                serde_json::from_slice::<pool::Progress>(&value)
-                    .map_or(Taken::Unsure, |progress| Taken::State(progress.state))
+            Ok(_) => Ok(None),
+            Err(StoreError::Conflict { rows }) => {
+                let row = rows.into_iter().find(|row| row.key == key);
+                Ok(row.and_then(|row| row.value))
             }
+            Err(_) => Err(()),
         }
     }
 
--- /dev/null
+++ b/crates/host/src/owner/advice.rs
@@ -0,0 +1,106 @@
+//! Questions to the advisor, asked by the host that is free soonest.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::info;
+use pool::{Ask, Ms};
+
+use super::Owner;
+use super::members::QUIET;
+use crate::clock;
+use crate::host::lock;
+use crate::outside::Allowed;
+use crate::wire::FromOwner;
+
+/// A question that another host asks the advisor.
+pub(super) struct Question {
+    pub(super) ask: Ask,
+    pub(super) until: Ms,
+}
+
+impl Owner {
+    /// Has the advisor asked by the host that is free soonest: it serves one question at a time for each host.
+    pub(super) fn ask(self: &Arc<Self>, ask: Ask) {
+        let now = clock::now();
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let own = self.busy.load(Ordering::Relaxed).max(now);
+        let helper = {
+            let mut members = lock(&self.members);
+            let best = members
+                .values_mut()
+                .filter(|member| now.saturating_sub(member.heard) < QUIET)
+                .min_by_key(|member| member.busy);
+            match best {
+                Some(member) if member.busy.max(now) < own => {
+                    member.busy = member.busy.max(now) + ask.takes;
+                    Some(member.to.clone())
+                }
+                _ => None,
+            }
+        };
+        let takes = Duration::from_millis(ask.takes);
+        match helper {
+            Some(to) => {
+                let key = &ask.stage;
+                let message = FromOwner::Advise {
+                    number,
+                    stage: (key.job.to_string(), key.occurrence, key.step),
+                    workers: ask.workers.iter().map(ToString::to_string).collect(),
+                    takes: ask.takes,
+                };
+                let until = now + ask.takes * 3 + 1_000;
+                lock(&self.questions).insert(number, Question { ask, until });
+                if to.try_send(message).is_err() {
+                    self.told_advice(number, None);
+                }
+            }
+            None => {
+                self.busy.store(own + ask.takes, Ordering::Relaxed);
+                let owner = Arc::clone(self);
+                self.host.stop.spawn(async move {
+                    let advisor = Arc::clone(&owner.host.advisor);
+                    let allowed = advisor.ask(&ask.stage, &ask.workers, takes).await;
+                    owner.advised(&ask, allowed.as_ref());
+                });
+            }
+        }
+    }
+
+    pub(super) fn told_advice(&self, number: u64, allowed: Option<&Allowed>) {
+        let question = lock(&self.questions).remove(&number);
+        if let Some(question) = question {
+            self.advised(&question.ask, allowed);
+        }
+    }
+
+    pub(super) fn advised(&self, ask: &Ask, allowed: Option<&Allowed>) {
+        let outcome = if allowed.is_some() {
+            "answered"
+        } else {
+            "failed"
+        };
+        metrics::counter!("lentilyoke_advice_total", "outcome" => outcome).increment(1);
+        info!(
+            job = &*ask.stage.job, step = ask.stage.step, asked = ask.workers.len(), takes = ask.takes,
+            allowed = allowed.map_or(-1, |(rows, _)| rows.len() as i64);
+            "advice"
+        );
+        let rows = allowed.map(|(rows, valid)| (rows.as_slice(), *valid));
+        lock(&self.pool).advised(clock::now(), ask, rows);
+        self.wake.notify_one();
+    }
+
+    pub(super) fn expire_questions(&self) {
+        let now = clock::now();
+        let late: Vec<u64> = lock(&self.questions)
+            .iter()
+            .filter(|(_, question)| question.until < now)
+            .map(|(&number, _)| number)
+            .collect();
+        for number in late {
+            self.told_advice(number, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/owner/members.rs
@@ -0,0 +1,221 @@
+//! Other hosts, as the owner sees them: beats, what they say, and which of them should own the pool instead.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::info;
+use pool::{Ms, WorkerId};
+use rustc_hash::FxHashMap;
+use tokio::sync::mpsc;
+
+use super::Owner;
+use crate::clock;
+use crate::election::NEAR_MS;
+use crate::host::lock;
+use crate::peers::BEAT;
+use crate::wire::{Beat, FromOwner, ToOwner};
+
+/// An owner that the store has not served for this long gives the pool to a host that it serves.
+const UNSERVED: Ms = 800;
+/// An owner that works well gives the pool to a better placed host only after this long: hosts come and go at a start.
+const SETTLED: Ms = 5_000;
+/// A host that was urged to take the pool has this long to do so before another is urged.
+const URGE: Ms = 1_000;
+/// A host that was not heard for this long gets no questions.
+pub(super) const QUIET: Ms = 800;
+
+/// Another host, as the owner sees it.
+pub(super) struct Member {
+    pub(super) number: u64,
+    pub(super) processors: f64,
+    pub(super) to: mpsc::Sender<FromOwner>,
+    pub(super) heard: Ms,
+    served: bool,
+    away: u64,
+    /// The advisor is done with its questions by then.
+    pub(super) busy: Ms,
+}
+
+/// How well a host is placed to own the pool.
+#[derive(Clone, Copy, Debug)]
+struct Post {
+    /// It is in the store's region.
+    near: bool,
+    /// Its share of a processor.
+    processors: f64,
+}
+
+impl Post {
+    /// The higher, the better. A host near the store may have half the processor of one that is far.
+    fn rank(self) -> f64 {
+        if self.near {
+            self.processors * 2.0
+        } else {
+            self.processors
+        }
+    }
+
+    /// Whether it is so much better placed that handing the pool over pays: a change costs about a second of starts.
+    fn better(self, than: Self) -> bool {
+        self.rank() >= than.rank() * 1.9
+    }
+}
+
+impl Member {
+    fn post(&self) -> Post {
+        Post {
+            near: self.away <= NEAR_MS,
+            processors: self.processors,
+        }
+    }
+}
+
+impl Owner {
+    /// When the host is stopped, or the store doesn't serve it, urges another host to take the pool.
+    ///
+    /// The owner goes on until the other has it, and learns that from the workers or the store. If it stopped before, and
+    /// the other couldn't write the owner's row (a part of the store may be down for all), nobody would own the pool.
+    pub(super) async fn hand_over(self: Arc<Self>) {
+        let began = clock::now();
+        let mut urged: FxHashMap<String, Ms> = FxHashMap::default();
+        loop {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let now = clock::now();
+            let since = self.unserved.load(Ordering::Relaxed);
+            let unserved = since > 0 && now.saturating_sub(since) > UNSERVED;
+            let recent = urged.values().any(|&at| now.saturating_sub(at) < URGE);
+            if recent {
+                continue;
+            }
+            let leaving = unserved || self.host.stop.is_draining();
+            let settled =
+                self.loaded.load(Ordering::Relaxed) && now.saturating_sub(began) > SETTLED;
+            if !leaving && !settled {
+                continue;
+            }
+            let own = Post {
+                near: self.host.away() <= NEAR_MS,
+                processors: self.host.settings.processors,
+            };
+            let members = lock(&self.members);
+            let heir = members
+                .iter()
+                .filter(|(_, member)| member.served && now.saturating_sub(member.heard) < QUIET)
+                .filter(|(_, member)| leaving || member.post().better(own))
+                .min_by(|(a, a_is), (b, b_is)| {
+                    let urged = |name| urged.get(name).copied().unwrap_or(0);
+                    (urged(*a).cmp(&urged(*b)))
+                        .then_with(|| b_is.post().rank().total_cmp(&a_is.post().rank()))
+                        .then_with(|| a.cmp(b))
+                });
+            if let Some((name, member)) = heir {
+                info!(heir = name.as_str(), epoch = self.epoch, unserved = unserved; "urges a host to take the pool");
+                drop(member.to.try_send(FromOwner::Take { epoch: self.epoch }));
+                urged.insert(name.clone(), now);
+            }
+        }
+    }
+
+    /// Tells all hosts that the owner is alive and what they have to know.
+    pub(super) async fn beat(self: Arc<Self>) {
+        loop {
+            let (pending, full, (used, waiting)) = {
+                let pool = lock(&self.pool);
+                (pool.pending(), FxHashMap::default(), pool.load())
+            };
+            metrics::gauge!("lentilyoke_room_used_share").set(used);
+            metrics::gauge!("lentilyoke_steps_open").set(waiting as f64);
+            metrics::gauge!("lentilyoke_jobs_pending").set(pending.values().sum::<u64>() as f64);
+            let beat = Beat {
+                epoch: self.epoch,
+                catalog: self.host.catalog().map_or(0, |catalog| catalog.version),
+                served: self.host.served(),
+                pending,
+                full,
+            };
+            let mut alive = 1;
+            {
+                let now = clock::now();
+                let members = lock(&self.members);
+                for member in members.values() {
+                    drop(member.to.try_send(FromOwner::Beat(beat.clone())));
+                    alive += usize::from(now.saturating_sub(member.heard) < QUIET);
+                }
+            }
+            lock(&self.pool).set_askers(alive);
+            self.host.hear(beat);
+            tokio::time::sleep(BEAT).await;
+        }
+    }
+
+    /// A host has joined; tells the number of its connection.
+    pub(crate) fn joined(&self, name: &str, processors: f64, to: mpsc::Sender<FromOwner>) -> u64 {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        drop(to.try_send(FromOwner::Beat(self.host.heard().beat)));
+        lock(&self.members).insert(
+            name.to_owned(),
+            Member {
+                number,
+                processors,
+                to,
+                heard: clock::now(),
+                served: false,
+                away: u64::MAX,
+                busy: 0,
+            },
+        );
+        info!(host = name, epoch = self.epoch; "a host joined the owner");
+        number
+    }
+
+    /// A host's connection has ended.
+    pub(crate) fn left(&self, name: &str, number: u64) {
+        let mut members = lock(&self.members);
+        if members
+            .get(name)
+            .is_some_and(|member| member.number == number)
+        {
+            members.remove(name);
+        }
+    }
+
+    /// A host said something.
+    pub(crate) fn told(
+        self: &Arc<Self>,
+        name: &str,
+        number: u64,
+        message: ToOwner,
+        to: &mpsc::Sender<FromOwner>,
+    ) {
+        match message {
+            ToOwner::Beat { served, away, .. } => {
+                if let Some(member) = lock(&self.members).get_mut(name)
+                    && member.number == number
+                {
+                    member.heard = clock::now();
+                    member.served = served;
+                    member.away = away;
+                }
+            }
+            ToOwner::Accepted(job) => self.accepted(*job),
+            ToOwner::Advised(number, allowed) => {
+                let allowed = allowed.map(|(rows, valid)| {
+                    let rows = rows
+                        .into_iter()
+                        .map(|(id, text)| (WorkerId::from(id), text));
+                    (rows.collect(), valid)
+                });
+                self.told_advice(number, allowed.as_ref());
+            }
+            ToOwner::Ask(number, call) => {
+                let (owner, to) = (Arc::clone(self), to.clone());
+                self.host.stop.spawn(async move {
+                    let reply = owner.answer(call).await;
+                    drop(to.send(FromOwner::Told(number, reply)).await);
+                });
+            }
+            ToOwner::Hello { .. } | ToOwner::Hears => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/owner/news.rs
@@ -0,0 +1,158 @@
+//! What the store tells the owner: jobs, cancels, workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::warn;
+use pool::{Job, Progress, WorkerId};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use super::Owner;
+use crate::clock;
+use crate::follow::{Change, list};
+use crate::host::{Host, lock};
+use crate::outside::{Page, Row};
+use crate::rows::{CANCEL, JOBS, OwnerRow, PROGRESS, job_parts};
+use crate::session;
+
+impl Owner {
+    /// Reads all jobs, and takes up the workers; tells up to which transaction the jobs were read.
+    pub(super) async fn load(
+        self: &Arc<Self>,
+        listed: &Page,
+        owned: &OwnerRow,
+        former: &[String],
+        taken: u64,
+    ) -> u64 {
+        let parts: Vec<String> = job_parts().collect();
+        // What the former owner stored is all there as of the transaction by which this one took the pool. Reads may lag
+        // behind; without that bound, tasks whose ends were noted would start again.
+        let own = [Host::PART.to_owned()];
+        let (jobs, progress) = loop {
+            let store = &self.host.store;
+            let (jobs, progress) = tokio::join!(
+                list(store.as_ref(), JOBS, &parts, taken),
+                list(store.as_ref(), PROGRESS, &own, taken),
+            );
+            match (jobs, progress) {
+                (Ok(jobs), Ok(progress)) => break (jobs, progress),
+                (Err(error), _) | (_, Err(error)) => {
+                    warn!(error:% = error; "jobs can't be read yet");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        };
+        let courses: FxHashMap<&str, Progress> = progress
+            .rows
+            .iter()
+            .filter_map(|row| {
+                let course = serde_json::from_slice(row.value.as_deref()?).ok()?;
+                Some((row.key.as_str(), course))
+            })
+            .collect();
+        {
+            let (now, unix) = (clock::now(), clock::unix());
+            let mut pool = lock(&self.pool);
+            for row in jobs.rows.iter().filter(|row| !row.key.starts_with(CANCEL)) {
+                if let Some(job) = parse_job(row) {
+                    let course = courses.get(row.key.as_str());
+                    pool.adopt(now, unix, Arc::new(job), course, true);
+                }
+            }
+            for row in jobs.rows.iter().filter(|row| row.key.starts_with(CANCEL)) {
+                pool.cancel(now, unix, &row.key[CANCEL.len()..]);
+            }
+        }
+        self.workers_changed(Change::All(listed.clone()));
+        let names =
+            |ids: &[String]| -> Vec<WorkerId> { ids.iter().map(|id| id.as_str().into()).collect() };
+        let mut pool = lock(&self.pool);
+        pool.enroll(&names(&owned.roster));
+        // Only workers that the former owner might use count: the list may be old, and name some that are gone.
+        pool.inherit(clock::now(), names(former), &owned.silent);
+        jobs.version
+    }
+
+    pub(super) fn jobs_changed(&self, change: Change) {
+        let rows = match change {
+            Change::All(page) => page.rows,
+            Change::Some(rows) => rows,
+            Change::Failed(error) => {
+                warn!(error:% = error; "jobs are not followed for now");
+                return;
+            }
+        };
+        if rows.is_empty() {
+            return;
+        }
+        let (now, unix) = (clock::now(), clock::unix());
+        let mut pool = lock(&self.pool);
+        for row in rows.iter().filter(|row| row.value.is_some()) {
+            if let Some(id) = row.key.strip_prefix(CANCEL) {
+                pool.cancel(now, unix, id);
+            } else if !pool.knows(&row.key)
+                && let Some(job) = parse_job(row)
+            {
+                pool.adopt(now, unix, Arc::new(job), None, false);
+            }
+        }
+        drop(pool);
+        self.wake.notify_one();
+        self.dirty.notify_one();
+    }
+
+    pub(super) fn workers_changed(self: &Arc<Self>, change: Change) {
+        let (rows, all) = match change {
+            Change::All(page) => (page.rows, true),
+            Change::Some(rows) => (rows, false),
+            Change::Failed(error) => {
+                warn!(error:% = error; "workers are not followed for now");
+                return;
+            }
+        };
+        let now = clock::now();
+        let mut pool = lock(&self.pool);
+        if all {
+            let there: FxHashSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+            let gone: Vec<WorkerId> = pool
+                .workers()
+                .filter(|worker| !there.contains(&*worker.id))
+                .map(|worker| Arc::clone(&worker.id))
+                .collect();
+            for id in gone {
+                pool.unlisted(&id);
+            }
+        }
+        for row in &rows {
+            let news = row
+                .value
+                .as_deref()
+                .and_then(|value| self.host.decode.worker(&row.key, value));
+            match news {
+                Some(news) => {
+                    let id: WorkerId = row.key.as_str().into();
+                    pool.listed(now, &id, news);
+                    if lock(&self.sessions).insert(Arc::clone(&id)) {
+                        let owner = Arc::clone(self);
+                        self.host.stop.spawn(async move {
+                            session::run(&owner, &id).await;
+                            lock(&owner.sessions).remove(&id);
+                        });
+                    }
+                }
+                None if row.value.is_none() => pool.unlisted(&row.key),
+                None => warn!(row = row.key.as_str(); "a row names no worker"),
+            }
+        }
+        drop(pool);
+        self.dirty.notify_one();
+    }
+}
+
+fn parse_job(row: &Row) -> Option<Job> {
+    let job = serde_json::from_slice(row.value.as_deref()?);
+    if let Err(error) = &job {
+        warn!(row = row.key.as_str(), error:% = error; "a job's row can't be read");
+    }
+    job.ok()
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -18,6 +18,7 @@
 mod live;
 mod order;
 pub mod pace;
+mod place;
 mod plan;
 mod pool;
 mod progress;
--- /dev/null
+++ b/crates/pool/src/place.rs
@@ -0,0 +1,315 @@
+//! Which waiting tasks start, and on which workers.
+
+use std::sync::Arc;
+
+use resource::Size;
+use rustc_hash::FxHashMap;
+
+use crate::fit::{self, Context};
+use crate::job::{Job, Step};
+use crate::live::Live;
+use crate::order::{Order, Start};
+use crate::pool::Pool;
+use crate::rank::{Claim, Rank, rank};
+use crate::task::{Ms, Run, StageKey, TaskKey, WorkerId};
+
+/// Starts in one plan: more would keep answers waiting while they are written.
+const STARTS_MOST: usize = 64;
+/// A ticket that runs out sooner than this is not used: the order needs time to arrive.
+pub(crate) const TICKET_SLACK: Ms = 120;
+
+/// Tasks that serve and tasks that fill, on one worker.
+type Mix = FxHashMap<WorkerId, (u32, u32)>;
+
+impl Pool {
+    /// Starts what there is room for, in the order of ranks.
+    pub(crate) fn place(&mut self, now: Ms) {
+        let mut order: Vec<(Rank, StageKey)> = Vec::new();
+        for key in &self.open {
+            let Some(live) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            if live.awaits > 0 || live.inherited && !self.unseen.is_empty() {
+                continue;
+            }
+            let Some(stage) = self.stage(key) else {
+                continue;
+            };
+            if stage.opened.is_some() && stage.tasks.iter().any(|task| task.waits(now)) {
+                order.push((self.rank(now, live, key), key.clone()));
+            }
+        }
+        order.sort();
+        let mut mix: Option<Mix> = None;
+        let mut starts = 0;
+        for (_, key) in order {
+            if starts >= STARTS_MOST {
+                break;
+            }
+            let Some(live) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            let job = Arc::clone(&live.job);
+            let Some(step) = job.steps.get(usize::from(key.step)) else {
+                continue;
+            };
+            if step.fills || step.target > 0 {
+                mix.get_or_insert_with(|| self.mix());
+            }
+            let empty = Mix::default();
+            starts += self.place_stage(now, &key, &job, step, mix.as_ref().unwrap_or(&empty));
+        }
+    }
+
+    fn rank(&self, now: Ms, live: &Live, key: &StageKey) -> Rank {
+        let job = &live.job;
+        let scale = self.learned.scale(&job.queue);
+        let scaled = |chain: Ms| (chain as f64 * scale) as Ms;
+        let longest = live.chains.iter().max().copied().unwrap_or(0);
+        let course = live.open.get(&key.occurrence);
+        let since = if job.schedule.is_some() {
+            course.map_or(live.since, |course| course.due)
+        } else {
+            live.since
+        };
+        let work: u64 = course.map_or(0, |course| {
+            course
+                .stages
+                .iter()
+                .zip(&job.steps)
+                .map(|(stage, step)| {
+                    let left = (stage.tasks.len() - stage.done) as u64;
+                    left * step.estimate * step.size.millicores / 1_000
+                })
+                .sum()
+        });
+        rank(&Claim {
+            priority: job.policy.priority,
+            age: now.saturating_sub(since),
+            objective: (scaled(longest) as f64 * job.policy.stretch) as Ms + job.policy.objective,
+            chain: scaled(live.chains.get(usize::from(key.step)).copied().unwrap_or(0)),
+            work,
+            lasting: job.lasting(),
+        })
+    }
+
+    /// Counts tasks that serve and tasks that fill on each worker.
+    pub(crate) fn mix(&self) -> Mix {
+        let mut mix = Mix::default();
+        for worker in self.workers.values() {
+            let mut counts = (0, 0);
+            for key in worker.runs.keys() {
+                let step = self
+                    .jobs
+                    .get(&key.stage.job)
+                    .and_then(|live| live.job.steps.get(usize::from(key.stage.step)));
+                if let Some(step) = step {
+                    counts.0 += u32::from(step.target > 0);
+                    counts.1 += u32::from(step.fills);
+                }
+            }
+            if counts != (0, 0) {
+                mix.insert(Arc::clone(&worker.id), counts);
+            }
+        }
+        mix
+    }
+
+    /// Starts the waiting tasks of a step as far as there is room; tells how many.
+    fn place_stage(
+        &mut self,
+        now: Ms,
+        key: &StageKey,
+        job: &Arc<Job>,
+        step: &Step,
+        mix: &Mix,
+    ) -> usize {
+        let Some(stage) = self.stage(key) else {
+            return 0;
+        };
+        let waiting: Vec<u32> = stage
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.waits(now))
+            .map(|(at, _)| at as u32)
+            .collect();
+        if step.gang && waiting.len() != stage.tasks.len() {
+            // The members start together, so all must be back first.
+            return 0;
+        }
+        let same = stage.spread();
+        let places = self.assign(now, key, job, step, waiting.len(), &same, mix);
+        let enough = if step.gang {
+            places.len() == waiting.len()
+        } else {
+            true
+        };
+        let mut started = 0;
+        if enough {
+            let number = if step.gang {
+                stage_top(self, key) + 1
+            } else {
+                0
+            };
+            let saved = if step.gang {
+                self.gang_saved(key)
+            } else {
+                None
+            };
+            for (&index, worker) in waiting.iter().zip(&places) {
+                self.start(now, &key.task(index), job, worker, number, saved.as_deref());
+                started += 1;
+            }
+        }
+        let left = (waiting.len() - started) as u32;
+        if left > 0 && job.policy.advice.is_some() {
+            self.ask(now, key, job, step, left);
+        }
+        started
+    }
+
+    /// The checkpoint that all members of a gang go on from.
+    fn gang_saved(&self, key: &StageKey) -> Option<String> {
+        let stage = self.stage(key)?;
+        let saved = stage.tasks.iter().map(|task| &task.saved).max()?;
+        Some(saved.clone())
+    }
+
+    /// Finds a worker for each of up to `count` tasks.
+    #[expect(clippy::too_many_arguments, reason = "one call, all of it read only")]
+    fn assign(
+        &self,
+        now: Ms,
+        key: &StageKey,
+        job: &Job,
+        step: &Step,
+        count: usize,
+        same: &FxHashMap<WorkerId, u32>,
+        mix: &Mix,
+    ) -> Vec<WorkerId> {
+        let Some(stage) = self.stage(key) else {
+            return Vec::new();
+        };
+        let mut choices: Vec<(&crate::worker::Worker, Size, Context)> = Vec::new();
+        for worker in self.workers.values() {
+            if !fit::allowed(worker, &job.service, step) {
+                continue;
+            }
+            if job.policy.advice.is_some() {
+                let ticket = stage.advised.allowed.get(&worker.id);
+                let holds = ticket.is_some_and(|ticket| {
+                    ticket.until > now + TICKET_SLACK && ticket.born == worker.born
+                });
+                if !holds {
+                    continue;
+                }
+            }
+            let (serving, filling) = mix.get(&worker.id).copied().unwrap_or_default();
+            let context = Context {
+                now,
+                far_factor: self.options.far_factor,
+                same: same.get(&worker.id).copied().unwrap_or(0),
+                placed: 0,
+                serving,
+                filling,
+            };
+            choices.push((worker, worker.free(), context));
+        }
+        if step.gang && step.same_rack {
+            let mut racks: Vec<&str> = choices
+                .iter()
+                .map(|(worker, ..)| worker.news.rack.as_str())
+                .collect();
+            racks.sort_unstable();
+            racks.dedup();
+            for rack in racks {
+                let mut within: Vec<_> = choices
+                    .iter()
+                    .filter(|(worker, ..)| worker.news.rack == rack)
+                    .copied()
+                    .collect();
+                let places = fill(&mut within, step, count);
+                if places.len() == count {
+                    return places;
+                }
+            }
+        }
+        fill(&mut choices, step, count)
+    }
+
+    /// Orders a start.
+    fn start(
+        &mut self,
+        now: Ms,
+        key: &TaskKey,
+        job: &Arc<Job>,
+        worker: &WorkerId,
+        number: u32,
+        saved: Option<&str>,
+    ) {
+        let life = self.options.order_life;
+        let Some(host) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let latest = host.clock(now) + life;
+        // The order itself is a lease of that length, and the clock may be 2% slow.
+        host.lapses = host.lapses.max(now + life + life / 33 + 400);
+        let ticket = self
+            .stage(&key.stage)
+            .and_then(|stage| stage.advised.allowed.get(worker))
+            .map_or_else(String::new, |ticket| ticket.text.clone());
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let number = number.max(task.top + 1);
+        task.top = number;
+        if let Some(saved) = saved {
+            saved.clone_into(&mut task.saved);
+        }
+        let saved = task.saved.clone();
+        task.run = Some(Run::new(number, Arc::clone(worker), now, latest));
+        self.attach(key, worker, number);
+        self.orders.push(Order::Start(Start {
+            task: key.clone(),
+            run: number,
+            worker: Arc::clone(worker),
+            job: Arc::clone(job),
+            latest,
+            saved,
+            ticket,
+        }));
+    }
+}
+
+fn stage_top(pool: &Pool, key: &StageKey) -> u32 {
+    pool.stage(key).map_or(0, crate::live::Stage::top)
+}
+
+/// Takes the cheapest worker for each task, until none has room.
+fn fill(
+    choices: &mut [(&crate::worker::Worker, Size, Context)],
+    step: &Step,
+    count: usize,
+) -> Vec<WorkerId> {
+    let size = step.room();
+    let mut places = Vec::new();
+    for _ in 0..count {
+        let best = choices
+            .iter_mut()
+            .filter(|(_, free, _)| size.fits(*free))
+            .filter_map(|choice| {
+                let cost = fit::cost(choice.0, step, choice.1, &choice.2)?;
+                Some((cost, choice))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.0.id.cmp(&b.1.0.id)));
+        let Some((_, choice)) = best else { break };
+        choice.1 = choice.1.minus(size).unwrap_or_default();
+        choice.2.same += 1;
+        choice.2.placed += 1;
+        choice.2.serving += u32::from(step.target > 0);
+        choice.2.filling += u32::from(step.fills);
+        places.push(Arc::clone(&choice.0.id));
+    }
+    places
+}
