--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -18,9 +18,9 @@
 use crate::settings::Settings;
 use crate::wire::{Beat, Call, Reply};
 
-/// A configuration that was confirmed longer ago than this may be out of date: nothing is accepted by it. Below the 2.5 s
-/// in which a change has to be in force everywhere.
-const CURRENT: Ms = 2_200;
+/// A configuration that was confirmed longer ago than this share of the time in which a change has to be in force may be
+/// out of date: nothing is accepted by it. The rest is for requests that are in hand then.
+const CURRENT: f64 = 0.88;
 /// The store counts as serving this host if it has done so within this time.
 const SERVED: Ms = 1_500;
 
@@ -116,7 +116,8 @@
     /// Whether the configuration is known to be current.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        clock::now().saturating_sub(self.current.load(Ordering::Relaxed)) < CURRENT
+        let age = clock::now().saturating_sub(self.current.load(Ordering::Relaxed));
+        Duration::from_millis(age) < self.settings.catalog_within.mul_f64(CURRENT)
     }
 
     /// Whether this host should get new connections.
--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -38,10 +38,7 @@
 
     /// Cancels a job; answers when that is stored.
     pub(crate) async fn cancel(&self, id: &str) -> Reply {
-        if lock(&self.pool)
-            .cancel(clock::now(), clock::unix(), id)
-            .is_none()
-        {
+        if lock(&self.pool).cancel(clock::unix(), id).is_none() {
             return Reply::Unknown;
         }
         self.wake.notify_one();
--- a/crates/host/src/owner/news.rs
+++ b/crates/host/src/owner/news.rs
@@ -60,7 +60,7 @@
                 }
             }
             for row in jobs.rows.iter().filter(|row| row.key.starts_with(CANCEL)) {
-                pool.cancel(now, unix, &row.key[CANCEL.len()..]);
+                pool.cancel(unix, &row.key[CANCEL.len()..]);
             }
         }
         self.workers_changed(Change::All(listed.clone()));
@@ -89,7 +89,7 @@
         let mut pool = lock(&self.pool);
         for row in rows.iter().filter(|row| row.value.is_some()) {
             if let Some(id) = row.key.strip_prefix(CANCEL) {
-                pool.cancel(now, unix, id);
+                pool.cancel(unix, id);
             } else if !pool.knows(&row.key)
                 && let Some(job) = parse_job(row)
             {
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -41,7 +41,7 @@
         }
         if old.is_empty() && swept.elapsed() > SWEEP {
             swept = tokio::time::Instant::now();
-            old = lock(&owner.pool).sweep(clock::now(), clock::unix());
+            old = lock(&owner.pool).sweep(clock::unix());
             old = forget(owner, &old).await;
         }
         let (batch, roster, silent) = {
--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -123,7 +123,7 @@
                 let most = job.policy.attempts.max(1) as usize;
                 if attempts >= most && !self.jobs.get(&id).is_none_or(|live| live.state.is_final())
                 {
-                    self.close(now, unix, &id, State::Failed);
+                    self.close(unix, &id, State::Failed);
                 }
             }
             _ => self.settle(now, unix, &key.stage),
--- a/crates/pool/src/pace.rs
+++ b/crates/pool/src/pace.rs
@@ -1,7 +1,7 @@
 //! When tasks that fill are slowed down.
 //!
 //! Answers the load in which tasks that use spare processors lengthen the response times of tasks that serve beside
-//! them. A task over its response time for [`crate::Options::harm`] on end is harmed; pacing is felt after a tenth of a
+//! them. A task over its response time for seconds on end is harmed; pacing is felt after a tenth of a
 //! second, so there is time to slow down first and to look again. A worker where a serving task comes near its
 //! response time has all its filling tasks slowed down, to a quarter, then to a standstill; they are let go step by step
 //! when the response time has stayed well below.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -32,10 +32,6 @@
     pub ask_most: usize,
     /// How much slower a task is on another rack than that of its data.
     pub far_factor: f64,
-    /// Time from a change of pace until it is felt, in milliseconds.
-    pub pace_lag: Ms,
-    /// How long a task may be over its response time before that is harm, in milliseconds.
-    pub harm: Ms,
     /// Longest time that a stop takes, in milliseconds.
     pub stop_grace: Ms,
     /// How long final jobs are remembered, in milliseconds.
@@ -51,8 +47,6 @@
             askers: 1,
             ask_most: 30,
             far_factor: 1.5,
-            pace_lag: 100,
-            harm: 4_000,
             stop_grace: 400,
             remember: 150_000,
         }
@@ -237,17 +231,17 @@
     }
 
     /// Cancels a job; the state it has then, or `None` if it isn't known.
-    pub fn cancel(&mut self, now: Ms, unix: u64, id: &str) -> Option<State> {
+    pub fn cancel(&mut self, unix: u64, id: &str) -> Option<State> {
         let live = self.jobs.get(id)?;
         let id = Arc::clone(&live.job.id);
         if !live.state.is_final() {
-            self.close(now, unix, &id, State::Cancelled);
+            self.close(unix, &id, State::Cancelled);
         }
         self.jobs.get(&id).map(|live| live.state)
     }
 
     /// Makes a job's state final and stops what it has running.
-    pub(crate) fn close(&mut self, now: Ms, unix: u64, id: &JobId, state: State) {
+    pub(crate) fn close(&mut self, unix: u64, id: &JobId, state: State) {
         let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
@@ -274,7 +268,6 @@
         self.loose.extend(running);
         self.timed.remove(id);
         self.mark(id);
-        let _ = now;
     }
 
     /// A job's progress has to be stored.
--- a/crates/pool/src/save.rs
+++ b/crates/pool/src/save.rs
@@ -5,7 +5,7 @@
 use crate::pool::Pool;
 use crate::progress::Progress;
 use crate::state::State;
-use crate::task::{JobId, Ms, WorkerId};
+use crate::task::{JobId, WorkerId};
 
 /// What is stored in one transaction, and what may be forgotten elsewhere once it is.
 #[derive(Clone, Debug, Default)]
@@ -86,8 +86,7 @@
     }
 
     /// Forgets jobs that have been final for long; their rows may go.
-    pub fn sweep(&mut self, now: Ms, unix: u64) -> Vec<JobId> {
-        let _ = now;
+    pub fn sweep(&mut self, unix: u64) -> Vec<JobId> {
         let remember = self.options.remember;
         let old: Vec<JobId> = self
             .jobs
