A lease counts from when it is asked for, and only an owner with a majority renews one

They carried out holds and answered none; each hold renewed a lease that the owner, going by the last answer, took for lapsed. It started their tasks elsewhere, and their ends came later. Ruled out: ends noted too early; a change of owner (there was none). Found beside it, by a test: an owner cut from most workers went on renewing the leases of those it reached, on whose end a new owner counts that can't reach them. Change: a lease counts from when it is asked for; a worker that did not answer the last hold is held without one; no majority, no renewal.

--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -31,14 +31,12 @@
 async fn hold(owner: &Arc<Owner>, id: &WorkerId) {
     let mut lost = false;
     loop {
-        let (address, lease, mut ends) = {
+        let (address, mut ends) = {
             let pool = lock(&owner.pool);
             let Some(worker) = pool.worker(id) else {
                 return;
             };
-            let clock = worker.clock(clock::now());
-            let lease = (clock > 0).then(|| clock + owner.host().settings.pool.lease_most);
-            (worker.news.address.clone(), lease, worker.ends())
+            (worker.news.address.clone(), worker.ends())
         };
         if ends.1 > ends.2 {
             let stored = owner.stored.notified();
@@ -48,6 +46,7 @@
                 None => return,
             }
         }
+        let lease = lock(&owner.pool).holding(clock::now(), id);
         let all_noted = ends.1 <= ends.2;
         let wait = if all_noted && lease.is_some() {
             WAIT
--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -132,6 +132,26 @@
         }
     }
 
+    /// A worker is about to be held; tells the lease to ask for, on its clock, or `None` if it must not be renewed.
+    ///
+    /// A hold whose answer is lost has renewed the lease all the same. So the lease counts from when it is asked for, and
+    /// a worker that did not answer the last hold is asked without one until it answers: else its tasks would run on, under
+    /// leases that this owner takes for lapsed, beside the ones it starts in their place. An owner without a recent
+    /// majority renews nothing: it may have been replaced by one that can't reach this worker and counts on its lease.
+    pub fn holding(&mut self, now: Ms, id: &WorkerId) -> Option<Ms> {
+        let most = self.options.lease_most;
+        if !self.proved(now) {
+            return None;
+        }
+        let worker = self.workers.get_mut(id)?;
+        let clock = worker.clock(now);
+        if worker.unheard || clock == 0 {
+            return None;
+        }
+        worker.lapses = worker.lapses.max(now + most + most / 33 + LEASE_SLACK);
+        Some(clock + most)
+    }
+
     /// A hold got no answer. Until one does, nothing is started there: the order would be in doubt, and if the owner were
     /// lost as well, the next one would have to wait for that worker before it could start anything it inherits.
     pub fn unheard(&mut self, id: &WorkerId) {
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -119,6 +119,58 @@
     }
 }
 
+/// A worker does what it is told and answers nothing for some seconds, as when only the way back is cut. Holds that went
+/// unanswered renewed its lease, which the owner took for lapsed: it started the tasks elsewhere, and they ran twice.
+#[test]
+fn a_worker_that_answers_nothing_keeps_no_lease_that_the_owner_does_not_know() {
+    for mute in [4_000, 12_000, 20_000] {
+        let mut world = World::new(10, 4);
+        world.take();
+        world.pass(500);
+        for at in 0..4 {
+            world.accept(job(&format!("{at:016}"), &[(2, 1_000, 15_000)]));
+        }
+        world.pass(300);
+        world.mute = [id(0), id(1)].into();
+        world.pass(mute);
+        world.mute.clear();
+        world.pass(40_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "mute for {mute} ms");
+        assert_eq!(world.unfinished(), 0, "mute for {mute} ms");
+    }
+}
+
+/// The owner is cut from all workers but one, and the new owner from just that one. The former owner must not keep that
+/// worker's tasks alive: the new one waits for their leases, then starts them elsewhere.
+#[test]
+fn an_owner_without_a_majority_renews_no_lease() {
+    let mut world = World::new(11, 4);
+    world.take();
+    world.pass(500);
+    for at in 0..4 {
+        world.accept(job(&format!("{at:016}"), &[(2, 1_000, 15_000)]));
+    }
+    world.pass(300);
+    for at in 1..4 {
+        world
+            .machines
+            .get_mut(&id(at))
+            .expect("it exists")
+            .cut
+            .insert(1);
+    }
+    world
+        .machines
+        .get_mut(&id(0))
+        .expect("it exists")
+        .cut
+        .insert(2);
+    world.take();
+    world.pass(50_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.unfinished(), 0);
+}
+
 /// A worker goes dark with a long task; later the owner is replaced. The stored list of what may run there is all that
 /// the new owner holds back: other jobs go on at once, and only the long task waits for the lease.
 #[test]
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -90,6 +90,8 @@
     noted: BTreeSet<TaskKey>,
     pub(crate) broken: Vec<String>,
     pub(crate) starts: usize,
+    /// Workers that do what they are told and answer nothing.
+    pub(crate) mute: BTreeSet<WorkerId>,
     /// Workers that fail all that they start.
     pub(crate) bad: BTreeSet<WorkerId>,
     /// How often they did.
@@ -155,6 +157,7 @@
             noted: BTreeSet::new(),
             broken: Vec::new(),
             starts: 0,
+            mute: BTreeSet::new(),
             bad: BTreeSet::new(),
             failures: 0,
             room,
@@ -427,6 +430,8 @@
                 else {
                     continue;
                 };
+                let now = self.now;
+                let lease = self.owners[owner].pool.holding(now, id);
                 let Some(machine) = self.machines.get_mut(id) else {
                     continue;
                 };
@@ -435,7 +440,7 @@
                     break;
                 }
                 machine.epoch = epoch;
-                machine.lease = machine.lease.max(clock + 6_000);
+                machine.lease = machine.lease.max(lease.unwrap_or(0));
                 if born == machine.born {
                     for end in machine.ended.iter().filter(|end| end.number <= noted) {
                         if end.how == How::Done {
@@ -447,7 +452,7 @@
                 let listing = Listing {
                     clock,
                     born: machine.born,
-                    lease: clock + 6_000,
+                    lease: lease.unwrap_or(0),
                     asked: self.now,
                     running: machine
                         .runs
@@ -462,7 +467,11 @@
                         .collect(),
                     ended: machine.ended.clone(),
                 };
-                self.post(STEP, Message::Listing(owner, id.clone(), listing));
+                if self.mute.contains(id) {
+                    self.owners[owner].pool.unheard(id);
+                } else {
+                    self.post(STEP, Message::Listing(owner, id.clone(), listing));
+                }
             }
         }
     }
