A job that its pool can't serve any more goes to another, by one atomic write

A step for which the pool had too few workers left, of a gang or with a label, waited for good: LOST with pools far too small for the jobs.

Ways weighed: (1) one transaction over two parts (the owner's claim; the job's row with its progress): one atomic write, at most once by its conditions; the store must take transactions over parts. (2) A mark in the pool's part, then a second write of the job's row: works in one part, but the mark has to be found and carried out by every later owner. (3) Owners that agree by messages: a lost answer leaves two owners. (1) was taken. Where a store refuses transactions over parts, the job stays where it is, as before.

Ruled out on the way: a host that was paused tells a new owner of an accepted job which has gone to another pool meanwhile (told with the version of its row now); an older row that a feed tells late (the owner remembers what it gave away); a cancel that comes between (its absence is a condition); a lost answer (the roster is rewritten, then the job's row tells; nothing of the job runs until then).

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -334,7 +334,7 @@
         part: pool_part(pool),
         checks: version.checks(),
         puts: vec![owner, roster],
-        deletes: Vec::new(),
+        ..Transaction::default()
     };
     match host.store.commit(&transaction).await {
         Ok(version) => Written::Yes(version),
--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -11,10 +11,10 @@
 
 use crate::clock;
 use crate::host::Host;
-use crate::insert::{Inserted, insert};
-use crate::outside::{StoreError, Transaction};
+use crate::insert::{Inserted, Place, insert};
+use crate::outside::{Row, StoreError, Transaction};
 use crate::route;
-use crate::rows::{CANCEL, JOBS, PROGRESS, job_part, pool_of, pool_part};
+use crate::rows::{CANCEL, JOBS, JobPlace, PROGRESS, job_part, place_of, pool_part};
 use crate::wire::{Call, Reply, ToOwner};
 
 /// The owner answers a question about a job within this, or the store is asked.
@@ -78,9 +78,9 @@
             return Submitted::Refused(RETRY);
         }
         match self.insert_both_ways(pool, &job, until).await {
-            (Inserted::There(pool), by_owner) => {
+            (Inserted::There(place), by_owner) => {
                 if !by_owner {
-                    self.tell_accepted(pool, job);
+                    self.tell_accepted(place, job);
                 }
                 Submitted::Accepted
             }
@@ -135,19 +135,19 @@
         let left = until.saturating_duration_since(Instant::now());
         let call = Call::Insert(pool, Box::new(job.clone()));
         match link.call(call, left).await {
-            Some(Reply::Inserted(pool)) => Inserted::There(pool),
+            Some(Reply::Inserted(place)) => Inserted::There(place),
             Some(Reply::Refused) => Inserted::Refused,
             _ => Inserted::Unsure,
         }
     }
 
-    /// A job's row is written and names this pool: tells its owner.
-    pub(crate) fn tell_accepted(&self, pool: u32, job: Job) {
-        let seat = self.seat(pool);
+    /// A job's row is written: tells the owner of the pool that it names.
+    pub(crate) fn tell_accepted(&self, place: Place, job: Job) {
+        let seat = self.seat(place.pool);
         if let Some(owner) = seat.owner {
-            owner.accepted(job);
+            owner.accepted(job, place);
         } else if let Some(link) = seat.link {
-            link.tell(ToOwner::Accepted(Box::new(job)));
+            link.tell(ToOwner::Accepted(Box::new(job), place));
         }
     }
 
@@ -169,12 +169,12 @@
             }
         }
         match self.home(id).await {
-            Ok(Some(pool)) if likely.contains(&pool) => self.stored_state(pool, id).await,
-            Ok(Some(pool)) => {
+            Ok(Some(home)) if likely.contains(&home.pool) => self.stored_state(&home, id).await,
+            Ok(Some(home)) => {
                 let call = Call::State(id.to_owned());
-                match self.ask_owner(pool, call, OWNER_WAIT).await {
+                match self.ask_owner(home.pool, call, OWNER_WAIT).await {
                     Some(Reply::State(state)) => Taken::State(state),
-                    _ => self.stored_state(pool, id).await,
+                    _ => self.stored_state(&home, id).await,
                 }
             }
             Ok(None) => Taken::Unknown,
@@ -182,26 +182,37 @@
         }
     }
 
-    /// The pool that a job's row names; `None` if there is no such row.
-    async fn home(&self, id: &str) -> Result<Option<u32>, ()> {
+    /// Where a job is by its row; `None` if there is no such row.
+    async fn home(&self, id: &str) -> Result<Option<JobPlace>, ()> {
         match self.present(JOBS, &job_part(id), id).await? {
             None => Ok(None),
-            Some(value) => pool_of(&value).map(Some).ok_or(()),
+            Some(row) => {
+                let place = row.value.as_deref().and_then(place_of);
+                place.map(Some).ok_or(())
+            }
         }
     }
 
-    async fn stored_state(&self, pool: u32, id: &str) -> Taken {
-        match self.present(PROGRESS, &pool_part(pool), id).await {
+    async fn stored_state(&self, home: &JobPlace, id: &str) -> Taken {
+        let before = home.moved.as_ref().map(|moved| moved.progress.state);
+        match self.present(PROGRESS, &pool_part(home.pool), id).await {
             Err(()) => Taken::Unsure,
-            Ok(None) => Taken::State(State::Queued),
-            Ok(Some(value)) => serde_json::from_slice::<pool::Progress>(&value)
+            Ok(None) => Taken::State(before.unwrap_or_default()),
+            Ok(Some(row)) => row
+                .value
+                .and_then(|value| serde_json::from_slice::<pool::Progress>(&value).ok())
                 .map_or(Taken::Unsure, |progress| Taken::State(progress.state)),
         }
     }
 
-    /// What a row holds at this moment. Reads may lag behind: a job that was just accepted would look unknown, a completed
+    /// A row as it is at this moment. Reads may lag behind: a job that was just accepted would look unknown, a completed
     /// one as if it ran. A transaction sees what is there, so one that demands the row's absence, and writes nothing, tells.
-    async fn present(&self, table: &str, part: &str, key: &str) -> Result<Option<Vec<u8>>, ()> {
+    pub(crate) async fn present(
+        &self,
+        table: &str,
+        part: &str,
+        key: &str,
+    ) -> Result<Option<Row>, ()> {
         let absent = Transaction {
             part: part.to_owned(),
             checks: vec![(table.to_owned(), key.to_owned(), 0)],
@@ -211,7 +222,7 @@
             Ok(_) => Ok(None),
             Err(StoreError::Conflict { rows }) => {
                 let row = rows.into_iter().find(|row| row.key == key);
-                Ok(row.and_then(|row| row.value))
+                Ok(row.filter(|row| row.value.is_some()))
             }
             Err(_) => Err(()),
         }
@@ -225,15 +236,15 @@
                 return Taken::State(State::Cancelled);
             }
         }
-        let pool = match self.home(id).await {
-            Ok(Some(pool)) => pool,
+        let home = match self.home(id).await {
+            Ok(Some(home)) => home,
             Ok(None) => return Taken::Unknown,
             Err(()) => return Taken::Unsure,
         };
-        if !likely.contains(&pool) && self.cancel_at(pool, id, until).await {
+        if !likely.contains(&home.pool) && self.cancel_at(home.pool, id, until).await {
             return Taken::State(State::Cancelled);
         }
-        match self.stored_state(pool, id).await {
+        match self.stored_state(&home, id).await {
             Taken::State(state) if state.is_final() => return Taken::State(state),
             Taken::State(_) => {}
             other => return other,
--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -5,20 +5,32 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use pool::Job;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::outside::{Store, StoreError, Transaction};
-use crate::rows::{JOBS, JobRow, job_part, pool_of};
+use crate::rows::{JOBS, JobRow, job_part, place_of};
 
 /// After a refusal of an insert that is in doubt, it is tried again after this time.
 const REFUSED: Duration = Duration::from_millis(40);
 
+/// Where a job is, by its row.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// The pool.
+    pub pool: u32,
+    /// The transaction that wrote the row.
+    pub version: u64,
+    /// It came there from another pool, so its row holds more than the job.
+    pub moved: bool,
+}
+
 /// What became of an insert.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Inserted {
-    /// The row is there, by this call or an earlier one, and names this pool. An earlier call may have chosen another pool
-    /// than this one: the job belongs to the one that the row names.
-    There(u32),
+    /// The row is there, by this call or an earlier one. An earlier call may have chosen another pool than this one: the
+    /// job belongs to the one that the row names.
+    There(Place),
     /// The row is certainly not there, and won't be by this call.
     Refused,
     /// It can't be told.
@@ -40,14 +52,19 @@
     again: Duration,
     mut doubt: bool,
 ) -> Inserted {
-    let Ok(value) = serde_json::to_vec(&JobRow { pool, job }) else {
+    let row = JobRow {
+        pool,
+        job,
+        moved: None,
+    };
+    let Ok(value) = serde_json::to_vec(&row) else {
         return Inserted::Refused;
     };
     let transaction = Transaction {
         part: job_part(&job.id),
         checks: vec![(JOBS.to_owned(), job.id.to_string(), 0)],
         puts: vec![(JOBS.to_owned(), job.id.to_string(), value)],
-        deletes: Vec::new(),
+        ..Transaction::default()
     };
     let mut calls = FuturesUnordered::new();
     let mut next = Instant::now();
@@ -71,9 +88,22 @@
             () = tokio::time::sleep_until(next.min(until)) => continue,
         };
         match answer {
-            Ok(_) => return Inserted::There(pool),
+            Ok(version) => {
+                return Inserted::There(Place {
+                    pool,
+                    version,
+                    moved: false,
+                });
+            }
             Err(StoreError::Conflict { rows }) => {
-                let found = rows.iter().find_map(|row| pool_of(row.value.as_deref()?));
+                let found = rows.iter().find_map(|row| {
+                    let place = place_of(row.value.as_deref()?)?;
+                    Some(Place {
+                        pool: place.pool,
+                        version: row.version,
+                        moved: place.moved.is_some(),
+                    })
+                });
                 if let Some(found) = found {
                     return Inserted::There(found);
                 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -26,6 +26,7 @@
 mod seat;
 mod session;
 mod settings;
+mod transfer;
 pub mod wire;
 mod writer;
 
--- a/crates/host/src/outside.rs
+++ b/crates/host/src/outside.rs
@@ -49,7 +49,7 @@
     Gone,
 }
 
-/// Conditions and writes that take effect together or not at all, within one part.
+/// Conditions and writes that take effect together or not at all, within one part, and in others if `also` names any.
 #[derive(Clone, Debug, Default)]
 pub struct Transaction {
     /// The part that all rows are in.
@@ -60,6 +60,8 @@
     pub puts: Vec<(String, String, Vec<u8>)>,
     /// Table and key of rows to delete.
     pub deletes: Vec<(String, String)>,
+    /// What takes effect together with it in other parts. A store may refuse that, and takes twice as long for it.
+    pub also: Vec<Transaction>,
 }
 
 /// Rows as of one moment.
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -63,6 +63,8 @@
     busy: AtomicU64,
     /// Jobs are known: callers may be told what isn't there.
     loaded: AtomicBool,
+    /// The transaction up to which they were read then.
+    read_to: AtomicU64,
     /// The store refuses or doesn't answer this owner's writes since then; 0 if it does.
     pub(crate) unserved: AtomicU64,
     sessions: Mutex<FxHashSet<WorkerId>>,
@@ -92,6 +94,7 @@
             questions: Mutex::default(),
             busy: AtomicU64::new(0),
             loaded: AtomicBool::new(false),
+            read_to: AtomicU64::new(0),
             unserved: AtomicU64::new(0),
             sessions: Mutex::default(),
             directory: Mutex::default(),
@@ -152,6 +155,7 @@
     async fn work(self: Arc<Self>, claim: Claim, former: Vec<String>, version: u64) {
         let began = clock::now();
         let (jobs, after) = self.load(&claim.roster, &former, version).await;
+        self.read_to.store(jobs, Ordering::Relaxed);
         self.loaded.store(true, Ordering::Relaxed);
         let took = clock::now().saturating_sub(began);
         metrics::counter!("lentilyoke_takeovers_total").increment(1);
--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -10,7 +10,7 @@
 use super::Owner;
 use crate::clock;
 use crate::host::lock;
-use crate::insert::{Inserted, insert};
+use crate::insert::{Inserted, Place, insert};
 use crate::wire::Reply;
 
 /// A caller that cancels waits this long for the note of it.
@@ -18,8 +18,13 @@
 
 impl Owner {
     /// A job's row is written: takes it up at once. The feed tells it too, a little later.
-    pub(crate) fn accepted(&self, job: Job) {
-        if !self.loaded.load(Ordering::Relaxed) {
+    ///
+    /// A host may be paused between the two. Meanwhile the job may have gone to another pool, and this one to another owner:
+    /// taken up without its progress it would run a second time. What was written before this owner read the jobs is known
+    /// by that, and what is more than the job itself is told by the row.
+    pub(crate) fn accepted(&self, job: Job, place: Place) {
+        let known = place.version <= self.read_to.load(Ordering::Relaxed);
+        if !self.loaded.load(Ordering::Relaxed) || known || place.moved {
             return;
         }
         let (now, unix) = (clock::now(), clock::unix());
@@ -74,9 +79,9 @@
         )
         .await
         {
-            Inserted::There(pool) => {
-                self.host.tell_accepted(pool, job);
-                Reply::Inserted(pool)
+            Inserted::There(place) => {
+                self.host.tell_accepted(place, job);
+                Reply::Inserted(place)
             }
             Inserted::Refused => Reply::Refused,
             Inserted::Unsure => Reply::Unsure,
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -271,7 +271,7 @@
                     member.owns = owns;
                 }
             }
-            ToOwner::Accepted(job) => self.accepted(*job),
+            ToOwner::Accepted(job, place) => self.accepted(*job, place),
             ToOwner::Advised(number, allowed) => {
                 let allowed = allowed.map(|(rows, valid)| {
                     let rows = rows
--- a/crates/host/src/owner/news.rs
+++ b/crates/host/src/owner/news.rs
@@ -48,8 +48,8 @@
             let (now, unix) = (clock::now(), clock::unix());
             let mut pool = lock(&self.pool);
             for row in jobs.rows.iter().filter(|row| !row.key.starts_with(CANCEL)) {
-                if let Some(job) = self.parse_job(row) {
-                    let course = courses.get(row.key.as_str());
+                if let Some((job, before)) = self.parse_job(row) {
+                    let course = courses.get(row.key.as_str()).or(before.as_ref());
                     pool.adopt(now, unix, Arc::new(job), course, true);
                 }
             }
@@ -86,9 +86,9 @@
             if let Some(id) = row.key.strip_prefix(CANCEL) {
                 pool.cancel(unix, id);
             } else if !pool.knows(&row.key)
-                && let Some(job) = self.parse_job(row)
+                && let Some((job, before)) = self.parse_job(row)
             {
-                pool.adopt(now, unix, Arc::new(job), None, false);
+                pool.adopt(now, unix, Arc::new(job), before.as_ref(), false);
             }
         }
         drop(pool);
@@ -135,14 +135,14 @@
         self.dirty.notify_one();
     }
 
-    /// Reads a job's row, if the job is in this pool.
-    fn parse_job(&self, row: &Row) -> Option<Job> {
+    /// Reads a job's row, if the job is in this pool: the job, and how far it had come in another one.
+    fn parse_job(&self, row: &Row) -> Option<(Job, Option<Progress>)> {
         let value = row.value.as_deref()?;
         if pool_of(value).is_some_and(|pool| pool != self.number) {
             return None;
         }
         match serde_json::from_slice::<JobRow<Job>>(value) {
-            Ok(found) => Some(found.job),
+            Ok(found) => Some((found.job, found.moved.map(|moved| moved.progress))),
             Err(error) => {
                 warn!(row = row.key.as_str(), error:% = error; "a job's row can't be read");
                 None
--- a/crates/host/src/route.rs
+++ b/crates/host/src/route.rs
@@ -31,9 +31,14 @@
     pub labels: Vec<String>,
 }
 
-/// The pools that a job with this id may be in, the likelier first.
+/// The pools that a new job with this id may be in, the likelier first.
 #[must_use]
 pub fn candidates(plan: &Plan, id: &str) -> Vec<u32> {
+    ranked(plan, id).into_iter().take(2).collect()
+}
+
+/// All pools in the order of this id's rendezvous hash.
+fn ranked(plan: &Plan, id: &str) -> Vec<u32> {
     let mut pools: Vec<(f64, u32)> = plan
         .sizes
         .iter()
@@ -46,7 +51,17 @@
         })
         .collect();
     pools.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-    pools.into_iter().take(2).map(|(_, pool)| pool).collect()
+    pools.into_iter().map(|(_, pool)| pool).collect()
+}
+
+/// The pool that a job goes to which those in `been` could not serve; `None` if it was in all.
+#[must_use]
+pub fn next(plan: &Plan, job: &Job, been: &[u32], loads: &FxHashMap<u32, Load>) -> Option<u32> {
+    let first = choose(plan, job, loads);
+    let others = ranked(plan, &job.id).into_iter().chain(0..plan.pools());
+    std::iter::once(first)
+        .chain(others)
+        .find(|pool| !been.contains(pool))
 }
 
 /// The pool that a new job goes to.
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -6,7 +6,7 @@
 //!
 //! | table | part | key | written | holds |
 //! |---|---|---|---|---|
-//! | `jobs` | by id, one of 64 | id | once, when a job is accepted, by the host that took it | [`JobRow`] |
+//! | `jobs` | by id, one of 64 | id | when a job is accepted, by the host that took it; when it goes to another pool, by the owner of the pool that it leaves | [`JobRow`] |
 //! | `jobs` | by id, one of 64 | `!` and id | when a job is cancelled and the owner can't be asked | nothing |
 //! | `progress` | the pool's | id | in groups, by the owner | [`pool::Progress`] |
 //! | `owner` | the pool's | `owner` | when the owner or its heirs change | [`OwnerRow`] |
@@ -64,19 +64,38 @@
     pub pool: u32,
     /// As its caller sent it.
     pub job: J,
+    /// How it came to its pool, if that is not the first one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub moved: Option<Moved>,
+}
+
+/// A job that went from pool to pool.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Moved {
+    /// The pools that it was in before. It never comes back to one: that pool's owner may be told of the row as it was.
+    pub from: Vec<u32>,
+    /// How far it had come.
+    pub progress: pool::Progress,
 }
 
 /// What is read of a job's row to find out whose it is.
-#[derive(Clone, Copy, Debug, Deserialize)]
-pub(crate) struct JobPool {
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct JobPlace {
     /// The pool that it is in.
     pub pool: u32,
+    /// How it came there, if that is not the first one.
+    #[serde(default)]
+    pub moved: Option<Moved>,
+}
+
+/// Where a job's row says that it is.
+pub(crate) fn place_of(value: &[u8]) -> Option<JobPlace> {
+    serde_json::from_slice(value).ok()
 }
 
 /// The pool that a job's row names.
 pub(crate) fn pool_of(value: &[u8]) -> Option<u32> {
-    let row: JobPool = serde_json::from_slice(value).ok()?;
-    Some(row.pool)
+    place_of(value).map(|place| place.pool)
 }
 
 /// Who owns a pool.
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -13,6 +13,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::insert::Place;
+
 /// Longest frame in bytes: the rows of one transaction and some more.
 const FRAME_MOST: usize = 4 << 20;
 
@@ -43,8 +45,8 @@
         /// How many pools it owns.
         owns: u32,
     },
-    /// It has accepted a job: the row is written.
-    Accepted(Box<Job>),
+    /// It has accepted a job: the row is written, and says this.
+    Accepted(Box<Job>, Place),
     /// It wants something.
     Ask(u64, Call),
     /// Answer to [`FromOwner::Advise`].
@@ -77,8 +79,8 @@
     Unknown,
     /// The job is cancelled, and that is stored.
     Cancelled,
-    /// The row is written and names this pool.
-    Inserted(u32),
+    /// The row is written, and says this.
+    Inserted(Place),
     /// The row is certainly not written, and won't be.
     Refused,
     /// It can't be told.
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -18,6 +18,7 @@
 use crate::outside::{Row, StoreError, Transaction};
 use crate::owner::Owner;
 use crate::rows::{CANCEL, JOBS, PROGRESS, job_part, pool_part};
+use crate::transfer::{self, Outcome};
 
 /// Heirs are stored with whatever else changes, or after this: hosts come and go together.
 const HEIRS_PACE: Duration = Duration::from_millis(1_500);
@@ -52,6 +53,13 @@
             old = lock(&owner.pool).sweep(clock::unix());
             old = forget(owner, &old).await;
         }
+        if !unsure && owner.host().plan().pools() > 1 {
+            let misfits = lock(&owner.pool).misfits(clock::now());
+            if transfer::run(owner, version, &misfits).await == Outcome::Unsure {
+                unsure = true;
+                continue;
+            }
+        }
         let (batch, roster, silent) = {
             let now = clock::now();
             let mut pool = lock(&owner.pool);
--- a/crates/host/tests/insert.rs
+++ b/crates/host/tests/insert.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use host::insert::{Inserted, insert};
+use host::insert::{Inserted, Place, insert};
 use host::{Feed, Page, Row, Store, StoreError, Transaction};
 use pool::Job;
 use tokio::time::{Instant, sleep};
@@ -12,6 +12,15 @@
 /// The pool that the inserts choose.
 const POOL: u32 = 3;
 
+/// The row is there for a job that has always been in this pool, written by the fake's only transaction.
+const fn there(pool: u32) -> Inserted {
+    Inserted::There(Place {
+        pool,
+        version: 1,
+        moved: false,
+    })
+}
+
 /// What the store does with one call.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
@@ -127,7 +136,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_lost_answer_is_found_out_by_the_next_try() {
     let (inserted, took, calls) = try_insert(&[Fate::DoneUnanswered], false).await;
-    assert_eq!(inserted, Inserted::There(POOL));
+    assert_eq!(inserted, there(POOL));
     assert_eq!(calls, 2);
     assert!(took < Duration::from_millis(250), "{took:?}");
 }
@@ -137,13 +146,13 @@
 #[tokio::test(start_paused = true)]
 async fn a_slow_store_is_waited_for() {
     let (inserted, took, calls) = try_insert(&[Fate::Slow(270), Fate::Slow(270)], false).await;
-    assert_eq!(inserted, Inserted::There(POOL));
+    assert_eq!(inserted, there(POOL));
     assert!(took <= Duration::from_millis(270), "{took:?}");
     assert!(calls <= 2, "{calls} calls");
     let (inserted, _, calls) = insert_again(&[Fate::Slow(270)], 810, false).await;
     assert_eq!(
         (inserted, calls),
-        (Inserted::There(POOL), 1),
+        (there(POOL), 1),
         "known to be slow, it is asked once"
     );
 }
@@ -170,7 +179,7 @@
 #[tokio::test(start_paused = true)]
 async fn doubt_from_elsewhere_is_ended_by_the_row_only() {
     let (inserted, _, _) = try_insert(&[Fate::Refuses, Fate::Refuses, Fate::Slow(4)], true).await;
-    assert_eq!(inserted, Inserted::There(POOL));
+    assert_eq!(inserted, there(POOL));
     let (inserted, _, _) = try_insert(&[Fate::Refuses; 200], true).await;
     assert_eq!(inserted, Inserted::Unsure);
 }
@@ -185,5 +194,5 @@
     let job = Job::default();
     let first = insert(&store, 0, &job, until, again, false).await;
     let second = insert(&store, 1, &job, until, again, false).await;
-    assert_eq!((first, second), (Inserted::There(0), Inserted::There(0)));
+    assert_eq!((first, second), (there(0), there(0)));
 }
--- a/crates/pool/src/fit.rs
+++ b/crates/pool/src/fit.rs
@@ -71,3 +71,12 @@
     }
     Some(cost)
 }
+
+/// How many times `size` goes into `room`.
+pub(crate) fn times(size: Size, room: Size) -> u32 {
+    let part = |size: u64, room: u64| room.checked_div(size).unwrap_or(u64::MAX);
+    part(size.millicores, room.millicores)
+        .min(part(size.memory_mib, room.memory_mib))
+        .min(part(size.accelerators, room.accelerators))
+        .min(1_000) as u32
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -16,6 +16,7 @@
 mod job;
 mod listing;
 mod live;
+mod misfit;
 mod order;
 pub mod pace;
 mod place;
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -174,6 +174,10 @@
     pub inherited: bool,
     /// How many workers have to be heard before it may start anything.
     pub awaits: usize,
+    /// Since when the pool can't serve it, even if nothing else ran.
+    pub misfit: Option<Ms>,
+    /// It is to go to another pool: nothing of it is started here.
+    pub leaves: bool,
     /// When it was accepted, on our clock.
     pub since: Ms,
     /// It is among those to be stored.
@@ -197,6 +201,8 @@
             next: 0,
             inherited: false,
             awaits: 0,
+            misfit: None,
+            leaves: false,
             since: now.saturating_sub(unix.saturating_sub(job.accepted)),
             dirty: false,
             chains: (0..job.steps.len())
@@ -213,6 +219,22 @@
         live
     }
 
+    /// Whether nothing of it runs, as far as this owner knows.
+    pub(crate) fn is_idle(&self) -> bool {
+        let mut stages = self.open.values().flat_map(|course| &course.stages);
+        stages.all(|stage| stage.tasks.iter().all(|task| task.run.is_none()))
+    }
+
+    /// The steps of which something is still to be done, in an occurrence under way or in one to come.
+    pub(crate) fn steps_left(&self) -> Vec<usize> {
+        let all_left = self.next_due().is_some();
+        let left = |step: &usize| {
+            let mut stages = self.open.values().filter_map(|it| it.stages.get(*step));
+            all_left || stages.any(|stage| !stage.complete())
+        };
+        (0..self.job.steps.len()).filter(left).collect()
+    }
+
     /// How many occurrences it has.
     pub(crate) fn times(&self) -> u32 {
         self.job.schedule.map_or(1, |schedule| schedule.times)
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use resource::Size;
-
 use crate::advice::{Choice, choose};
 use crate::fit;
 use crate::job::{Job, Step};
@@ -196,7 +194,7 @@
             };
             choices.push(Choice {
                 worker: Arc::clone(&worker.id),
-                fits: times(step.room(), worker.free()).min(most),
+                fits: fit::times(step.room(), worker.free()).min(most),
                 known: ticket.is_some(),
             });
         }
@@ -217,12 +215,3 @@
         }));
     }
 }
-
-/// How many times `size` goes into `room`.
-fn times(size: Size, room: Size) -> u32 {
-    let part = |size: u64, room: u64| room.checked_div(size).unwrap_or(u64::MAX);
-    part(size.millicores, room.millicores)
-        .min(part(size.memory_mib, room.memory_mib))
-        .min(part(size.accelerators, room.accelerators))
-        .min(1_000) as u32
-}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -94,6 +94,10 @@
     pub(crate) tempo: Tempo,
     /// When workers and paces were looked at last.
     pub(crate) looked: Ms,
+    /// Jobs that went to other pools.
+    pub(crate) given: FxHashSet<JobId>,
+    /// When jobs that don't fit were looked for last.
+    pub(crate) sought: Ms,
     /// Orders that came out of news, for the next plan.
     pub(crate) orders: Vec<Order>,
     /// Another owner has a higher epoch.
@@ -187,7 +191,7 @@
         &self.unseen
     }
 
-    /// Takes up a job. A job that is known already stays as it is.
+    /// Takes up a job. A job that is known already stays as it is, and one that went to another pool stays there.
     pub fn adopt(
         &mut self,
         now: Ms,
@@ -197,7 +201,7 @@
         inherited: bool,
     ) {
         let id = Arc::clone(&job.id);
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.given.contains(&id) {
             return;
         }
         let mut live = Live::new(job, progress, now, unix);
