--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -22,18 +22,10 @@
 use crate::peers::{self, Ended};
 use crate::plan::Plan;
 use crate::rows::{COMMON, OWNER, OwnerRow, PLAN, ROSTER, RosterRow, pool_part};
+use crate::turn::Turn;
 
 /// A store that answers within this is in the same region.
 pub(crate) const NEAR_MS: u64 = 12;
-/// Hosts far from the store leave the others this much time to take a pool that has had no owner yet.
-const FAR_WAIT: Duration = Duration::from_millis(500);
-/// Hosts far from the store leave this much more time where the owner has named heirs: when the way between the regions is
-/// cut or full, all hosts of the far region lose the owner at once, and none of them should take its place.
-const FAR_HEIR_WAIT: Duration = Duration::from_millis(1_500);
-/// Hosts with a smaller share of a processor leave the others up to this much time.
-const SMALL_WAIT: Duration = Duration::from_millis(500);
-/// Heirs go one after the other, with this much time for a write, its answer, and the news of it.
-const STEP: Duration = Duration::from_millis(40);
 /// Hosts that aren't heirs and are equally well placed are spread over this time, in milliseconds.
 const SPREAD_MS: u64 = 200;
 /// At the first start, hosts wait this long for others.
@@ -132,6 +124,8 @@
     urged: Option<u64>,
     /// The one that was lost.
     lost: Option<u64>,
+    /// The one whose life is over: its host has said so in a new one.
+    over: Option<u64>,
     /// The one that did not answer for the pool yet, and since when.
     began: Option<(u64, Instant)>,
 }
@@ -149,10 +143,15 @@
             Ended::Stopped => {}
             // An owner that was replaced and doesn't know it may urge too: its epoch tells.
             Ended::Take => self.urged = Some(row.epoch),
-            Ended::NotOwner if self.may_begin(row.epoch) => {
+            Ended::NotOwner { life } if life == row.life && self.may_begin(row.epoch) => {
                 tokio::time::sleep(JOIN_AGAIN).await;
             }
-            Ended::NotOwner | Ended::Lost => {
+            Ended::NotOwner { life } => {
+                self.lost = Some(row.epoch);
+                self.over = (life != row.life).then_some(row.epoch);
+                info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch, same_life = life == row.life; "lost the owner");
+            }
+            Ended::Lost => {
                 self.lost = Some(row.epoch);
                 info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch; "lost the owner");
             }
@@ -188,8 +187,8 @@
             if !wait_turn(host, pool, Some(row), rows).await {
                 return;
             }
-            let mine = row.host == host.settings.id;
-            if !mine && witnessed(host, pool, row).await {
+            let over = row.host == host.settings.id || self.over == Some(row.epoch);
+            if !over && witnessed(host, pool, row).await {
                 self.lost = None;
                 tokio::time::sleep(HEARD).await;
                 return;
@@ -223,23 +222,18 @@
     rows: &mut watch::Receiver<Known>,
 ) -> bool {
     let heirs = row.map_or(&[][..], |row| &row.heirs);
-    let place = heirs.iter().position(|heir| heir.host == host.settings.id);
-    let wait = match place {
-        Some(place) => STEP * place as u32,
-        None => {
-            let turn = xxh3_64_with_seed(host.settings.id.as_bytes(), pool.into());
-            let spread = Duration::from_millis(turn % SPREAD_MS);
-            let far = match (host.away() > NEAR_MS, heirs.is_empty()) {
-                (false, _) => Duration::ZERO,
-                (true, true) => FAR_WAIT,
-                (true, false) => FAR_HEIR_WAIT,
-            };
-            let small = SMALL_WAIT.mul_f64((1.0 - host.settings.processors).max(0.0));
-            let after = STEP * heirs.len() as u32 * 2;
-            after + spread + far + small + SMALL_WAIT * host.owns()
-        }
+    let id = &host.settings.id;
+    let hash = xxh3_64_with_seed(id.as_bytes(), pool.into());
+    let turn = Turn {
+        own: row.is_some_and(|row| row.host == *id),
+        place: heirs.iter().position(|heir| heir.host == *id),
+        heirs: heirs.len(),
+        far: host.away() > NEAR_MS,
+        processors: host.settings.processors,
+        owns: host.owns(),
+        spread: Duration::from_millis(hash % SPREAD_MS),
     };
-    timeout(wait, rows.changed()).await.is_err()
+    timeout(turn.wait(), rows.changed()).await.is_err()
 }
 
 /// Whether one of the heirs hears the owner: then this host is cut off, and the owner is not lost.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Host`]: what callers ask ([`Host::submit`], [`Host::state`], [`Host::cancel`], [`Host::pending`]).
 //! * [`insert`]: how a job's row is written, once.
 //! * [`Plan`]: which workers belong to which pool; [`route`]: which pool a job goes to.
+//! * [`turn`]: how long a host leaves a pool to others.
 //! * [`wire`]: what hosts say to each other.
 //! * [`Owner`]: a pool's owner: takes over, holds workers, starts tasks, stores progress.
 
@@ -27,6 +28,7 @@
 mod session;
 mod settings;
 mod transfer;
+pub mod turn;
 pub mod wire;
 mod writer;
 
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -32,7 +32,10 @@
     /// It could not be reached, went silent or broke off.
     Lost,
     /// That host is not the owner.
-    NotOwner,
+    NotOwner {
+        /// Start of its life in Unix milliseconds.
+        life: u64,
+    },
     /// It wants this host to take the pool over.
     Take,
     /// This host is stopped.
@@ -141,7 +144,7 @@
                         info!(pool = pool, owner:% = address, epoch = epoch; "joined the owner");
                     }
                 }
-                FromOwner::NotOwner => return Ended::NotOwner,
+                FromOwner::NotOwner { life } => return Ended::NotOwner { life },
                 FromOwner::Take { epoch: of } if of == epoch => return Ended::Take,
                 FromOwner::Told(number, reply) => {
                     if let Some(to) = lock(&link.calls).remove(&number) {
@@ -252,7 +255,7 @@
             }))) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
                 Some(owner) => (name, address, processors, owner),
                 None => {
-                    drop(to.send(FromOwner::NotOwner).await);
+                    drop(to.send(FromOwner::NotOwner { life: host.life }).await);
                     tokio::time::sleep(Duration::from_millis(50)).await;
                     return;
                 }
@@ -276,7 +279,7 @@
             };
             owner.told(&name, member, message, &to);
             if owner.is_over() {
-                drop(to.send(FromOwner::NotOwner).await);
+                drop(to.send(FromOwner::NotOwner { life: host.life }).await);
                 break;
             }
         }
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -97,7 +97,11 @@
     /// It is the owner.
     Beat(Beat),
     /// It is not the owner (any more).
-    NotOwner,
+    NotOwner {
+        /// Start of the answering host's life in Unix milliseconds: an owner's row that names another one is of a life that
+        /// is over.
+        life: u64,
+    },
     /// Answer to [`ToOwner::Ask`].
     Told(u64, Reply),
     /// Ask the advisor about a step.
