--- /dev/null
+++ b/crates/pool/src/ask.rs
@@ -0,0 +1,116 @@
+//! When the advisor is asked about a step.
+
+use std::sync::Arc;
+
+use crate::advice::{self, Choice, choose};
+use crate::fit;
+use crate::job::{Advice, Job, Step};
+use crate::order::{Ask, Order};
+use crate::place::TICKET_SLACK;
+use crate::pool::Pool;
+use crate::task::{Ms, StageKey, WorkerId};
+
+/// Share of the questions that may be under way at once which questions ahead of need leave to others.
+const LEFT_TO_OTHERS: usize = 2;
+
+impl Pool {
+    /// Asks the advisor about workers with room for tasks that could not be placed.
+    pub(crate) fn ask(&mut self, now: Ms, key: &StageKey, job: &Job, step: &Step, need: u32) {
+        let Some(advice) = job.policy.advice else {
+            return;
+        };
+        if self.asking.len() >= self.options.askers || self.asks_not(now, key) {
+            return;
+        }
+        let choices = self.choices(now, key, job, step, need);
+        if choices.iter().all(|choice| choice.fits == 0) {
+            return;
+        }
+        let yes = self.learned.yes(&job.queue);
+        let cheap = advice::cheap(&advice);
+        let workers = choose(need, &choices, yes, self.options.ask_most, cheap);
+        self.send_question(now, key, advice, workers);
+    }
+
+    /// Asks about a step for which no worker has room yet, if the advisor has time: with the answer and a ticket at hand, the
+    /// next room that is free is used at once. Without that it stood idle for as long as a question takes.
+    pub(crate) fn ask_ahead(&mut self, now: Ms, key: &StageKey, job: &Job, step: &Step) {
+        let Some(advice) = job.policy.advice else {
+            return;
+        };
+        let most = self.options.askers / LEFT_TO_OTHERS;
+        if self.asking.len() >= most || self.asks_not(now, key) {
+            return;
+        }
+        let Some(stage) = self.stage(key) else { return };
+        let cheap = advice::cheap(&advice);
+        let takes = advice::takes(&advice, cheap);
+        let lasts = |until: Ms| until > now + takes + TICKET_SLACK;
+        if stage.advised.allowed.values().any(|it| lasts(it.until)) {
+            return;
+        }
+        let choices = self.choices(now, key, job, step, step.count);
+        let workers = choose(0, &choices, 1.0, self.options.ask_most, cheap);
+        self.send_question(now, key, advice, workers);
+    }
+
+    /// Whether no question about the step can be asked now.
+    fn asks_not(&self, now: Ms, key: &StageKey) -> bool {
+        self.stage(key)
+            .is_none_or(|stage| stage.advised.asking.is_some() || stage.advised.rest > now)
+    }
+
+    /// Workers that may be asked about.
+    fn choices(&self, now: Ms, key: &StageKey, job: &Job, step: &Step, need: u32) -> Vec<Choice> {
+        let Some(stage) = self.stage(key) else {
+            return Vec::new();
+        };
+        let same = stage.spread();
+        let mut choices = Vec::new();
+        for worker in self.workers.values() {
+            if !fit::allowed(worker, &job.service, step)
+                || !worker.takes(now)
+                || stage.advised.denied.contains(&worker.id)
+            {
+                continue;
+            }
+            let ticket = stage.advised.allowed.get(&worker.id);
+            if ticket.is_some_and(|ticket| {
+                ticket.until > now + TICKET_SLACK && ticket.born == worker.born
+            }) {
+                continue;
+            }
+            let here = same.get(&worker.id).copied().unwrap_or(0);
+            let most = if step.per_worker > 0 {
+                step.per_worker.saturating_sub(here)
+            } else {
+                need
+            };
+            if most == 0 || fit::times(step.room(), worker.news.room) == 0 {
+                continue;
+            }
+            choices.push(Choice {
+                worker: Arc::clone(&worker.id),
+                fits: fit::times(step.room(), worker.free()).min(most),
+                known: ticket.is_some(),
+            });
+        }
+        choices
+    }
+
+    fn send_question(&mut self, now: Ms, key: &StageKey, advice: Advice, workers: Vec<WorkerId>) {
+        if workers.is_empty() {
+            return;
+        }
+        let takes = advice::takes(&advice, workers.len());
+        self.asking.insert(key.clone());
+        if let Some(stage) = self.stage_mut(key) {
+            stage.advised.asking = Some(now);
+        }
+        self.orders.push(Order::Ask(Ask {
+            stage: key.clone(),
+            workers,
+            takes,
+        }));
+    }
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod advice;
 mod answer;
+mod ask;
 mod ends;
 mod evacuate;
 pub mod fit;
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -42,7 +42,7 @@
         order.sort();
         let mut mix: Option<Mix> = None;
         let mut starts = 0;
-        for (_, key) in order {
+        for (_, key) in &order {
             if starts >= STARTS_MOST {
                 break;
             }
@@ -57,7 +57,16 @@
                 mix.get_or_insert_with(|| self.mix());
             }
             let empty = Mix::default();
-            starts += self.place_stage(now, &key, &job, step, mix.as_ref().unwrap_or(&empty));
+            starts += self.place_stage(now, key, &job, step, mix.as_ref().unwrap_or(&empty));
+        }
+        for (_, key) in &order {
+            let Some(live) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            let job = Arc::clone(&live.job);
+            if let Some(step) = job.steps.get(usize::from(key.step)) {
+                self.ask_ahead(now, key, &job, step);
+            }
         }
     }
 
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -2,14 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::advice::{Choice, choose};
-use crate::fit;
-use crate::job::{Job, Step};
 use crate::live::Live;
-use crate::order::{Ask, Order, Start, Stop};
-use crate::place::TICKET_SLACK;
+use crate::order::{Order, Start, Stop};
 use crate::pool::Pool;
-use crate::task::{Ms, Phase, StageKey, TaskKey, WorkerId};
+use crate::task::{Ms, Phase, TaskKey, WorkerId};
 
 /// A stop that was not confirmed is sent again after this time.
 const STOP_AGAIN: Ms = 400;
@@ -158,60 +154,4 @@
             self.orders.push(order);
         }
     }
-
-    /// Asks the advisor about workers with room for tasks that could not be placed.
-    pub(crate) fn ask(&mut self, now: Ms, key: &StageKey, job: &Job, step: &Step, need: u32) {
-        let Some(advice) = job.policy.advice else {
-            return;
-        };
-        if self.asking.len() >= self.options.askers {
-            return;
-        }
-        let Some(stage) = self.stage(key) else { return };
-        if stage.advised.asking.is_some() || stage.advised.rest > now {
-            return;
-        }
-        let same = stage.spread();
-        let mut choices = Vec::new();
-        for worker in self.workers.values() {
-            if !fit::allowed(worker, &job.service, step)
-                || !worker.takes(now)
-                || stage.advised.denied.contains(&worker.id)
-            {
-                continue;
-            }
-            let ticket = stage.advised.allowed.get(&worker.id);
-            if ticket.is_some_and(|ticket| {
-                ticket.until > now + TICKET_SLACK && ticket.born == worker.born
-            }) {
-                continue;
-            }
-            let here = same.get(&worker.id).copied().unwrap_or(0);
-            let most = if step.per_worker > 0 {
-                step.per_worker.saturating_sub(here)
-            } else {
-                need
-            };
-            choices.push(Choice {
-                worker: Arc::clone(&worker.id),
-                fits: fit::times(step.room(), worker.free()).min(most),
-                known: ticket.is_some(),
-            });
-        }
-        let yes = self.learned.yes(&job.queue);
-        let workers = choose(need, &choices, yes, self.options.ask_most);
-        if workers.is_empty() {
-            return;
-        }
-        let takes = (advice.base + advice.each * workers.len() as f64) as Ms;
-        self.asking.insert(key.clone());
-        if let Some(stage) = self.stage_mut(key) {
-            stage.advised.asking = Some(now);
-        }
-        self.orders.push(Order::Ask(Ask {
-            stage: key.clone(),
-            workers,
-            takes,
-        }));
-    }
 }
--- a/crates/pool/tests/policies.rs
+++ b/crates/pool/tests/policies.rs
@@ -17,6 +17,11 @@
 /// A pool with workers that have answered, at time 1000.
 fn pool(workers: usize) -> Pool {
     let mut pool = Pool::new(Options::default());
+    list_workers(&mut pool, workers);
+    pool
+}
+
+fn list_workers(pool: &mut Pool, workers: usize) {
     let ids: Vec<WorkerId> = (0..workers).map(|at| format!("w{at:02}").into()).collect();
     for (at, id) in ids.iter().enumerate() {
         let news = News {
@@ -32,9 +37,8 @@
     }
     pool.enroll(&ids);
     for id in &ids {
-        hold(&mut pool, 1_000, id, vec![], vec![]);
+        hold(pool, 1_000, id, vec![], vec![]);
     }
-    pool
 }
 
 fn hold(pool: &mut Pool, now: u64, id: &WorkerId, running: Vec<Running>, ended: Vec<End>) {
@@ -381,6 +385,76 @@
     );
 }
 
+/// All workers are full, and a question takes half a second. Asked only when room was free, the room stood idle for as long;
+/// with the answer and a ticket at hand, the step starts the moment there is room.
+#[test]
+fn the_advisor_is_asked_before_there_is_room() {
+    let mut pool = Pool::new(Options {
+        askers: 4,
+        ..Options::default()
+    });
+    list_workers(&mut pool, 2);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000f1", &[(2, 4_000, 5_000)]),
+    );
+    let full = run(&mut pool, 1_001);
+    assert_eq!(full.len(), 2);
+    let mut advised = job("00000000000000a3", &[(1, 4_000, 500)]);
+    advised.policy.advice = Some(Advice {
+        base: 490.0,
+        each: 7.0,
+        valid: 2_000,
+    });
+    adopt(&mut pool, 1_010, advised);
+    let orders = pool.plan(1_020, UNIX);
+    let [Order::Ask(ask)] = orders.as_slice() else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(ask.workers.len(), 2, "all, since each adds little");
+    let first = full[0].worker.clone();
+    pool.advised(
+        1_550,
+        ask,
+        Some((&[(first.clone(), "t".to_owned())], 2_000)),
+    );
+    let done = vec![end(&full[0], 1, How::Done)];
+    hold(&mut pool, 1_600, &first, vec![], done);
+    let started = run(&mut pool, 1_601);
+    assert_eq!(started.len(), 1);
+    assert_eq!(
+        (&started[0].worker, started[0].ticket.as_str()),
+        (&first, "t")
+    );
+}
+
+/// Questions ahead of need leave half of the advisor's time to steps for which there is room.
+#[test]
+fn questions_ahead_leave_time_to_others() {
+    let mut pool = Pool::new(Options {
+        askers: 4,
+        ..Options::default()
+    });
+    list_workers(&mut pool, 2);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000f1", &[(2, 4_000, 5_000)]),
+    );
+    assert_eq!(run(&mut pool, 1_001).len(), 2);
+    for at in 0..8 {
+        let mut advised = job(&format!("00000000000000b{at}"), &[(1, 1_000, 500)]);
+        advised.policy.advice = Some(Advice {
+            base: 490.0,
+            each: 7.0,
+            valid: 2_000,
+        });
+        adopt(&mut pool, 1_010, advised);
+    }
+    assert_eq!(pool.plan(1_020, UNIX).len(), 2);
+}
+
 /// At most one task of a step may run on a worker. The workers that the advisor allowed have one each, so a task that is
 /// left needs others; asking about the same ones again and again left it waiting for ten seconds.
 #[test]
