--- a/crates/pool/src/fit.rs
+++ b/crates/pool/src/fit.rs
@@ -3,6 +3,7 @@
 use resource::Size;
 
 use crate::job::Step;
+use crate::scarce::Scarce;
 use crate::task::Ms;
 use crate::worker::Worker;
 
@@ -25,6 +26,8 @@
     pub serving: u32,
     /// Tasks there that fill.
     pub filling: u32,
+    /// What is scarce among the service's workers.
+    pub scarce: Scarce,
 }
 
 /// Whether the worker may run a task of the step at all.
@@ -60,8 +63,8 @@
         cost += 1.0 - free.millicores as f64 / worker.news.room.millicores.max(1) as f64;
     } else {
         // Best fit keeps large rooms whole for wide tasks.
-        let left = free.millicores.saturating_sub(size.millicores) as f64;
-        cost += 0.2 * left / worker.news.room.millicores.max(1) as f64;
+        let left = free.minus(size).unwrap_or_default();
+        cost += 0.2 * context.scarce.left(left, worker.news.room);
     }
     if step.target > 0 {
         cost += 1.0 * f64::from(context.filling) + 0.1 * f64::from(context.serving);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`Progress`]: what must last of a job's course, as it is stored.
 //! * [`Pool`]: the live state; news goes in, [`Order`]s come out.
 //! * [`News`], [`Listing`], [`Answer`]: what workers and the directory of workers say.
-//! * [`rank`]: who goes first; [`fit`]: on which worker; [`advice`]: which workers to ask about; [`pace`]: when
+//! * [`rank`]: who goes first; [`fit`]: on which worker, [`scarce`]: by what is short; [`advice`]: which workers to ask about; [`pace`]: when
 //!   tasks that fill spare processors are slowed down.
 
 pub mod advice;
@@ -26,6 +26,7 @@
 mod progress;
 pub mod rank;
 mod save;
+pub mod scarce;
 mod settle;
 mod state;
 mod task;
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -11,10 +11,13 @@
 use crate::order::{Order, Start};
 use crate::pool::Pool;
 use crate::rank::{Claim, Rank, rank};
+use crate::scarce::Scarce;
 use crate::task::{Ms, Run, StageKey, TaskKey, WorkerId};
 
 /// Starts in one plan: more would keep answers waiting while they are written.
 const STARTS_MOST: usize = 64;
+/// Work is ranked in whole numbers: a millionth of all room for a millisecond.
+const WORK_UNIT: f64 = 1e6;
 /// A ticket that runs out sooner than this is not used: the order needs time to arrive.
 pub(crate) const TICKET_SLACK: Ms = 120;
 
@@ -24,6 +27,7 @@
 impl Pool {
     /// Starts what there is room for, in the order of ranks.
     pub(crate) fn place(&mut self, now: Ms) {
+        let scarce = self.scarce();
         let mut order: Vec<(Rank, StageKey)> = Vec::new();
         for key in &self.open {
             let Some(live) = self.jobs.get(&key.job) else {
@@ -36,7 +40,8 @@
                 continue;
             };
             if stage.opened.is_some() && stage.tasks.iter().any(|task| task.waits(now)) {
-                order.push((self.rank(now, live, key), key.clone()));
+                let scarce = scarce.get(&live.job.service).copied().unwrap_or_default();
+                order.push((self.rank(now, live, key, &scarce), key.clone()));
             }
         }
         order.sort();
@@ -57,7 +62,9 @@
                 mix.get_or_insert_with(|| self.mix());
             }
             let empty = Mix::default();
-            starts += self.place_stage(now, key, &job, step, mix.as_ref().unwrap_or(&empty));
+            let scarce = scarce.get(&job.service).copied().unwrap_or_default();
+            let mix = mix.as_ref().unwrap_or(&empty);
+            starts += self.place_stage(now, key, &job, step, mix, &scarce);
         }
         for (_, key) in &order {
             let Some(live) = self.jobs.get(&key.job) else {
@@ -70,7 +77,7 @@
         }
     }
 
-    fn rank(&self, now: Ms, live: &Live, key: &StageKey) -> Rank {
+    fn rank(&self, now: Ms, live: &Live, key: &StageKey, scarce: &Scarce) -> Rank {
         let job = &live.job;
         let scale = self.learned.scale(&job.queue);
         let scaled = |chain: Ms| (chain as f64 * scale) as Ms;
@@ -81,14 +88,14 @@
         } else {
             live.since
         };
-        let work: u64 = course.map_or(0, |course| {
+        let work: f64 = course.map_or(0.0, |course| {
             course
                 .stages
                 .iter()
                 .zip(&job.steps)
                 .map(|(stage, step)| {
-                    let left = (stage.tasks.len() - stage.done) as u64;
-                    left * step.estimate * step.size.millicores / 1_000
+                    let left = (stage.tasks.len() - stage.done) as f64;
+                    left * step.estimate as f64 * scarce.share(step.size)
                 })
                 .sum()
         });
@@ -97,7 +104,7 @@
             age: now.saturating_sub(since),
             objective: (scaled(longest) as f64 * job.policy.stretch) as Ms + job.policy.objective,
             chain: scaled(live.chains.get(usize::from(key.step)).copied().unwrap_or(0)),
-            work,
+            work: (work * WORK_UNIT) as u64,
             lasting: job.lasting(),
         })
     }
@@ -132,6 +139,7 @@
         job: &Arc<Job>,
         step: &Step,
         mix: &Mix,
+        scarce: &Scarce,
     ) -> usize {
         let Some(stage) = self.stage(key) else {
             return 0;
@@ -148,7 +156,7 @@
             return 0;
         }
         let same = stage.spread();
-        let places = self.assign(now, key, job, step, waiting.len(), &same, mix);
+        let places = self.assign(now, key, job, step, waiting.len(), &same, mix, scarce);
         let enough = if step.gang {
             places.len() == waiting.len()
         } else {
@@ -196,6 +204,7 @@
         count: usize,
         same: &FxHashMap<WorkerId, u32>,
         mix: &Mix,
+        scarce: &Scarce,
     ) -> Vec<WorkerId> {
         let Some(stage) = self.stage(key) else {
             return Vec::new();
@@ -222,6 +231,7 @@
                 placed: 0,
                 serving,
                 filling,
+                scarce: *scarce,
             };
             choices.push((worker, worker.free(), context));
         }
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -23,7 +23,7 @@
     pub priority: u32,
     /// It can't meet its objective any more.
     pub late: bool,
-    /// Work that is left, in core-milliseconds.
+    /// Work that is left: room that it takes, in the dimension in which it takes most, times time.
     pub work: u64,
 }
 
@@ -38,7 +38,7 @@
     pub objective: Ms,
     /// Longest chain of work that is left.
     pub chain: Ms,
-    /// Work that is left, in core-milliseconds.
+    /// Work that is left, as in [`Rank::work`].
     pub work: u64,
     /// It runs until it is cancelled.
     pub lasting: bool,
