--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -40,6 +40,9 @@
 
 /// Follows parts of a table for good and tells each change. It starts anew from all rows when the history is gone.
 ///
+/// After a failure it asks for what there is now, without waiting for changes: the answer tells that the store is back.
+/// A host that waited for a change refused callers for one to two seconds after an outage had ended.
+///
 /// Between two questions it pauses for `pace`: a table that changes all the time would be asked about all the time, and
 /// each call costs.
 ///
@@ -55,6 +58,7 @@
 ) {
     let mut newest = from.unwrap_or(0);
     let mut listed = from.is_some();
+    let mut wait = WAIT;
     loop {
         if !listed {
             let page = read(store, table, parts, newest).await;
@@ -62,8 +66,9 @@
             tell(Change::All(page));
             listed = true;
         }
-        match store.feed(table, newest, WAIT).await {
+        match store.feed(table, newest, wait).await {
             Ok(feed) => {
+                wait = WAIT;
                 newest = newest.max(feed.version);
                 let full = feed.rows.len() >= FULL;
                 let rows: Vec<Row> = feed
@@ -79,6 +84,7 @@
             }
             Err(StoreError::Gone) => listed = false,
             Err(error) => {
+                wait = Duration::ZERO;
                 tell(Change::Failed(error));
                 tokio::time::sleep(PAUSE).await;
             }
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -38,7 +38,8 @@
     pub(super) processors: f64,
     pub(super) to: mpsc::Sender<FromOwner>,
     pub(super) heard: Ms,
-    served: bool,
+    /// Since when the store serves it, as far as it said; `None` if it doesn't.
+    served: Option<Ms>,
     away: u64,
     /// How many pools it owns.
     owns: u32,
@@ -75,6 +76,12 @@
 }
 
 impl Member {
+    /// Whether it was heard lately and the store has served it for this long.
+    fn is_served(&self, now: Ms, least: Ms) -> bool {
+        let since = self.served.map(|since| now.saturating_sub(since));
+        since.is_some_and(|time| time >= least) && now.saturating_sub(self.heard) < QUIET
+    }
+
     fn post(&self) -> Post {
         Post {
             near: self.away <= NEAR_MS,
@@ -96,12 +103,17 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             let now = clock::now();
             let since = self.unserved.load(Ordering::Relaxed);
-            let unserved = since > 0 && now.saturating_sub(since) > UNSERVED;
+            // A write that was sent just before the store came back is still unanswered when other calls are served again.
+            let unserved = since > 0 && now.saturating_sub(since) > UNSERVED && !self.host.served();
+            let draining = self.host.stop.is_draining();
+            // When an outage ends for all, one host notices first. It must not get the pool for that: the owner has as
+            // much time to notice it too.
+            let steady = if draining { 0 } else { UNSERVED };
             let recent = urged.values().any(|&at| now.saturating_sub(at) < URGE);
             if recent {
                 continue;
             }
-            let leaving = unserved || self.host.stop.is_draining();
+            let leaving = unserved || draining;
             let settled =
                 self.loaded.load(Ordering::Relaxed) && now.saturating_sub(began) > SETTLED;
             if !leaving && !settled {
@@ -115,7 +127,7 @@
             let members = lock(&self.members);
             let heir = members
                 .iter()
-                .filter(|(_, member)| member.served && now.saturating_sub(member.heard) < QUIET)
+                .filter(|(_, member)| member.is_served(now, steady))
                 .filter(|(_, member)| leaving || member.post().better(own))
                 .min_by(|(a, a_is), (b, b_is)| {
                     let urged = |name| urged.get(name).copied().unwrap_or(0);
@@ -143,7 +155,7 @@
         let members = lock(&self.members);
         let mut heirs: Vec<(f64, Heir)> = members
             .iter()
-            .filter(|(_, member)| member.served && now.saturating_sub(member.heard) < QUIET)
+            .filter(|(_, member)| member.is_served(now, 0))
             .map(|(name, member)| {
                 let heir = Heir {
                     host: name.clone(),
@@ -228,7 +240,7 @@
                 processors,
                 to,
                 heard: clock::now(),
-                served: false,
+                served: None,
                 away: u64::MAX,
                 owns: 0,
                 helps: self.is_helped_by(name),
@@ -266,7 +278,7 @@
                     && member.number == number
                 {
                     member.heard = clock::now();
-                    member.served = served;
+                    member.served = served.then(|| member.served.unwrap_or(member.heard));
                     member.away = away;
                     member.owns = owns;
                 }
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -99,6 +99,7 @@
             version,
             &old[..deletes],
         );
+        let asked = clock::now();
         match owner.host().store.commit(&transaction).await {
             Ok(done) => {
                 if rewrite {
@@ -139,9 +140,8 @@
             Err(error) => {
                 warn!(error:% = error, rows = batch.rows.len(); "progress is not stored yet");
                 unsure |= matches!(error, StoreError::Lost { .. });
-                let now = clock::now();
                 if owner.unserved.load(Ordering::Relaxed) == 0 {
-                    owner.unserved.store(now, Ordering::Relaxed);
+                    owner.unserved.store(asked.max(1), Ordering::Relaxed);
                 }
                 tokio::time::sleep(PAUSE).await;
             }
--- a/crates/host/tests/follow.rs
+++ b/crates/host/tests/follow.rs
@@ -192,3 +192,54 @@
     assert_eq!(rows, 128);
     assert!(took < Duration::from_secs(30), "{took:?}");
 }
+
+/// A store that is silent until some moment, and then tells changes only when there are any.
+struct Away {
+    back: Instant,
+}
+
+#[async_trait]
+impl Store for Away {
+    async fn commit(&self, _: &Transaction) -> Result<u64, StoreError> {
+        Ok(0)
+    }
+
+    async fn page(&self, _: &str, _: &str, _: &str) -> Result<Page, StoreError> {
+        Ok(Page::default())
+    }
+
+    async fn get(&self, _: &str, _: &str, _: &str) -> Result<Option<Row>, StoreError> {
+        Ok(None)
+    }
+
+    async fn feed(&self, _: &str, _: u64, wait: Duration) -> Result<Feed, StoreError> {
+        if Instant::now() < self.back {
+            sleep(wait + Duration::from_millis(400)).await;
+            return Err(StoreError::Lost {
+                why: "silence".to_owned(),
+            });
+        }
+        sleep(wait).await;
+        Ok(Feed::default())
+    }
+}
+
+/// An outage of the store ends. All hosts go on refusing callers until an answer tells them: those that waited 0.9 s for a
+/// change, of which there was none, did so for up to two seconds.
+#[tokio::test(start_paused = true)]
+async fn the_end_of_an_outage_is_noticed_at_once() {
+    for outage in (2_000..4_000).step_by(70) {
+        let back = Instant::now() + Duration::from_millis(outage);
+        let store = Away { back };
+        let parts = [String::new()];
+        let mut answered = None;
+        let following = follow(&store, "op", &parts, Some(0), Duration::ZERO, |change| {
+            if let Change::Some(_) = change {
+                answered.get_or_insert(Instant::now());
+            }
+        });
+        drop(timeout(Duration::from_secs(8), following).await);
+        let late = answered.expect("it is back") - back;
+        assert!(late < Duration::from_millis(600), "{late:?}");
+    }
+}
