--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -46,8 +46,15 @@
             (worker.news.address.clone(), worker.ends())
         };
         if ends.1 > ends.2 {
+            let gather = lock(&owner.pool).gather(id);
+            tokio::time::sleep(Duration::from_millis(gather)).await;
             let stored = owner.stored.notified();
-            drop(tokio::time::timeout(STORED, stored).await);
+            let noted = lock(&owner.pool)
+                .worker(id)
+                .is_some_and(|worker| worker.ends().1 <= worker.ends().2);
+            if !noted {
+                drop(tokio::time::timeout(STORED, stored).await);
+            }
             match lock(&owner.pool).worker(id) {
                 Some(worker) => ends = worker.ends(),
                 None => return,
--- a/crates/pool/src/watch.rs
+++ b/crates/pool/src/watch.rs
@@ -15,6 +15,10 @@
 const STILL: Ms = 2_500;
 /// A worker that failed as often as a suspect gets nothing for this long, then one task at a time.
 const REST_SUSPECT: Ms = 2_000;
+/// Further ends are awaited for this part of the shortest task's time.
+const GATHER_SHARE: Ms = 10;
+/// But no longer than this.
+const GATHER_MOST: Ms = 200;
 /// Evidence of a first failure of a task.
 const FIRST: f64 = 1.0;
 /// Evidence of the failure of a task that failed elsewhere too: the task is the likelier cause.
@@ -23,6 +27,24 @@
 const WELL: f64 = 0.6;
 
 impl Pool {
+    /// How long to leave a worker alone after it has listed ends, so that further ones come with the next look.
+    ///
+    /// A worker whose tasks end one by one was looked at once for each of them. Callers don't notice an end that is told later
+    /// by a tenth of what the shortest task there takes.
+    #[must_use]
+    pub fn gather(&self, id: &str) -> Ms {
+        let Some(worker) = self.workers.get(id) else {
+            return 0;
+        };
+        let steps = worker.runs.keys().filter_map(|key| {
+            let live = self.jobs.get(&key.stage.job)?;
+            live.job.steps.get(usize::from(key.stage.step))
+        });
+        let passing = steps.filter(|step| !step.lasting);
+        let shortest = passing.map(|step| step.estimate).min();
+        (shortest.unwrap_or(0) / GATHER_SHARE).min(GATHER_MOST)
+    }
+
     /// Draws conclusions about a worker from the end of a run.
     pub(crate) fn judge(
         &mut self,
--- a/crates/pool/tests/policies.rs
+++ b/crates/pool/tests/policies.rs
@@ -606,3 +606,32 @@
         assert!(pool.misfits(now).is_empty());
     }
 }
+
+/// Quick tasks run on one worker, long ones on another. Each end of a long task cost a look of its own, while more were about
+/// to end; ends of quick tasks must be told soon.
+#[test]
+fn further_ends_are_awaited_as_long_as_callers_do_not_notice() {
+    let mut pool = pool(2);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000h1", &[(1, 4_000, 500)]),
+    );
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000h2", &[(1, 4_000, 60_000)]),
+    );
+    let started = run(&mut pool, 1_001);
+    let gather = |job: &str| {
+        let start = started
+            .iter()
+            .find(|start| &*start.task.stage.job == job)
+            .expect("both run");
+        pool.gather(&start.worker)
+    };
+    assert_eq!(
+        (gather("00000000000000h1"), gather("00000000000000h2")),
+        (50, 200)
+    );
+}
