--- a/crates/pool/src/ask.rs
+++ b/crates/pool/src/ask.rs
@@ -12,10 +12,6 @@
 
 /// Share of the questions that may be under way at once which questions ahead of need leave to others.
 const LEFT_TO_OTHERS: usize = 2;
-/// A question that takes longer than this holds up quick work that has to wait for it.
-const LONG: Ms = 60;
-/// Long questions leave one of so many to short ones.
-const LEFT_TO_SHORT: usize = 3;
 
 impl Pool {
     /// Asks the advisor about workers with room for tasks that could not be placed.
@@ -23,7 +19,7 @@
         let Some(advice) = job.policy.advice else {
             return;
         };
-        if !self.may_ask(&advice, self.options.askers) || self.asks_not(now, key) {
+        if self.asking.len() >= self.options.askers || self.asks_not(now, key) {
             return;
         }
         let choices = self.choices(now, key, job, step, need);
@@ -43,7 +39,7 @@
             return;
         };
         let most = self.options.askers / LEFT_TO_OTHERS;
-        if !self.may_ask(&advice, most) || self.asks_not(now, key) {
+        if self.asking.len() >= most || self.asks_not(now, key) {
             return;
         }
         let Some(stage) = self.stage(key) else { return };
@@ -58,23 +54,6 @@
         self.send_question(now, key, advice, workers);
     }
 
-    /// Whether the advisor has time for another question, with `most` under way at once.
-    ///
-    /// A host asks one question after another. In a rush of quick work, long questions were under way from all hosts, and
-    /// quick steps waited half a second for one of a hundredth of that.
-    fn may_ask(&self, advice: &Advice, most: usize) -> bool {
-        let long_most = self.options.askers - self.options.askers / LEFT_TO_SHORT;
-        let long = is_long(advice);
-        self.asking.len() < most && (!long || self.long_questions() < long_most)
-    }
-
-    /// Long questions that are under way.
-    fn long_questions(&self) -> usize {
-        let jobs = self.asking.iter().filter_map(|key| self.jobs.get(&key.job));
-        let advices = jobs.filter_map(|live| live.job.policy.advice);
-        advices.filter(is_long).count()
-    }
-
     /// Whether no question about the step can be asked now.
     fn asks_not(&self, now: Ms, key: &StageKey) -> bool {
         self.stage(key)
@@ -135,7 +114,3 @@
         }));
     }
 }
-
-fn is_long(advice: &Advice) -> bool {
-    advice::takes(advice, 0) > LONG
-}
