--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -55,6 +55,10 @@
         let (id, queue) = (Arc::clone(&job.id), job.queue.clone());
         let pool = route::choose(&self.plan(), &job, &self.loads());
         let heard = self.heard(pool);
+        let job = Job {
+            epoch: self.epoch(pool),
+            ..job
+        };
         let submitted = self.try_submit(pool, job, until).await;
         let outcome = match submitted {
             Submitted::Accepted => "accepted",
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -84,7 +84,10 @@
             host: Arc::clone(host),
             number,
             epoch: claim.owner.epoch,
-            pool: Mutex::new(Pool::new(host.settings.pool.clone())),
+            pool: Mutex::new(Pool::new(pool::Options {
+                epoch: claim.owner.epoch,
+                ..host.settings.pool.clone()
+            })),
             wake: Notify::new(),
             dirty: Notify::new(),
             stored: Notify::new(),
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/seat.rs
@@ -105,6 +105,16 @@
         self.seat(pool).link
     }
 
+    /// Epoch of a pool's owner, if this host is linked to it or is it; 0 if not.
+    pub(crate) fn epoch(&self, pool: u32) -> u64 {
+        let seat = self.seat(pool);
+        match (seat.owner, seat.link) {
+            (Some(owner), _) => owner.epoch(),
+            (None, Some(_)) => seat.heard.beat.epoch,
+            (None, None) => 0,
+        }
+    }
+
     /// The way to an owner that the store serves, as far as this host knows.
     pub(crate) fn served_link(&self) -> Option<Arc<Link>> {
         let now = clock::now();
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -71,7 +71,11 @@
     };
     let next = JobRow {
         pool: to,
-        job: &*job,
+        // Epochs of different pools have nothing to do with each other.
+        job: pool::Job {
+            epoch: 0,
+            ..(*job).clone()
+        },
         moved: Some(Moved { from, progress }),
     };
     let Ok(value) = serde_json::to_vec(&next) else {
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -105,6 +105,9 @@
     pub policy: Policy,
     /// When it was accepted, in Unix milliseconds.
     pub accepted: u64,
+    /// Epoch of its pool's owner, as far as the host knew that accepted it; 0 if it knew none. An owner with a smaller epoch
+    /// must not start it, so one with this epoch knows that no former owner has.
+    pub epoch: u64,
 }
 
 /// Why a job can't be taken.
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -33,7 +33,7 @@
             let Some(live) = self.jobs.get(&key.job) else {
                 continue;
             };
-            if live.awaits > 0 || live.leaves || live.inherited && !self.unseen.is_empty() {
+            if live.awaits > 0 || live.leaves || live.inherited && self.may_run_unseen(&live.job) {
                 continue;
             }
             let Some(stage) = self.stage(key) else {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -19,6 +19,8 @@
 /// What the pool's decisions depend on besides jobs and workers.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// The owner's epoch; 0 if owners have none.
+    pub epoch: u64,
     /// How long an order to start may still be carried out after it was sent, in milliseconds. Longer than any answer
     /// takes on a sound way; shorter means that room in doubt is free again sooner.
     pub order_life: Ms,
@@ -41,6 +43,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            epoch: 0,
             order_life: 1_000,
             lease_most: 6_000,
             proof: 1_600,
@@ -185,6 +188,15 @@
         }
     }
 
+    /// Whether an inherited job may run on a worker that has not answered yet, as far as is known of it: a worker runs tasks of
+    /// its own service alone.
+    pub(crate) fn may_run_unseen(&self, job: &Job) -> bool {
+        self.unseen.iter().any(|id| {
+            let service = self.workers.get(id).map(|it| it.news.service.as_str());
+            service.is_none_or(|service| service.is_empty() || service == job.service)
+        })
+    }
+
     /// Workers of the former owner that have not answered yet: inherited jobs wait for them.
     #[must_use]
     pub fn unseen(&self) -> &BTreeSet<WorkerId> {
@@ -204,10 +216,16 @@
         if self.jobs.contains_key(&id) || self.given.contains(&id) {
             return;
         }
+        if job.epoch > self.options.epoch && self.options.epoch > 0 {
+            // The host that accepted it knows a newer owner.
+            self.deposed = true;
+            return;
+        }
+        let ours = job.epoch == self.options.epoch && job.epoch > 0;
         let mut live = Live::new(job, progress, now, unix);
         // The former owner may have been told of a job that this one learns of only now.
         let former = self.former_orders_end().is_none_or(|end| now < end);
-        live.inherited = inherited || former && !self.unseen.is_empty();
+        live.inherited = !ours && (inherited || former && !self.unseen.is_empty());
         self.jobs.insert(Arc::clone(&id), live);
         self.advance(&id, now, unix);
         self.recognise(now, &id);
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -56,12 +56,40 @@
     world.owners[0].frozen = u64::MAX;
     world.take();
     world.pass(300);
-    world.accept((*job).clone());
+    world.tell(&job);
     world.pass(16_000);
     assert_eq!(world.broken, Vec::<String>::new());
     assert_eq!(world.stored("00000000000000aa"), Some(State::Completed));
 }
 
+/// A worker is dark when the owner is lost, so what the former owner started there holds back all that it may have known.
+/// Jobs that come after that waited too, up to nine seconds, and callers got nothing. Their rows name the new owner, whom the
+/// former one, still alive and cut from most workers, must not forestall.
+#[test]
+fn a_job_accepted_for_the_new_owner_waits_for_no_worker_of_the_former() {
+    let mut world = World::new(9, 6);
+    world.take();
+    world.pass(500);
+    world.accept(job("00000000000000aa", &[(6, 1_000, 3_000)]));
+    world.pass(100);
+    world.cut(&id(0), 2);
+    for at in 1..6 {
+        world.cut(&id(at), 1);
+    }
+    world.take();
+    world.pass(200);
+    world.accept(job("00000000000000bb", &[(3, 1_000, 500)]));
+    world.pass(1_500);
+    assert_eq!(world.stored("00000000000000bb"), Some(State::Completed));
+    assert!(
+        !world.owners[1].pool.unseen().is_empty(),
+        "the former owner's worker is still dark"
+    );
+    world.pass(16_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.unfinished(), 0);
+}
+
 /// An owner is paused in the middle of its work, is replaced, and goes on with what it had in mind. Its orders come too
 /// late or meet a newer epoch.
 #[test]
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -178,7 +178,10 @@
     /// A new owner takes the pool.
     pub(crate) fn take(&mut self) {
         let epoch = self.owners.len() as u64 + 1;
-        let mut pool = Pool::new(Options::default());
+        let mut pool = Pool::new(Options {
+            epoch,
+            ..Options::default()
+        });
         for (id, machine) in &self.machines {
             let news = News {
                 address: id.to_string(),
@@ -208,13 +211,19 @@
         });
     }
 
-    /// A caller's job is accepted and the present owner is told.
+    /// A caller's job is accepted by a host that knows the present owner.
     pub(crate) fn accept(&mut self, job: Job) {
-        let job = Arc::new(job);
-        self.jobs.insert(job.id.to_string(), Arc::clone(&job));
+        let epoch = self.owners.last().map_or(0, |owner| owner.epoch);
+        self.tell(&Arc::new(Job { epoch, ..job }));
+    }
+
+    /// The present owner is told of a job's row, and so are former owners that don't know yet that they were replaced: all of
+    /// them follow the jobs.
+    pub(crate) fn tell(&mut self, job: &Arc<Job>) {
+        self.jobs.insert(job.id.to_string(), Arc::clone(job));
         let (now, unix) = (self.now, self.unix());
-        if let Some(owner) = self.owners.last_mut() {
-            owner.pool.adopt(now, unix, job, None, false);
+        for owner in self.owners.iter_mut().filter(|owner| !owner.over) {
+            owner.pool.adopt(now, unix, Arc::clone(job), None, false);
         }
     }
 
