--- a/crates/pool/src/ask.rs
+++ b/crates/pool/src/ask.rs
@@ -8,7 +8,7 @@
 use crate::order::{Ask, Order};
 use crate::place::TICKET_SLACK;
 use crate::pool::Pool;
-use crate::task::{Ms, Phase, Run, StageKey, WorkerId};
+use crate::task::{Ms, StageKey, WorkerId};
 
 /// Share of the questions that may be under way at once which questions ahead of need leave to others.
 const LEFT_TO_OTHERS: usize = 2;
@@ -54,60 +54,6 @@
         self.send_question(now, key, advice, workers);
     }
 
-    /// Asks about steps whose turn comes soon: all that they wait for runs, and ends while a ticket would still hold.
-    pub(crate) fn ask_for_next(&mut self, now: Ms) {
-        let mut next = Vec::new();
-        for key in &self.open {
-            let Some(live) = self.jobs.get(&key.job).filter(|live| !live.leaves) else {
-                continue;
-            };
-            let Some(advice) = live.job.policy.advice else {
-                continue;
-            };
-            let takes = advice::takes(&advice, advice::cheap(&advice));
-            let Some(ahead) = (advice.valid * 3 / 4).checked_sub(takes) else {
-                continue;
-            };
-            let soon = |step: u16| {
-                let key = StageKey {
-                    step,
-                    ..key.clone()
-                };
-                self.ends_by(&key, now + ahead)
-            };
-            for (at, step) in live.job.steps.iter().enumerate() {
-                if step.after.contains(&key.step) && step.after.iter().all(|&step| soon(step)) {
-                    let key = StageKey {
-                        step: at as u16,
-                        ..key.clone()
-                    };
-                    next.push((key, Arc::clone(&live.job)));
-                }
-            }
-        }
-        for (key, job) in next {
-            if let Some(step) = job.steps.get(usize::from(key.step)) {
-                self.ask_ahead(now, &key, &job, step);
-            }
-        }
-    }
-
-    /// Whether all tasks of a step are done, or run and should end by then.
-    fn ends_by(&self, key: &StageKey, by: Ms) -> bool {
-        let (Some(stage), Some(live)) = (self.stage(key), self.jobs.get(&key.job)) else {
-            return false;
-        };
-        let estimate = live
-            .job
-            .steps
-            .get(usize::from(key.step))
-            .map_or(0, |step| step.estimate);
-        let takes = (estimate as f64 * self.learned.scale(&live.job.queue)) as Ms;
-        let ends = |run: &Run| run.phase == Phase::Running && run.ordered + takes <= by;
-        let mut tasks = stage.tasks.iter();
-        tasks.all(|task| task.done || task.run.as_ref().is_some_and(ends))
-    }
-
     /// Whether no question about the step can be asked now.
     fn asks_not(&self, now: Ms, key: &StageKey) -> bool {
         self.stage(key)
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -75,7 +75,6 @@
                 self.ask_ahead(now, key, &job, step);
             }
         }
-        self.ask_for_next(now);
     }
 
     fn rank(&self, now: Ms, live: &Live, key: &StageKey, scarce: &Scarce) -> Rank {
