--- a/crates/host/src/owner/news.rs
+++ b/crates/host/src/owner/news.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use log::warn;
-use pool::{Job, Progress, WorkerId};
+use pool::{Job, Progress, State, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::Owner;
@@ -11,7 +11,7 @@
 use crate::follow::{Change, read};
 use crate::host::lock;
 use crate::outside::Row;
-use crate::rows::{CANCEL, JOBS, JobRow, PROGRESS, RosterRow, job_parts, pool_of, pool_part};
+use crate::rows::{CANCEL, JOBS, JobRow, PROGRESS, RosterRow, job_parts, pool_part};
 
 impl Owner {
     /// Reads all jobs, and takes up the workers; tells up to which transaction the jobs were read, and the workers.
@@ -44,9 +44,11 @@
             let (now, unix) = (clock::now(), clock::unix());
             let mut pool = lock(&self.pool);
             for row in jobs.rows.iter().filter(|row| !row.key.starts_with(CANCEL)) {
-                if let Some((job, before)) = self.parse_job(row) {
-                    let course = courses.get(row.key.as_str()).or(before.as_ref());
-                    pool.adopt(now, unix, Arc::new(job), course, true);
+                let course = courses.get(row.key.as_str());
+                if let Some(course) = course.filter(|it| it.state == State::Completed) {
+                    pool.adopt(now, unix, Arc::new(bare(row)), Some(course), true);
+                } else if let Some((job, before)) = self.parse_job(row) {
+                    pool.adopt(now, unix, Arc::new(job), course.or(before.as_ref()), true);
                 }
             }
             for row in jobs.rows.iter().filter(|row| row.key.starts_with(CANCEL)) {
@@ -134,10 +136,8 @@
     /// Reads a job's row, if the job is in this pool: the job, and how far it had come in another one.
     fn parse_job(&self, row: &Row) -> Option<(Job, Option<Progress>)> {
         let value = row.value.as_deref()?;
-        if pool_of(value).is_some_and(|pool| pool != self.number) {
-            return None;
-        }
         match serde_json::from_slice::<JobRow<Job>>(value) {
+            Ok(found) if found.pool != self.number => None,
             Ok(found) => Some((found.job, found.moved.map(|moved| moved.progress))),
             Err(error) => {
                 warn!(row = row.key.as_str(), error:% = error; "a job's row can't be read");
@@ -146,3 +146,12 @@
         }
     }
 }
+
+/// A job that is completed, without what it was. Nothing of it runs or will, and only its state is asked for; most rows that a
+/// new owner reads are of such jobs, and reading what they ask took half of the time until others went on.
+fn bare(row: &Row) -> Job {
+    Job {
+        id: row.key.as_str().into(),
+        ..Job::default()
+    }
+}
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -93,11 +93,6 @@
     serde_json::from_slice(value).ok()
 }
 
-/// The pool that a job's row names.
-pub(crate) fn pool_of(value: &[u8]) -> Option<u32> {
-    place_of(value).map(|place| place.pool)
-}
-
 /// Who owns a pool.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct OwnerRow {
