--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -102,6 +102,18 @@
         version: u64::MAX,
         ..Page::default()
     };
+    read_each(store, table, parts, least, |page| all.add(page)).await;
+    all
+}
+
+/// The same, and tells each page when it is there.
+pub async fn read_each(
+    store: &dyn Store,
+    table: &str,
+    parts: &[String],
+    least: u64,
+    mut tell: impl FnMut(Page),
+) {
     let first = |part| (part, String::new(), Duration::ZERO);
     let mut left: VecDeque<(&String, String, Duration)> = parts.iter().map(first).collect();
     let mut most = READS_FIRST;
@@ -117,13 +129,13 @@
             });
         }
         let Some((part, from, page)) = reads.next().await else {
-            return all;
+            return;
         };
         match page {
             Ok(page) if page.version >= least => {
                 most = (most + 1).min(READS_MOST);
                 let next = page.next.clone();
-                all.add(page);
+                tell(page);
                 if let Some(next) = next {
                     left.push_front((part, next, Duration::ZERO));
                 }
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -13,7 +13,7 @@
 use log::{info, warn};
 use pool::{Ms, Order, Pool, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -33,6 +33,8 @@
 /// Rows of workers change with each of their heartbeats, some thirty a second for 48 workers. A worker that drains gets
 /// nothing new from 2.5 s after its row says so.
 const WORKERS_PACE: Duration = Duration::from_millis(350);
+/// A new owner begins with the jobs that it knows after this time; it takes a quarter of it where the store is well.
+const JOBS_WAIT: Duration = Duration::from_millis(400);
 /// Longest time between two plans: leases, doubts and paces are looked at so often.
 const TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two plans: news that comes together is planned together.
@@ -157,13 +159,37 @@
     /// Takes up jobs and workers, then works.
     async fn work(self: Arc<Self>, claim: Claim, former: Vec<String>, version: u64) {
         let began = clock::now();
-        let (jobs, after) = self.load(&claim.roster, &former, version).await;
-        self.read_to.store(jobs, Ordering::Relaxed);
-        self.loaded.store(true, Ordering::Relaxed);
+        self.read_to.store(version, Ordering::Relaxed);
+        lock(&self.pool).set_partial(began, true);
+        let (to, mut pages) = mpsc::unbounded_channel();
+        let mut reading = Box::pin(self.read_jobs(version, to));
+        let ((listed, courses), read) = tokio::join!(
+            self.read_workers(version),
+            tokio::time::timeout(JOBS_WAIT, reading.as_mut()),
+        );
+        let (all, after) = (read.is_ok(), listed.version);
+        while let Ok(page) = pages.try_recv() {
+            self.take_up_jobs(&page, &courses);
+        }
+        self.inherit(listed, &claim.roster, &former);
         let took = clock::now().saturating_sub(began);
         metrics::counter!("lentilyoke_takeovers_total").increment(1);
         metrics::histogram!("lentilyoke_takeover_ms").record(took as f64);
-        info!(pool = self.number, epoch = self.epoch, ms = took; "jobs are known");
+        info!(pool = self.number, epoch = self.epoch, all = all, ms = took; "jobs are known");
+        let rest = async {
+            if !all {
+                let taking = async {
+                    while let Some(page) = pages.recv().await {
+                        self.take_up_jobs(&page, &courses);
+                    }
+                };
+                tokio::join!(reading, taking);
+                let took = clock::now().saturating_sub(began);
+                info!(pool = self.number, epoch = self.epoch, ms = took; "all jobs are known");
+            }
+            lock(&self.pool).set_partial(clock::now(), false);
+            self.loaded.store(true, Ordering::Relaxed);
+        };
         let parts: Vec<String> = job_parts().collect();
         let common = [String::new()];
         let store = Arc::clone(&self.host.store);
@@ -172,7 +198,7 @@
             store.as_ref(),
             JOBS,
             &parts,
-            Some(jobs),
+            Some(version),
             JOBS_PACE,
             |change| {
                 self.jobs_changed(change);
@@ -189,6 +215,7 @@
             },
         );
         tokio::join!(
+            rest,
             on_jobs,
             on_workers,
             writer::run(&self, claim, version),
--- a/crates/host/src/owner/news.rs
+++ b/crates/host/src/owner/news.rs
@@ -5,57 +5,70 @@
 use log::warn;
 use pool::{Job, Progress, State, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
+use tokio::sync::mpsc;
 
 use super::Owner;
 use crate::clock;
-use crate::follow::{Change, read};
+use crate::follow::{Change, read, read_each};
 use crate::host::lock;
-use crate::outside::Row;
+use crate::outside::{Page, Row};
 use crate::rows::{CANCEL, JOBS, JobRow, PROGRESS, RosterRow, job_parts, pool_part};
 
+/// How far jobs have come, by id.
+pub(super) type Courses = FxHashMap<String, Progress>;
+
 impl Owner {
-    /// Reads all jobs, and takes up the workers; tells up to which transaction the jobs were read, and the workers.
-    pub(super) async fn load(
-        self: &Arc<Self>,
-        owned: &RosterRow,
-        former: &[String],
-        taken: u64,
-    ) -> (u64, u64) {
-        let parts: Vec<String> = job_parts().collect();
+    /// Reads the workers, and how far jobs have come.
+    pub(super) async fn read_workers(&self, taken: u64) -> (Page, Courses) {
         // What the former owner stored is all there as of the transaction by which this one took the pool. Reads may lag
         // behind; without that bound, tasks whose ends were noted would start again.
         let own = [pool_part(self.number)];
         let common = [String::new()];
         let store = self.host.store.as_ref();
-        let (jobs, progress, listed) = tokio::join!(
-            read(store, JOBS, &parts, taken),
+        let (progress, listed) = tokio::join!(
             read(store, PROGRESS, &own, taken),
             read(store, &self.host.settings.places.workers, &common, 0),
         );
-        let courses: FxHashMap<&str, Progress> = progress
-            .rows
-            .iter()
-            .filter_map(|row| {
-                let course = serde_json::from_slice(row.value.as_deref()?).ok()?;
-                Some((row.key.as_str(), course))
-            })
-            .collect();
-        {
-            let (now, unix) = (clock::now(), clock::unix());
-            let mut pool = lock(&self.pool);
-            for row in jobs.rows.iter().filter(|row| !row.key.starts_with(CANCEL)) {
-                let course = courses.get(row.key.as_str());
-                if let Some(course) = course.filter(|it| it.state == State::Completed) {
-                    pool.adopt(now, unix, Arc::new(bare(row)), Some(course), true);
-                } else if let Some((job, before)) = self.parse_job(row) {
-                    pool.adopt(now, unix, Arc::new(job), course.or(before.as_ref()), true);
-                }
+        let courses = progress.rows.into_iter().filter_map(|row| {
+            let course = serde_json::from_slice(row.value.as_deref()?).ok()?;
+            Some((row.key, course))
+        });
+        (listed, courses.collect())
+    }
+
+    /// Reads all jobs that were accepted before this owner took the pool.
+    ///
+    /// A part of the store may be down for seconds, with some of the jobs. Others need not wait for those: what runs or ended
+    /// of an unknown job is left alone until all are known.
+    pub(super) async fn read_jobs(&self, taken: u64, to: mpsc::UnboundedSender<Page>) {
+        let parts: Vec<String> = job_parts().collect();
+        let store = self.host.store.as_ref();
+        read_each(store, JOBS, &parts, taken, |page| drop(to.send(page))).await;
+    }
+
+    /// Takes up the jobs of a page.
+    pub(super) fn take_up_jobs(&self, page: &Page, courses: &Courses) {
+        let (now, unix) = (clock::now(), clock::unix());
+        let mut pool = lock(&self.pool);
+        for row in &page.rows {
+            if let Some(id) = row.key.strip_prefix(CANCEL) {
+                pool.cancel(unix, id);
+                continue;
             }
-            for row in jobs.rows.iter().filter(|row| row.key.starts_with(CANCEL)) {
-                pool.cancel(unix, &row.key[CANCEL.len()..]);
+            let course = courses.get(&row.key);
+            if let Some(course) = course.filter(|it| it.state == State::Completed) {
+                pool.adopt(now, unix, Arc::new(bare(row)), Some(course), true);
+            } else if let Some((job, before)) = self.parse_job(row) {
+                pool.adopt(now, unix, Arc::new(job), course.or(before.as_ref()), true);
             }
         }
-        let after = listed.version;
+        drop(pool);
+        self.wake.notify_one();
+    }
+
+    /// Takes up the workers, with what the former owner has stored of them. Jobs should be known as far as they can be: a
+    /// worker that lists ends of unknown ones is asked again and again.
+    pub(super) fn inherit(self: &Arc<Self>, listed: Page, owned: &RosterRow, former: &[String]) {
         self.workers_changed(Change::All(listed));
         let names =
             |ids: &[String]| -> Vec<WorkerId> { ids.iter().map(|id| id.as_str().into()).collect() };
@@ -63,7 +76,6 @@
         pool.enroll(&names(&owned.roster));
         // Only workers that the former owner might use count: the list may be old, and name some that are gone.
         pool.inherit(clock::now(), names(former), &owned.silent);
-        (jobs.version, after)
     }
 
     pub(super) fn jobs_changed(&self, change: Change) {
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -101,7 +101,12 @@
                     info!(dependency = "worker", worker = &**id; "regained");
                     lost = false;
                 }
-                if all_noted {
+                let strange = {
+                    let pool = lock(&owner.pool);
+                    pool.worker(id)
+                        .is_some_and(pool::Worker::lists_strange_ends)
+                };
+                if all_noted && !strange {
                     pause = PAUSE;
                 } else {
                     tokio::time::sleep(pause).await;
--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -5,7 +5,7 @@
 use crate::listing::{Listing, Running};
 use crate::pool::Pool;
 use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
-use crate::worker::Stray;
+use crate::worker::{Strange, Stray};
 
 /// A run of a job that nobody knows is stopped after this time. The row of a job may reach this owner later than the
 /// task does (a few milliseconds as a rule, seconds while the store is in trouble).
@@ -62,30 +62,45 @@
         }
     }
 
-    /// Applies the ends that are new. One of a job that nobody knows stops it there: its row is on the way, and an end that
-    /// is passed over would be lost.
+    /// Applies the ends that are new. One of a job that nobody knows is not forgotten, nor are those after it: its row is on the
+    /// way, and an end that is passed over would be lost. Those after it are applied all the same.
     fn apply_ends(&mut self, now: Ms, unix: u64, id: &WorkerId, listing: &Listing) {
-        let applied = self.workers.get(id).map_or(0, |worker| worker.applied);
-        let mut new = listing.ended.iter().filter(|end| end.number > applied);
-        while let Some(end) = new.next() {
-            let known = self.jobs.contains_key(&end.task.stage.job);
-            let Some(worker) = self.workers.get_mut(id) else {
-                return;
-            };
-            if known {
-                worker.strange = None;
-            } else {
-                let since = worker.strange.as_ref().map_or(now, |(since, _)| *since);
-                if now.saturating_sub(since) < STRANGE {
-                    let jobs = std::iter::once(end)
-                        .chain(new)
-                        .map(|end| Arc::clone(&end.task.stage.job));
-                    worker.strange = Some((since, jobs.collect()));
-                    return;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let applied = worker.applied;
+        let before = worker.strange.take();
+        let mut beyond = std::mem::take(&mut worker.beyond);
+        let mut strange: Option<Strange> = None;
+        for end in listing.ended.iter().filter(|end| end.number > applied) {
+            let job = &end.task.stage.job;
+            if !self.jobs.contains_key(job) {
+                let found = strange.get_or_insert_with(|| Strange {
+                    first: end.number,
+                    since: before
+                        .as_ref()
+                        .filter(|before| before.first == end.number)
+                        .map_or(now, |before| before.since),
+                    jobs: Vec::new(),
+                });
+                if self.partial || now.saturating_sub(found.since) < STRANGE {
+                    found.jobs.push(Arc::clone(job));
+                    continue;
                 }
+                strange = None;
+            }
+            if !beyond.remove(&end.number) {
+                self.apply_end(now, unix, id, end);
+            }
+            if strange.is_some() {
+                beyond.insert(end.number);
+            } else if let Some(worker) = self.workers.get_mut(id) {
+                worker.applied = end.number;
             }
-            worker.applied = end.number;
-            self.apply_end(now, unix, id, end);
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.beyond = beyond;
+            worker.strange = strange;
         }
     }
 
@@ -106,7 +121,7 @@
             if worker
                 .strange
                 .as_ref()
-                .is_some_and(|(_, jobs)| jobs.contains(job))
+                .is_some_and(|strange| strange.jobs.contains(job))
             {
                 waits.push(Arc::clone(&worker.id));
             }
@@ -166,6 +181,8 @@
             return;
         };
         worker.applied = 0;
+        worker.beyond.clear();
+        worker.strange = None;
         worker.noted = 0;
         worker.clock = (0, 0);
         worker.lapses = 0;
@@ -347,9 +364,11 @@
 
     /// Stops strays: at once if their job is known, after a while if it isn't.
     pub(crate) fn stop_strays(&mut self, now: Ms) {
+        let partial = self.partial;
         for worker in self.workers.values_mut() {
             for (key, stray) in &mut worker.strays {
-                let due = stray.size.is_some() || now.saturating_sub(stray.since) > STRANGE;
+                let strange = !partial && now.saturating_sub(stray.since) > STRANGE;
+                let due = stray.size.is_some() || strange;
                 if due && (stray.stop_sent == 0 || now.saturating_sub(stray.stop_sent) > 400) {
                     stray.stop_sent = now.max(1);
                     self.orders.push(crate::Order::Stop(crate::Stop {
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -83,9 +83,11 @@
             }
         }
         let unseen = &self.unseen;
+        let silent = &self.silent;
         self.workers.retain(|id, worker| {
             worker.listed
                 || unseen.contains(id)
+                || silent.iter().any(|silent| silent.worker == *id)
                 || !worker.runs.is_empty()
                 || !worker.strays.is_empty()
         });
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -97,6 +97,12 @@
     pub(crate) tempo: Tempo,
     /// When workers and paces were looked at last.
     pub(crate) looked: Ms,
+    /// Not all jobs are known yet that were accepted before this owner came.
+    pub(crate) partial: bool,
+    /// Cancelled jobs that aren't known yet.
+    pub(crate) cancels: FxHashSet<JobId>,
+    /// What may run on workers that the former owner could not reach.
+    pub(crate) silent: Vec<Silent>,
     /// Jobs that went to other pools.
     pub(crate) given: FxHashSet<JobId>,
     /// When jobs that don't fit were looked for last.
@@ -145,19 +151,55 @@
             worker.id = Arc::clone(&silent.worker);
             worker.slowness = 1.0;
             worker.lapses = Ms::MAX;
-            for (key, number) in &silent.runs {
-                let Some(task) = self.task_mut(key) else {
-                    continue;
-                };
-                if task.done || task.run.is_some() {
-                    continue;
-                }
-                task.top = task.top.max(*number);
-                task.run = Some(Run {
-                    phase: Phase::Unsure,
-                    ..Run::new(*number, Arc::clone(&silent.worker), now, 0)
-                });
-                self.attach(key, &silent.worker, *number);
+        }
+        self.silent = silent.to_vec();
+        let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for job in &jobs {
+            self.hold_back(now, job);
+        }
+    }
+
+    /// Holds back the tasks of a job that may run on workers which the former owner could not reach, nor this one yet.
+    fn hold_back(&mut self, now: Ms, job: &JobId) {
+        let mut runs = Vec::new();
+        for silent in &self.silent {
+            let heard = self.workers.get(&silent.worker).is_none_or(|it| it.fenced);
+            let of = silent.runs.iter().filter(|(key, _)| key.stage.job == *job);
+            runs.extend(
+                of.filter(|_| !heard)
+                    .map(|(key, number)| (key.clone(), *number, Arc::clone(&silent.worker))),
+            );
+        }
+        for (key, number, worker) in runs {
+            let Some(task) = self.task_mut(&key) else {
+                continue;
+            };
+            if task.done || task.run.is_some() {
+                continue;
+            }
+            task.top = task.top.max(number);
+            task.run = Some(Run {
+                phase: Phase::Unsure,
+                ..Run::new(number, Arc::clone(&worker), now, 0)
+            });
+            self.attach(&key, &worker, number);
+        }
+    }
+
+    /// Whether there are jobs, accepted before this owner came, that it can't know yet: a part of the store doesn't answer.
+    /// Until all are known, a run or an end of an unknown job is left alone, however long that takes.
+    pub fn set_partial(&mut self, now: Ms, partial: bool) {
+        self.partial = partial;
+        if partial {
+            return;
+        }
+        self.cancels.clear();
+        for worker in self.workers.values_mut() {
+            for stray in worker.strays.values_mut() {
+                stray.since = now;
+            }
+            if let Some(strange) = &mut worker.strange {
+                strange.since = now;
             }
         }
     }
@@ -180,6 +222,7 @@
             .is_some_and(|end| now >= end + leases)
         {
             self.unseen.clear();
+            self.silent.clear();
             for worker in self.workers.values_mut() {
                 if !worker.fenced {
                     worker.lapses = worker.lapses.min(now);
@@ -228,7 +271,11 @@
         live.inherited = !ours && (inherited || former && !self.unseen.is_empty());
         self.jobs.insert(Arc::clone(&id), live);
         self.advance(&id, now, unix);
+        self.hold_back(now, &id);
         self.recognise(now, &id);
+        if self.cancels.remove(&id) {
+            self.cancel(unix, &id);
+        }
     }
 
     /// Lets a job's occurrences and steps begin whose turn has come.
@@ -267,7 +314,12 @@
 
     /// Cancels a job; the state it has then, or `None` if it isn't known.
     pub fn cancel(&mut self, unix: u64, id: &str) -> Option<State> {
-        let live = self.jobs.get(id)?;
+        let Some(live) = self.jobs.get(id) else {
+            if self.partial {
+                self.cancels.insert(id.into());
+            }
+            return None;
+        };
         let id = Arc::clone(&live.job.id);
         if !live.state.is_final() {
             self.close(unix, &id, State::Cancelled);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -1,5 +1,7 @@
 //! What is known of one worker.
 
+use std::collections::BTreeSet;
+
 use resource::Size;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -52,6 +54,17 @@
     pub stop_sent: Ms,
 }
 
+/// Ends of jobs that nobody knows.
+#[derive(Clone, Debug)]
+pub(crate) struct Strange {
+    /// Number of the first one.
+    pub first: u64,
+    /// Since when it is the first one.
+    pub since: Ms,
+    /// The jobs.
+    pub jobs: Vec<JobId>,
+}
+
 /// What is known of one worker.
 #[derive(Clone, Debug, Default)]
 pub struct Worker {
@@ -63,8 +76,8 @@
     pub listed: bool,
     /// The next owner would know of it: it is in the stored roster.
     pub(crate) enrolled: bool,
-    /// Jobs that nobody knows, whose ends it lists, and since when.
-    pub(crate) strange: Option<(Ms, Vec<JobId>)>,
+    /// Ends that it lists of jobs that nobody knows.
+    pub(crate) strange: Option<Strange>,
     /// It has answered a hold of this epoch.
     pub(crate) fenced: bool,
     /// Start of the life that answered last, in Unix milliseconds.
@@ -87,6 +100,8 @@
     pub(crate) strays: FxHashMap<TaskKey, Stray>,
     /// Ends up to this number have been applied.
     pub(crate) applied: u64,
+    /// Ends that have been applied although an earlier one has not.
+    pub(crate) beyond: BTreeSet<u64>,
     /// Ends up to this number are stored.
     pub(crate) noted: u64,
     /// Nothing is started before this.
@@ -113,6 +128,12 @@
         !self.unheard && self.clock != (0, 0)
     }
 
+    /// Whether it lists ends of jobs that aren't known: it lists them again and again, at once.
+    #[must_use]
+    pub fn lists_strange_ends(&self) -> bool {
+        self.strange.is_some()
+    }
+
     /// Its clock now, as far as we can tell; 0 if it has never been told.
     #[must_use]
     pub fn clock(&self, now: Ms) -> Ms {
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -306,3 +306,54 @@
     let pool = &world.owners[0].pool;
     assert_eq!(pool.state("00000000000000cc"), Some(State::Completed));
 }
+
+/// A part of the store is down when an owner takes the pool, so it can't read some of the jobs for seconds. What they have
+/// running or ended is left alone and goes on; jobs that are known don't wait, also where a worker lists an end of an unknown
+/// one first.
+#[test]
+fn jobs_that_are_known_do_not_wait_for_those_that_are_not() {
+    let mut world = World::new(11, 4);
+    world.take();
+    world.pass(500);
+    for at in 0..4 {
+        world.accept(job(
+            &format!("{at:016}"),
+            &[(2, 1_000, 500), (2, 1_000, 500)],
+        ));
+        world.accept(job(
+            &format!("{:016}", at + 10),
+            &[(2, 1_000, 700), (2, 1_000, 500)],
+        ));
+    }
+    world.pass(300);
+    world.weather.store = false;
+    let hidden: Vec<_> = (0..4)
+        .map(|at| {
+            let id = format!("{at:016}");
+            world.jobs.remove(&id).expect("it was accepted")
+        })
+        .collect();
+    world.owners[0].over = true;
+    world.take();
+    let now = world.now;
+    world.owners[1].pool.set_partial(now, true);
+    world.weather.store = true;
+    world.pass(5_000);
+    for at in 10..14 {
+        assert_eq!(world.stored(&format!("{at:016}")), Some(State::Completed));
+    }
+    assert_eq!(
+        world.starts,
+        8 + 8 + 8,
+        "each task of the known ones, and the first steps of the others"
+    );
+    for job in &hidden {
+        world.tell(job);
+    }
+    let now = world.now;
+    world.owners[1].pool.set_partial(now, false);
+    world.pass(5_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.unfinished(), 0);
+    assert_eq!(world.starts, 32, "nothing was started a second time");
+}
