--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use pool::Mechanism;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
@@ -143,7 +144,10 @@
             Ended::Stopped => {}
             // An owner that was replaced and doesn't know it may urge too: its epoch tells.
             Ended::Take => self.urged = Some(row.epoch),
-            Ended::NotOwner { life } if life == row.life && self.may_begin(row.epoch) => {
+            Ended::NotOwner { life }
+                if (life == row.life || !host.has(Mechanism::Restart))
+                    && self.may_begin(row.epoch) =>
+            {
                 tokio::time::sleep(JOIN_AGAIN).await;
             }
             Ended::NotOwner { life } => {
@@ -188,7 +192,7 @@
                 return;
             }
             let over = row.host == host.settings.id || self.over == Some(row.epoch);
-            if !over && witnessed(host, pool, row).await {
+            if !over && host.has(Mechanism::Witnesses) && witnessed(host, pool, row).await {
                 self.lost = None;
                 tokio::time::sleep(HEARD).await;
                 return;
@@ -225,7 +229,7 @@
     let id = &host.settings.id;
     let hash = xxh3_64_with_seed(id.as_bytes(), pool.into());
     let turn = Turn {
-        own: row.is_some_and(|row| row.host == *id),
+        own: host.has(Mechanism::Restart) && row.is_some_and(|row| row.host == *id),
         place: heirs.iter().position(|heir| heir.host == *id),
         heirs: heirs.len(),
         far: host.away() > NEAR_MS,
--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use log::info;
-use pool::{Job, Ms, State};
+use pool::{Job, Mechanism, Ms, State};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
@@ -56,7 +56,11 @@
         let pool = route::choose(&self.plan(), &job, &self.loads());
         let heard = self.heard(pool);
         let job = Job {
-            epoch: self.epoch(pool),
+            epoch: if self.has(Mechanism::JobEpochs) {
+                self.epoch(pool)
+            } else {
+                0
+            },
             ..job
         };
         let submitted = self.try_submit(pool, job, until).await;
@@ -78,7 +82,7 @@
     }
 
     async fn try_submit(self: &Arc<Self>, pool: u32, job: Job, until: Instant) -> Submitted {
-        if !self.can_accept() {
+        if self.has(Mechanism::EarlyRefusal) && !self.can_accept() {
             return Submitted::Refused(RETRY);
         }
         match self.insert_both_ways(pool, &job, until).await {
@@ -100,6 +104,10 @@
     /// the row decides; "refused" needs both.
     async fn insert_both_ways(&self, pool: u32, job: &Job, until: Instant) -> (Inserted, bool) {
         let patience = self.patience();
+        if !self.has(Mechanism::JointInserts) && self.served() {
+            let inserted = insert(self.store.as_ref(), pool, job, until, patience, false).await;
+            return (inserted, false);
+        }
         let refused = Notify::new();
         let own = async {
             let inserted = insert(self.store.as_ref(), pool, job, until, patience, false).await;
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use log::{info, warn};
-use pool::Ms;
+use pool::{Mechanism, Ms};
 use telemetry::Stop;
 use tokio::sync::Notify;
 
@@ -124,6 +124,11 @@
         Duration::from_millis(age) < self.settings.catalog_within.mul_f64(CURRENT)
     }
 
+    /// Whether a mechanism is on.
+    pub(crate) fn has(&self, mechanism: Mechanism) -> bool {
+        self.settings.pool.switches.has(mechanism)
+    }
+
     /// Whether a job can be accepted now: the store serves this host, or an owner that takes jobs for it.
     pub(crate) fn can_accept(&self) -> bool {
         self.served() || self.served_link().is_some()
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pool::{Ms, Order, Pool, WorkerId};
+use pool::{Mechanism, Ms, Order, Pool, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -161,11 +161,16 @@
         let began = clock::now();
         self.read_to.store(version, Ordering::Relaxed);
         lock(&self.pool).set_partial(began, true);
+        let wait = if self.host.has(Mechanism::PartialJobs) {
+            JOBS_WAIT
+        } else {
+            Duration::MAX
+        };
         let (to, mut pages) = mpsc::unbounded_channel();
         let mut reading = Box::pin(self.read_jobs(version, to));
         let ((listed, courses), read) = tokio::join!(
             self.read_workers(version),
-            tokio::time::timeout(JOBS_WAIT, reading.as_mut()),
+            tokio::time::timeout(wait, reading.as_mut()),
         );
         let (all, after) = (read.is_ok(), listed.version);
         while let Ok(page) = pages.try_recv() {
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::info;
-use pool::{Ms, WorkerId};
+use pool::{Mechanism, Ms, WorkerId};
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -151,6 +151,9 @@
 
     /// Hosts that should take the pool when this one is lost, the best placed first.
     pub(crate) fn heirs(&self) -> Vec<Heir> {
+        if !self.host.has(Mechanism::Heirs) {
+            return Vec::new();
+        }
         let now = clock::now();
         let members = lock(&self.members);
         let mut heirs: Vec<(f64, Heir)> = members
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pool::WorkerId;
+use pool::{Mechanism, WorkerId};
 
 use crate::clock;
 use crate::host::lock;
@@ -110,7 +110,9 @@
                     pause = PAUSE;
                 } else {
                     tokio::time::sleep(pause).await;
-                    pause = (pause + PAUSE).min(PAUSE_MOST);
+                    if owner.host().has(Mechanism::HoldPause) {
+                        pause = (pause + PAUSE).min(PAUSE_MOST);
+                    }
                 }
             }
             Err(HoldFailure::Fenced) => {
--- a/crates/pool/src/ask.rs
+++ b/crates/pool/src/ask.rs
@@ -5,6 +5,7 @@
 use crate::advice::{self, Choice, choose};
 use crate::fit;
 use crate::job::{Advice, Job, Step};
+use crate::mechanism::Mechanism;
 use crate::order::{Ask, Order};
 use crate::place::TICKET_SLACK;
 use crate::pool::Pool;
@@ -27,8 +28,18 @@
             return;
         }
         let yes = self.learned.yes(&job.queue);
-        let cheap = advice::cheap(&advice);
-        let workers = choose(need, &choices, yes, self.options.ask_most, cheap);
+        let need = if self.has(Mechanism::AdviceShare) {
+            need
+        } else {
+            u32::MAX
+        };
+        let workers = choose(
+            need,
+            &choices,
+            yes,
+            self.options.ask_most,
+            self.cheap(&advice),
+        );
         self.send_question(now, key, advice, workers);
     }
 
@@ -38,12 +49,15 @@
         let Some(advice) = job.policy.advice else {
             return;
         };
+        if !self.has(Mechanism::AdviceAhead) {
+            return;
+        }
         let most = self.options.askers / LEFT_TO_OTHERS;
         if self.asking.len() >= most || self.asks_not(now, key) {
             return;
         }
         let Some(stage) = self.stage(key) else { return };
-        let cheap = advice::cheap(&advice);
+        let cheap = self.cheap(&advice).max(1);
         let takes = advice::takes(&advice, cheap);
         let lasts = |until: Ms| until > now + takes + TICKET_SLACK;
         if stage.advised.allowed.values().any(|it| lasts(it.until)) {
@@ -54,6 +68,15 @@
         self.send_question(now, key, advice, workers);
     }
 
+    /// How many workers a question names in any case.
+    fn cheap(&self, advice: &Advice) -> usize {
+        if self.has(Mechanism::AdviceCheap) {
+            advice::cheap(advice)
+        } else {
+            0
+        }
+    }
+
     /// Whether no question about the step can be asked now.
     fn asks_not(&self, now: Ms, key: &StageKey) -> bool {
         self.stage(key)
--- a/crates/pool/src/evacuate.rs
+++ b/crates/pool/src/evacuate.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use crate::fit;
+use crate::mechanism::Mechanism;
 use crate::pool::Pool;
 use crate::task::{Ms, Phase, TaskKey, WorkerId};
 
@@ -17,6 +18,9 @@
 impl Pool {
     /// Stops what has to leave workers that are about to leave.
     pub(crate) fn evacuate(&mut self, now: Ms) {
+        if !self.has(Mechanism::Evacuation) {
+            return;
+        }
         let leaving: Vec<(WorkerId, Ms)> = self
             .workers
             .values()
--- a/crates/pool/src/fit.rs
+++ b/crates/pool/src/fit.rs
@@ -28,6 +28,8 @@
     pub filling: u32,
     /// What is scarce among the service's workers.
     pub scarce: Scarce,
+    /// All workers that have room cost the same, so the first one is taken.
+    pub first_fit: bool,
 }
 
 /// Whether the worker may run a task of the step at all.
@@ -50,6 +52,9 @@
     if worker.doubt >= SUSPECT && (context.placed > 0 || !worker.runs.is_empty()) {
         return None;
     }
+    if context.first_fit {
+        return Some(0.0);
+    }
     let mut cost = worker.slowness.max(0.2) + worker.doubt * 0.3;
     if !step.near.is_empty()
         && worker.news.rack != step.near
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -8,6 +8,7 @@
 use crate::fit::{self, Context};
 use crate::job::{Job, Step};
 use crate::live::Live;
+use crate::mechanism::Mechanism;
 use crate::order::{Order, Start};
 use crate::pool::Pool;
 use crate::rank::{Claim, Rank, rank};
@@ -99,14 +100,21 @@
                 })
                 .sum()
         });
-        rank(&Claim {
+        if !self.has(Mechanism::Order) {
+            return Rank {
+                work: since,
+                ..Rank::default()
+            };
+        }
+        let rank = rank(&Claim {
             priority: job.policy.priority,
             age: now.saturating_sub(since),
             objective: (scaled(longest) as f64 * job.policy.stretch) as Ms + job.policy.objective,
             chain: scaled(live.chains.get(usize::from(key.step)).copied().unwrap_or(0)),
             work: (work * WORK_UNIT) as u64,
             lasting: job.lasting(),
-        })
+        });
+        rank.without(&self.options.switches)
     }
 
     /// Counts tasks that serve and tasks that fill on each worker.
@@ -232,6 +240,7 @@
                 serving,
                 filling,
                 scarce: *scarce,
+                first_fit: !self.has(Mechanism::BestFit),
             };
             choices.push((worker, worker.free(), context));
         }
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::live::Live;
+use crate::mechanism::Mechanism;
 use crate::order::{Order, Start, Stop};
 use crate::pool::Pool;
 use crate::task::{Ms, Phase, TaskKey, WorkerId};
@@ -96,6 +97,7 @@
     /// Sends again what was not answered, and stops what is to be stopped.
     fn chase(&mut self, now: Ms) {
         let keys: Vec<TaskKey> = self.loose.iter().cloned().collect();
+        let repeats = self.has(Mechanism::RepeatOrders);
         for key in keys {
             let Some(live) = self.jobs.get(&key.stage.job) else {
                 self.loose.remove(&key);
@@ -133,7 +135,9 @@
                         })
                     })
                 }
-                Phase::Unsure if since >= START_AGAIN && clock(&run.worker) + 100 < run.latest => {
+                Phase::Unsure
+                    if repeats && since >= START_AGAIN && clock(&run.worker) + 100 < run.latest =>
+                {
                     Some(Order::Start(Start {
                         task: key.clone(),
                         run: run.number,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::job::Job;
 use crate::live::Live;
+use crate::mechanism::{Mechanism, Switches};
 use crate::order::Order;
 use crate::pace::Tempo;
 use crate::progress::Progress;
@@ -21,6 +22,8 @@
 pub struct Options {
     /// The owner's epoch; 0 if owners have none.
     pub epoch: u64,
+    /// Which mechanisms are on.
+    pub switches: Switches,
     /// How long an order to start may still be carried out after it was sent, in milliseconds. Longer than any answer
     /// takes on a sound way; shorter means that room in doubt is free again sooner.
     pub order_life: Ms,
@@ -44,6 +47,7 @@
     fn default() -> Self {
         Self {
             epoch: 0,
+            switches: Switches::default(),
             order_life: 1_000,
             lease_most: 6_000,
             proof: 1_600,
@@ -123,6 +127,12 @@
         }
     }
 
+    /// Whether a mechanism is on.
+    #[must_use]
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        self.options.switches.has(mechanism)
+    }
+
     /// Changes how many questions may be under way at once.
     pub fn set_askers(&mut self, askers: usize) {
         self.options.askers = askers.max(1);
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -7,6 +7,7 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::mechanism::{Mechanism, Switches};
 use crate::task::Ms;
 
 /// A job earns nothing when it takes longer than this many times its objective.
@@ -15,7 +16,7 @@
 const NEWEST: f64 = 0.1;
 
 /// Place in the order; the smaller goes first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
     /// It can't earn any more.
     pub hopeless: bool,
@@ -27,6 +28,27 @@
     pub work: u64,
 }
 
+impl Rank {
+    /// The same without the parts that are switched off.
+    #[must_use]
+    pub(crate) fn without(self, switches: &Switches) -> Self {
+        let mut rank = Self::default();
+        if switches.has(Mechanism::OrderHopeless) {
+            rank.hopeless = self.hopeless;
+        }
+        if switches.has(Mechanism::OrderPriority) {
+            rank.priority = self.priority;
+        }
+        if switches.has(Mechanism::OrderLate) {
+            rank.late = self.late;
+        }
+        if switches.has(Mechanism::OrderWork) {
+            rank.work = self.work;
+        }
+        rank
+    }
+}
+
 /// What the order depends on.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Claim {
--- a/crates/pool/src/scarce.rs
+++ b/crates/pool/src/scarce.rs
@@ -7,6 +7,7 @@
 use resource::Size;
 use rustc_hash::FxHashMap;
 
+use crate::mechanism::Mechanism;
 use crate::pool::Pool;
 
 /// Weight of a dimension of which nothing is taken, against one that is full.
@@ -55,13 +56,15 @@
     /// How much of a worker's room is left, each dimension by how much of it is taken on all workers; between 0 and 1.
     #[must_use]
     pub fn left(&self, free: Size, room: Size) -> f64 {
-        let taken = parts(self.used).into_iter().zip(parts(self.room));
-        let weights = taken.map(|(used, all)| share(used, all) + IDLE);
-        let left = parts(free).into_iter().zip(parts(room));
+        let (all, used) = (parts(self.room), parts(self.used));
+        let (free, room) = (parts(free), parts(room));
         let (mut sum, mut weighed) = (0.0, 0.0);
-        for (weight, (free, room)) in weights.zip(left).filter(|(_, (_, room))| *room > 0.0) {
-            sum += weight;
-            weighed += weight * free / room;
+        for at in 0..all.len() {
+            if all[at] > 0.0 && room[at] > 0.0 {
+                let weight = share(used[at], all[at]) + IDLE;
+                sum += weight;
+                weighed += weight * free[at] / room[at];
+            }
         }
         share(weighed, sum)
     }
@@ -71,14 +74,22 @@
     /// What is scarce, by service.
     pub(crate) fn scarce(&self) -> FxHashMap<String, Scarce> {
         let mut services: FxHashMap<String, Scarce> = FxHashMap::default();
+        let all = self.has(Mechanism::Scarcity);
+        let counted = |size: Size| {
+            if all {
+                size
+            } else {
+                Size::new(size.millicores, 0, 0)
+            }
+        };
         for worker in self.workers.values().filter(|worker| worker.listed) {
             let news = &worker.news;
             if !services.contains_key(&news.service) {
                 services.insert(news.service.clone(), Scarce::default());
             }
             if let Some(service) = services.get_mut(&news.service) {
-                service.room = service.room.plus(news.room);
-                service.used = service.used.plus(worker.used);
+                service.room = service.room.plus(counted(news.room));
+                service.used = service.used.plus(counted(worker.used));
             }
         }
         services
--- a/crates/pool/src/watch.rs
+++ b/crates/pool/src/watch.rs
@@ -4,6 +4,7 @@
 
 use crate::fit::SUSPECT;
 use crate::listing::How;
+use crate::mechanism::Mechanism;
 use crate::order::{Order, Pace};
 use crate::pool::Pool;
 use crate::task::{Ms, Phase, Run, TaskKey, WorkerId};
@@ -36,6 +37,9 @@
         let Some(worker) = self.workers.get(id) else {
             return 0;
         };
+        if !self.has(Mechanism::GatherEnds) {
+            return 0;
+        }
         let steps = worker.runs.keys().filter_map(|key| {
             let live = self.jobs.get(&key.stage.job)?;
             live.job.steps.get(usize::from(key.stage.step))
@@ -74,6 +78,7 @@
             self.learned.took(&job.queue, took, step.estimate);
         }
         let expected = step.estimate as f64 * self.learned.scale(&job.queue);
+        let doubts = self.has(Mechanism::Doubt);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -85,7 +90,7 @@
                     worker.slowness += 0.1 * (ratio - worker.slowness);
                 }
             }
-            How::Failed if lasting => {}
+            How::Failed if lasting || !doubts => {}
             How::Failed => {
                 worker.doubt += if before > 0 { FURTHER } else { FIRST };
                 if worker.doubt >= SUSPECT {
@@ -145,6 +150,12 @@
                 paces.push((Arc::clone(&worker.id), worst, fills));
             }
         }
+        if !self.has(Mechanism::Standstill) {
+            still.clear();
+        }
+        if !self.has(Mechanism::Pace) {
+            paces.clear();
+        }
         for (key, id) in still {
             self.stop_run(&key);
             if let Some(worker) = self.workers.get_mut(&id) {
