Weak hosts own large pools only if no other is there

Heirs and takers were chosen by processor and region alone, whatever the pool's size; an owner that did not know the jobs never handed the pool on. Change: what a pool of its size needs (0.0006 of a core and 0.04 Mbit/s a worker) against what a host has decides the order of heirs and of takers, and when an owner hands on: after 0.6 s if it is too weak and a better one is served. Hosts tell their line. Pools are no larger than the strongest host can own.

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -22,6 +22,7 @@
 use crate::owners::{self, Known};
 use crate::peers::{self, Ended};
 use crate::plan::Plan;
+use crate::post::Post;
 use crate::rows::{COMMON, OWNER, OwnerRow, PLAN, ROSTER, RosterRow, pool_part};
 use crate::turn::Turn;
 
@@ -228,6 +229,12 @@
     let heirs = row.map_or(&[][..], |row| &row.heirs);
     let id = &host.settings.id;
     let hash = xxh3_64_with_seed(id.as_bytes(), pool.into());
+    let post = Post {
+        near: host.away() <= NEAR_MS,
+        processors: host.settings.processors,
+        line: host.settings.line,
+        pools: host.owns() + 1,
+    };
     let turn = Turn {
         own: host.has(Mechanism::Restart) && row.is_some_and(|row| row.host == *id),
         place: heirs.iter().position(|heir| heir.host == *id),
@@ -235,6 +242,7 @@
         far: host.away() > NEAR_MS,
         processors: host.settings.processors,
         owns: host.owns(),
+        weak: post.wait(host.plan().size(pool)),
         spread: Duration::from_millis(hash % SPREAD_MS),
     };
     timeout(turn.wait(), rows.changed()).await.is_err()
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Host`]: what callers ask ([`Host::submit`], [`Host::state`], [`Host::cancel`], [`Host::pending`]).
 //! * [`insert`]: how a job's row is written, once.
 //! * [`Plan`]: which workers belong to which pool; [`route`]: which pool a job goes to.
+//! * [`post`]: which hosts have what a pool needs.
 //! * [`turn`]: how long a host leaves a pool to others.
 //! * [`wire`]: what hosts say to each other.
 //! * [`Owner`]: a pool's owner: takes over, holds workers, starts tasks, stores progress.
@@ -22,6 +23,7 @@
 mod owners;
 mod peers;
 pub mod plan;
+pub mod post;
 pub mod route;
 mod rows;
 mod seat;
--- a/crates/host/src/owner/directory.rs
+++ b/crates/host/src/owner/directory.rs
@@ -170,7 +170,7 @@
             }
         };
         let counts = lock(&self.directory).counts();
-        let per_pool = self.host.settings.pool_workers;
+        let per_pool = self.host.settings.pool_workers.min(self.largest_pool());
         let Some(next) = stored.extend(&counts, per_pool) else {
             self.host.put_plan(stored);
             return;
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -16,6 +16,7 @@
 use crate::election::NEAR_MS;
 use crate::host::lock;
 use crate::peers::BEAT;
+use crate::post::Post;
 use crate::rows::Heir;
 use crate::wire::{Beat, FromOwner, ToOwner};
 
@@ -23,6 +24,8 @@
 const UNSERVED: Ms = 800;
 /// An owner that works well gives the pool to a better placed host only after this long: hosts come and go at a start.
 const SETTLED: Ms = 5_000;
+/// The same for an owner that has too little for the pool: long enough for the others to join.
+const SETTLED_WEAK: Ms = 600;
 /// A host that was urged to take the pool has this long to do so before another is urged.
 const URGE: Ms = 1_000;
 /// How many heirs an owner names: enough that some are left when a data centre is lost with the owner.
@@ -35,7 +38,10 @@
     pub(super) number: u64,
     /// Where other hosts reach it.
     address: SocketAddr,
-    pub(super) processors: f64,
+    /// Its share of a processor.
+    processors: f64,
+    /// Its line, in Mbit/s.
+    line: f64,
     pub(super) to: mpsc::Sender<FromOwner>,
     pub(super) heard: Ms,
     /// Since when the store serves it, as far as it said; `None` if it doesn't.
@@ -50,31 +56,6 @@
     pub(super) helps: bool,
 }
 
-/// How well a host is placed to own the pool.
-#[derive(Clone, Copy, Debug)]
-struct Post {
-    /// It is in the store's region.
-    near: bool,
-    /// Its share of a processor.
-    processors: f64,
-    /// How many pools it would own with this one. An owner of several counts those up to this one, so that it keeps the
-    /// first and hands the others over, rather than all at once.
-    pools: u32,
-}
-
-impl Post {
-    /// The higher, the better. A host near the store may have half the processor of one that is far; pools share it.
-    fn rank(self) -> f64 {
-        let near = if self.near { 2.0 } else { 1.0 };
-        self.processors * near / f64::from(self.pools.max(1))
-    }
-
-    /// Whether it is so much better placed that handing the pool over pays: a change costs about a second of starts.
-    fn better(self, than: Self) -> bool {
-        self.rank() >= than.rank() * 1.9
-    }
-}
-
 impl Member {
     /// Whether it was heard lately and the store has served it for this long.
     fn is_served(&self, now: Ms, least: Ms) -> bool {
@@ -86,6 +67,7 @@
         Post {
             near: self.away <= NEAR_MS,
             processors: self.processors,
+            line: self.line,
             pools: self.owns + 1,
         }
     }
@@ -102,47 +84,84 @@
         loop {
             tokio::time::sleep(Duration::from_millis(50)).await;
             let now = clock::now();
-            let since = self.unserved.load(Ordering::Relaxed);
-            // A write that was sent just before the store came back is still unanswered when other calls are served again.
-            let unserved = since > 0 && now.saturating_sub(since) > UNSERVED && !self.host.served();
-            let draining = self.host.stop.is_draining();
-            // When an outage ends for all, one host notices first. It must not get the pool for that: the owner has as
-            // much time to notice it too.
-            let steady = if draining { 0 } else { UNSERVED };
             let recent = urged.values().any(|&at| now.saturating_sub(at) < URGE);
             if recent {
                 continue;
             }
-            let leaving = unserved || draining;
-            let settled =
-                self.loaded.load(Ordering::Relaxed) && now.saturating_sub(began) > SETTLED;
-            if !leaving && !settled {
-                continue;
-            }
-            let own = Post {
-                near: self.host.away() <= NEAR_MS,
-                processors: self.host.settings.processors,
-                pools: self.host.owns_up_to(self.number),
-            };
-            let members = lock(&self.members);
-            let heir = members
-                .iter()
-                .filter(|(_, member)| member.is_served(now, steady))
-                .filter(|(_, member)| leaving || member.post().better(own))
-                .min_by(|(a, a_is), (b, b_is)| {
-                    let urged = |name| urged.get(name).copied().unwrap_or(0);
-                    (urged(*a).cmp(&urged(*b)))
-                        .then_with(|| b_is.post().rank().total_cmp(&a_is.post().rank()))
-                        .then_with(|| self.turn(a).cmp(&self.turn(b)))
-                });
-            if let Some((name, member)) = heir {
-                info!(pool = self.number, heir = name.as_str(), epoch = self.epoch, unserved = unserved; "urges a host to take the pool");
-                drop(member.to.try_send(FromOwner::Take { epoch: self.epoch }));
-                urged.insert(name.clone(), now);
+            if let Some(name) = self.next_owner(now, began, &urged) {
+                urged.insert(name, now);
             }
         }
     }
 
+    /// Urges the host that should own the pool in place of this one, if there is one; tells which.
+    fn next_owner(&self, now: Ms, began: Ms, urged: &FxHashMap<String, Ms>) -> Option<String> {
+        let since = self.unserved.load(Ordering::Relaxed);
+        // A write that was sent just before the store came back is still unanswered when other calls are served again.
+        let unserved = since > 0 && now.saturating_sub(since) > UNSERVED && !self.host.served();
+        let draining = self.host.stop.is_draining();
+        let leaving = unserved || draining;
+        let workers = self.workers();
+        let own = Post {
+            near: self.host.away() <= NEAR_MS,
+            processors: self.host.settings.processors,
+            line: self.host.settings.line,
+            pools: self.host.owns_up_to(self.number),
+        };
+        // One that is too weak for the pool may never know the jobs.
+        let settled = if own.suits(workers) {
+            self.loaded.load(Ordering::Relaxed) && now.saturating_sub(began) > SETTLED
+        } else {
+            now.saturating_sub(began) > SETTLED_WEAK
+        };
+        if !leaving && !settled {
+            return None;
+        }
+        // When an outage ends for all, one host notices first. It must not get the pool for that: the owner has as
+        // much time to notice it too.
+        let steady = if draining { 0 } else { UNSERVED };
+        let members = lock(&self.members);
+        let (name, member) = members
+            .iter()
+            .filter(|(_, member)| member.is_served(now, steady))
+            .filter(|(_, member)| leaving || member.post().better(&own, workers))
+            .min_by(|(a, a_is), (b, b_is)| {
+                let urged = |name| urged.get(name).copied().unwrap_or(0);
+                let rank = |member: &Member| member.post().rank(workers);
+                (urged(*a).cmp(&urged(*b)))
+                    .then_with(|| rank(b_is).total_cmp(&rank(a_is)))
+                    .then_with(|| self.turn(a).cmp(&self.turn(b)))
+            })?;
+        info!(pool = self.number, heir = name.as_str(), epoch = self.epoch, unserved = unserved, suits = own.suits(workers); "urges a host to take the pool");
+        drop(member.to.try_send(FromOwner::Take { epoch: self.epoch }));
+        Some(name.clone())
+    }
+
+    /// The largest pool that a host should own, among those that are here.
+    pub(super) fn largest_pool(&self) -> u32 {
+        let own = Post {
+            near: true,
+            processors: self.host.settings.processors,
+            line: self.host.settings.line,
+            pools: 1,
+        };
+        let members = lock(&self.members);
+        let others = members.values().map(|member| {
+            let post = Post {
+                pools: 1,
+                ..member.post()
+            };
+            post.capacity()
+        });
+        others.fold(own.capacity(), u32::max).max(1)
+    }
+
+    /// How many workers the pool has.
+    fn workers(&self) -> u32 {
+        let listed = lock(&self.pool).workers().filter(|it| it.listed).count() as u32;
+        listed.max(self.host.plan().size(self.number))
+    }
+
     /// Order of equally well placed hosts. It differs by pool, or all pools of a host would be handed to the same one, and
     /// from there to the next.
     fn turn(&self, name: &str) -> u64 {
@@ -155,6 +174,7 @@
             return Vec::new();
         }
         let now = clock::now();
+        let workers = self.workers();
         let members = lock(&self.members);
         let mut heirs: Vec<(f64, Heir)> = members
             .iter()
@@ -164,7 +184,7 @@
                     host: name.clone(),
                     address: member.address,
                 };
-                (member.post().rank(), heir)
+                (member.post().rank(workers), heir)
             })
             .collect();
         heirs.sort_by(|(a, one), (b, other)| {
@@ -229,7 +249,7 @@
         &self,
         name: &str,
         address: SocketAddr,
-        processors: f64,
+        (processors, line): (f64, f64),
         to: mpsc::Sender<FromOwner>,
     ) -> u64 {
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
@@ -241,6 +261,7 @@
                 number,
                 address,
                 processors,
+                line,
                 to,
                 heard: clock::now(),
                 served: None,
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -115,6 +115,7 @@
         pool,
         epoch,
         processors: host.settings.processors,
+        line: host.settings.line,
     });
     let beats = async {
         loop {
@@ -245,15 +246,16 @@
     let (to, from) = mpsc::channel::<FromOwner>(QUEUE);
     let reads = async {
         let first = timeout(SILENCE, receiver.next()).await;
-        let (name, address, processors, owner) = match first {
+        let (name, address, power, owner) = match first {
             Ok(Ok(Some(ToOwner::Hello {
                 host: name,
                 address,
                 pool,
                 epoch,
                 processors,
+                line,
             }))) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
-                Some(owner) => (name, address, processors, owner),
+                Some(owner) => (name, address, (processors, line), owner),
                 None => {
                     drop(to.send(FromOwner::NotOwner { life: host.life }).await);
                     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -271,7 +273,7 @@
             _ => return,
         };
         let since = Instant::now();
-        let member = owner.joined(&name, address, processors, to.clone());
+        let member = owner.joined(&name, address, power, to.clone());
         loop {
             let message = timeout(SILENCE * 2, receiver.next()).await;
             let Ok(Ok(Some(message))) = message else {
--- a/crates/host/src/plan.rs
+++ b/crates/host/src/plan.rs
@@ -59,6 +59,12 @@
         self.sizes.len().max(1) as u32
     }
 
+    /// How many workers a pool had when its racks were given to it.
+    #[must_use]
+    pub fn size(&self, pool: u32) -> u32 {
+        self.sizes.get(pool as usize).copied().unwrap_or(0)
+    }
+
     /// The pool of a rack; `None` until it is given to one.
     #[must_use]
     pub fn pool_of(&self, rack: &str) -> Option<u32> {
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -25,6 +25,8 @@
     pub region: String,
     /// Its share of a processor.
     pub processors: f64,
+    /// Its line, in Mbit/s.
+    pub line: f64,
     /// Where the store keeps what others write.
     pub places: Places,
     /// A pool's options.
--- a/crates/host/src/turn.rs
+++ b/crates/host/src/turn.rs
@@ -31,6 +31,8 @@
     pub processors: f64,
     /// How many pools it owns.
     pub owns: u32,
+    /// What it leaves to others because it is too weak for the pool.
+    pub weak: Duration,
     /// Its part of the time over which equally placed hosts are spread.
     pub spread: Duration,
 }
@@ -47,10 +49,10 @@
     #[must_use]
     pub fn wait(&self) -> Duration {
         if self.own {
-            return Duration::ZERO;
+            return self.weak;
         }
         if let Some(place) = self.place {
-            return STEP * place as u32;
+            return STEP * place as u32 + self.weak;
         }
         let far = match (self.far, self.heirs) {
             (false, _) => Duration::ZERO,
@@ -59,6 +61,6 @@
         };
         let small = SMALL_WAIT.mul_f64((1.0 - self.processors).max(0.0));
         let heirs = STEP * self.heirs as u32 * 2;
-        heirs + self.spread + far + small + SMALL_WAIT * self.owns
+        heirs + self.spread + far + small + SMALL_WAIT * self.owns + self.weak
     }
 }
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -33,6 +33,8 @@
         epoch: u64,
         /// Its share of a processor.
         processors: f64,
+        /// Its line, in Mbit/s.
+        line: f64,
     },
     /// It is alive.
     Beat {
