Load of the pool and time of decisions are told; large files divided

Change: a line 'load' a second from each owner (share of processors, memory and accelerators taken, by service; plans, orders, mean and longest time of a plan), the metrics lentilyoke_service_used_share and lentilyoke_plan_ms; what a new owner waits for stands in inherit.rs, the load in load.rs; tests of the advisor and of misfits in files of their own, each test as it was.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -5,10 +5,11 @@
 mod directory;
 mod members;
 mod news;
+mod planned;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use pool::{Mechanism, Ms, Order, Pool, WorkerId};
@@ -27,6 +28,7 @@
 use advice::Question;
 use directory::Directory;
 use members::Member;
+use planned::Planned;
 
 /// Jobs are told to the owner directly; the table tells those whose hosts could not.
 const JOBS_PACE: Duration = Duration::from_millis(200);
@@ -41,8 +43,8 @@
 const GAP: Duration = Duration::from_millis(4);
 /// Time between two looks at the owner's row.
 const LOOK: Duration = Duration::from_millis(1_000);
-/// Time between two lines about what inherited jobs wait for.
-const TELL: Ms = 500;
+/// Time between two lines about the pool as a whole.
+const TELL: Ms = 1_000;
 
 /// The owner of a pool.
 pub struct Owner {
@@ -231,19 +233,25 @@
     /// Plans and gives orders.
     async fn drive(self: &Arc<Self>) {
         let mut told = clock::now();
+        let mut planned = Planned::default();
         loop {
             tokio::select! {
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep(TICK) => {}
             }
+            let began = Instant::now();
             let (orders, unsaved, deposed) = {
                 let mut pool = lock(&self.pool);
                 let orders = pool.plan(clock::now(), clock::unix());
                 (orders, pool.unsaved(), pool.deposed())
             };
+            let took = began.elapsed();
+            metrics::histogram!("lentilyoke_plan_ms").record(took.as_secs_f64() * 1_000.0);
+            planned.add(took, orders.len());
             if clock::now().saturating_sub(told) > TELL {
                 told = clock::now();
                 self.tell_unseen();
+                self.tell_load(std::mem::take(&mut planned));
             }
             if deposed {
                 warn!(epoch = self.epoch; "a worker obeys a newer owner");
@@ -261,6 +269,23 @@
         }
     }
 
+    /// How full the pool is, by service, and how long decisions took since the last line.
+    fn tell_load(&self, planned: Planned) {
+        let load = lock(&self.pool).load();
+        for (service, room) in &load.services {
+            let share = |used: u64, all: u64| used as f64 / all.max(1) as f64;
+            info!(
+                pool = self.number, epoch = self.epoch, service = service.as_str(),
+                processors = share(room.used.millicores, room.room.millicores),
+                memory = share(room.used.memory_mib, room.room.memory_mib),
+                accelerators = share(room.used.accelerators, room.room.accelerators),
+                taken = load.taken, steps = load.steps, plans = planned.plans, orders = planned.orders,
+                plan_us = planned.mean().as_micros() as u64, longest_us = planned.longest.as_micros() as u64;
+                "load"
+            );
+        }
+    }
+
     fn tell_unseen(&self) {
         let pool = lock(&self.pool);
         if let Some(first) = pool.unseen().first() {
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -241,7 +241,23 @@
         let pool = self.number.to_string();
         metrics::gauge!("lentilyoke_room_used_share", "pool" => pool.clone()).set(load.used);
         metrics::gauge!("lentilyoke_steps_open", "pool" => pool.clone()).set(load.steps as f64);
-        metrics::gauge!("lentilyoke_jobs_pending", "pool" => pool).set(pending as f64);
+        metrics::gauge!("lentilyoke_jobs_pending", "pool" => pool.clone()).set(pending as f64);
+        for (service, room) in &load.services {
+            let parts = [
+                ("processors", room.used.millicores, room.room.millicores),
+                ("memory", room.used.memory_mib, room.room.memory_mib),
+                (
+                    "accelerators",
+                    room.used.accelerators,
+                    room.room.accelerators,
+                ),
+            ];
+            for (part, used, all) in parts.into_iter().filter(|(_, _, all)| *all > 0) {
+                let share = used as f64 / all as f64;
+                metrics::gauge!("lentilyoke_service_used_share", "pool" => pool.clone(), "service" => service.clone(), "part" => part)
+                    .set(share);
+            }
+        }
     }
 
     /// A host has joined; tells the number of its connection.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -14,7 +14,7 @@
 use crate::progress::Progress;
 use crate::rank::Learned;
 use crate::state::State;
-use crate::task::{JobId, Ms, Phase, Run, StageKey, TaskKey, WorkerId};
+use crate::task::{JobId, Ms, Phase, StageKey, TaskKey, WorkerId};
 use crate::worker::{News, Silent, Worker};
 
 /// What the pool's decisions depend on besides jobs and workers.
@@ -60,19 +60,6 @@
     }
 }
 
-/// How loaded a pool is.
-#[derive(Clone, Debug, Default)]
-pub struct Load {
-    /// Share of its processors that is taken.
-    pub used: f64,
-    /// The same with what the waiting tasks of open steps would take.
-    pub taken: f64,
-    /// Open steps.
-    pub steps: usize,
-    /// Labels of its workers other than their racks.
-    pub labels: Vec<String>,
-}
-
 /// The live state of one pool: its jobs, its workers, and what is under way between them.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -138,124 +125,6 @@
         self.options.askers = askers.max(1);
     }
 
-    /// A new owner has to hear from these workers before jobs it inherits may start anew, but waits no longer than the
-    /// time after which the former owner's orders and leases are surely over. Of workers that were silent already it is
-    /// known what may run there: only those tasks wait.
-    ///
-    /// Without this, a task that still runs on a worker which only the new owner can't reach would run a second time.
-    pub fn inherit(
-        &mut self,
-        now: Ms,
-        workers: impl IntoIterator<Item = WorkerId>,
-        silent: &[Silent],
-    ) {
-        self.proved_at = None;
-        let quiet = |id: &WorkerId| silent.iter().any(|silent| silent.worker == *id);
-        self.unseen = workers
-            .into_iter()
-            .filter(|id| !quiet(id))
-            .filter(|id| self.workers.get(id).is_none_or(|worker| !worker.fenced))
-            .collect();
-        for silent in silent {
-            let worker = self.workers.entry(Arc::clone(&silent.worker)).or_default();
-            worker.id = Arc::clone(&silent.worker);
-            worker.slowness = 1.0;
-            worker.lapses = Ms::MAX;
-        }
-        self.silent = silent.to_vec();
-        let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
-        for job in &jobs {
-            self.hold_back(now, job);
-        }
-    }
-
-    /// Holds back the tasks of a job that may run on workers which the former owner could not reach, nor this one yet.
-    fn hold_back(&mut self, now: Ms, job: &JobId) {
-        let mut runs = Vec::new();
-        for silent in &self.silent {
-            let heard = self.workers.get(&silent.worker).is_none_or(|it| it.fenced);
-            let of = silent.runs.iter().filter(|(key, _)| key.stage.job == *job);
-            runs.extend(
-                of.filter(|_| !heard)
-                    .map(|(key, number)| (key.clone(), *number, Arc::clone(&silent.worker))),
-            );
-        }
-        for (key, number, worker) in runs {
-            let Some(task) = self.task_mut(&key) else {
-                continue;
-            };
-            if task.done || task.run.is_some() {
-                continue;
-            }
-            task.top = task.top.max(number);
-            task.run = Some(Run {
-                phase: Phase::Unsure,
-                ..Run::new(number, Arc::clone(&worker), now, 0)
-            });
-            self.attach(&key, &worker, number);
-        }
-    }
-
-    /// Whether there are jobs, accepted before this owner came, that it can't know yet: a part of the store doesn't answer.
-    /// Until all are known, a run or an end of an unknown job is left alone, however long that takes.
-    pub fn set_partial(&mut self, now: Ms, partial: bool) {
-        self.partial = partial;
-        if partial {
-            return;
-        }
-        self.cancels.clear();
-        for worker in self.workers.values_mut() {
-            for stray in worker.strays.values_mut() {
-                stray.since = now;
-            }
-            if let Some(strange) = &mut worker.strange {
-                strange.since = now;
-            }
-        }
-    }
-
-    /// The former owner gives no order after this: it has lost its majority, and its last orders are too late.
-    fn former_orders_end(&self) -> Option<Ms> {
-        let since = self.proved_at?;
-        Some(since + self.options.proof + self.options.order_life)
-    }
-
-    /// Once a majority is behind this owner, the time until which others may run something unknown is bounded.
-    pub(crate) fn settle_inheritance(&mut self, now: Ms) {
-        if self.proved_at.is_none() && self.proved(now) {
-            self.proved_at = Some(now);
-        }
-        // Clocks of workers may be 2% slow; 400 ms cover ways and timers.
-        let leases = self.options.lease_most + self.options.lease_most / 33 + 400;
-        if self
-            .former_orders_end()
-            .is_some_and(|end| now >= end + leases)
-        {
-            self.unseen.clear();
-            self.silent.clear();
-            for worker in self.workers.values_mut() {
-                if !worker.fenced {
-                    worker.lapses = worker.lapses.min(now);
-                }
-            }
-        }
-    }
-
-    /// Whether an inherited job may run on a worker that has not answered yet, as far as is known of it: a worker runs tasks of
-    /// its own service alone.
-    pub(crate) fn may_run_unseen(&self, job: &Job) -> bool {
-        self.unseen.iter().any(|id| {
-            let service = self.workers.get(id).map(|it| it.news.service.as_str());
-            service.is_none_or(|service| service.is_empty() || service == job.service)
-        })
-    }
-
-    /// Workers of the former owner that have not answered yet: inherited jobs wait for them.
-    #[must_use]
-    pub fn unseen(&self) -> &BTreeSet<WorkerId> {
-        &self.unseen
-    }
-
     /// Takes up a job. A job that is known already stays as it is, and one that went to another pool stays there.
     pub fn adopt(
         &mut self,
@@ -492,39 +361,6 @@
         heard * 2 > known
     }
 
-    /// How loaded the pool is.
-    #[must_use]
-    pub fn load(&self) -> Load {
-        let (mut used, mut room) = (0, 0);
-        let mut labels = BTreeSet::new();
-        for worker in self.workers.values().filter(|worker| worker.listed) {
-            used += worker.used.millicores;
-            room += worker.news.room.millicores;
-            let own = worker.news.labels.iter();
-            labels.extend(own.filter(|label| **label != worker.news.rack));
-        }
-        let waits: u64 = self.open.iter().map(|key| self.waiting(key)).sum();
-        let share = |part: u64| part as f64 / room.max(1) as f64;
-        Load {
-            used: share(used),
-            taken: share(used + waits),
-            steps: self.open.len(),
-            labels: labels.into_iter().cloned().collect(),
-        }
-    }
-
-    /// Millicores that the tasks of a step which have no run would take.
-    fn waiting(&self, key: &StageKey) -> u64 {
-        let (Some(stage), Some(size)) = (self.stage(key), self.size(key)) else {
-            return 0;
-        };
-        let tasks = stage
-            .tasks
-            .iter()
-            .filter(|task| !task.done && task.run.is_none());
-        tasks.count() as u64 * size.millicores
-    }
-
     /// What a task of this step takes on a worker.
     pub(crate) fn size(&self, key: &StageKey) -> Option<Size> {
         let step = self
--- /dev/null
+++ b/crates/pool/tests/advice.rs
@@ -0,0 +1,156 @@
+//! When the advisor is asked, and about which workers.
+
+#[allow(dead_code, reason = "other test files use the rest")]
+mod case;
+#[allow(dead_code, reason = "other test files use the rest")]
+mod world;
+
+use case::{adopt, end, hold, hold_all, list_workers, pool, run};
+use pool::{Advice, Answer, How, Options, Order, Pool};
+use world::{UNIX, job};
+
+/// Steps of a queue with an advisor start only with a ticket that holds; an answer is kept, and only its ticket renewed.
+#[test]
+fn advised_steps_need_a_ticket() {
+    let mut pool = pool(3);
+    let mut advised = job("00000000000000a1", &[(2, 3_000, 500)]);
+    advised.policy.advice = Some(Advice {
+        base: 20.0,
+        each: 1.0,
+        valid: 2_000,
+    });
+    adopt(&mut pool, 1_000, advised);
+    let orders = pool.plan(1_001, UNIX);
+    let [Order::Ask(ask)] = orders.as_slice() else {
+        panic!("a question is asked first: {orders:?}");
+    };
+    assert!(pool.plan(1_010, UNIX).is_empty(), "and only once");
+    let rows = vec![(ask.workers[0].clone(), "t1".to_owned())];
+    pool.advised(1_050, ask, Some((&rows, 2_000)));
+    let orders = pool.plan(1_051, UNIX);
+    let Some(Order::Start(start)) = orders.first() else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(
+        (start.ticket.as_str(), &start.worker),
+        ("t1", &ask.workers[0])
+    );
+    pool.answered(1_060, start, Answer::Ticket);
+    for id in ["w00", "w01", "w02"] {
+        hold(&mut pool, 1_070, &id.into(), vec![], vec![]);
+    }
+    let again = pool.plan(1_080, UNIX);
+    let asked: Vec<_> = again
+        .iter()
+        .filter_map(|order| match order {
+            Order::Ask(ask) => Some(ask.workers.clone()),
+            _ => None,
+        })
+        .collect();
+    assert!(
+        asked.is_empty() || asked[0].contains(&ask.workers[0]),
+        "{asked:?}"
+    );
+}
+
+/// All workers are full, and a question takes half a second. Asked only when room was free, the room stood idle for as long;
+/// with the answer and a ticket at hand, the step starts the moment there is room.
+#[test]
+fn the_advisor_is_asked_before_there_is_room() {
+    let mut pool = Pool::new(Options {
+        askers: 4,
+        ..Options::default()
+    });
+    list_workers(&mut pool, 2);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000f1", &[(2, 4_000, 5_000)]),
+    );
+    let full = run(&mut pool, 1_001);
+    assert_eq!(full.len(), 2);
+    let mut advised = job("00000000000000a3", &[(1, 4_000, 500)]);
+    advised.policy.advice = Some(Advice {
+        base: 490.0,
+        each: 7.0,
+        valid: 2_000,
+    });
+    adopt(&mut pool, 1_010, advised);
+    let orders = pool.plan(1_020, UNIX);
+    let [Order::Ask(ask)] = orders.as_slice() else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(ask.workers.len(), 2, "all, since each adds little");
+    let first = full[0].worker.clone();
+    pool.advised(
+        1_550,
+        ask,
+        Some((&[(first.clone(), "t".to_owned())], 2_000)),
+    );
+    let done = vec![end(&full[0], 1, How::Done)];
+    hold(&mut pool, 1_600, &first, vec![], done);
+    let started = run(&mut pool, 1_601);
+    assert_eq!(started.len(), 1);
+    assert_eq!(
+        (&started[0].worker, started[0].ticket.as_str()),
+        (&first, "t")
+    );
+}
+
+/// Questions ahead of need leave half of the advisor's time to steps for which there is room.
+#[test]
+fn questions_ahead_leave_time_to_others() {
+    let mut pool = Pool::new(Options {
+        askers: 4,
+        ..Options::default()
+    });
+    list_workers(&mut pool, 2);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000f1", &[(2, 4_000, 5_000)]),
+    );
+    assert_eq!(run(&mut pool, 1_001).len(), 2);
+    for at in 0..8 {
+        let mut advised = job(&format!("00000000000000b{at}"), &[(1, 1_000, 500)]);
+        advised.policy.advice = Some(Advice {
+            base: 490.0,
+            each: 7.0,
+            valid: 2_000,
+        });
+        adopt(&mut pool, 1_010, advised);
+    }
+    assert_eq!(pool.plan(1_020, UNIX).len(), 2);
+}
+
+/// At most one task of a step may run on a worker. The workers that the advisor allowed have one each, so a task that is
+/// left needs others; asking about the same ones again and again left it waiting for ten seconds.
+#[test]
+fn workers_that_have_their_share_are_not_asked_about_again() {
+    let mut pool = pool(4);
+    let mut spread = job("00000000000000a2", &[(2, 100, 500)]);
+    spread.steps[0].per_worker = 1;
+    spread.policy.advice = Some(Advice {
+        base: 20.0,
+        each: 1.0,
+        valid: 2_000,
+    });
+    adopt(&mut pool, 1_000, spread);
+    let orders = pool.plan(1_001, UNIX);
+    let [Order::Ask(first)] = orders.as_slice() else {
+        panic!("{orders:?}");
+    };
+    let rows = vec![(first.workers[0].clone(), "t1".to_owned())];
+    pool.advised(1_050, first, Some((&rows, 50)));
+    // The ticket has run out when the start is due, so the worker is asked about again, and runs one task.
+    pool.advised(1_051, first, Some((&rows, 2_000)));
+    let started = run(&mut pool, 1_060);
+    assert_eq!(started.len(), 1);
+    hold_all(&mut pool, 3_300, &started);
+    let orders = pool.plan(3_400, UNIX);
+    for order in &orders {
+        if let Order::Ask(ask) = order {
+            assert!(!ask.workers.contains(&first.workers[0]), "{ask:?}");
+        }
+    }
+}
