--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -22,12 +22,14 @@
 use crate::clock;
 use crate::follow::follow;
 use crate::host::{Host, lock};
+use crate::outside::Page;
 use crate::owners;
 use crate::rows::{JOBS, job_parts};
 use crate::writer;
 use advice::Question;
 use directory::Directory;
 use members::Member;
+use news::Courses;
 use planned::Planned;
 
 /// Jobs are told to the owner directly; the table tells those whose hosts could not.
@@ -185,12 +187,7 @@
         info!(pool = self.number, epoch = self.epoch, all = all, ms = took; "jobs are known");
         let rest = async {
             if !all {
-                let taking = async {
-                    while let Some(page) = pages.recv().await {
-                        self.take_up_jobs(&page, &courses);
-                    }
-                };
-                tokio::join!(reading, taking);
+                tokio::join!(reading, self.take_up_rest(pages, &courses));
                 let took = clock::now().saturating_sub(began);
                 info!(pool = self.number, epoch = self.epoch, ms = took; "all jobs are known");
             }
@@ -230,6 +227,13 @@
         );
     }
 
+    /// Takes up jobs of pages that come later, until all are read.
+    async fn take_up_rest(&self, mut pages: mpsc::UnboundedReceiver<Page>, courses: &Courses) {
+        while let Some(page) = pages.recv().await {
+            self.take_up_jobs(&page, courses);
+        }
+    }
+
     /// Plans and gives orders.
     async fn drive(self: &Arc<Self>) {
         let mut told = clock::now();
--- a/crates/pool/tests/advice.rs
+++ b/crates/pool/tests/advice.rs
@@ -6,9 +6,37 @@
 mod world;
 
 use case::{adopt, end, hold, hold_all, list_workers, pool, run};
-use pool::{Advice, Answer, How, Options, Order, Pool};
+use pool::{Advice, Answer, How, Job, Options, Order, Pool, Start};
 use world::{UNIX, job};
 
+/// A pool whose two workers are full, and which may ask the advisor four questions at once.
+fn full() -> (Pool, Vec<Start>) {
+    let mut pool = Pool::new(Options {
+        askers: 4,
+        ..Options::default()
+    });
+    list_workers(&mut pool, 2);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000f1", &[(2, 4_000, 5_000)]),
+    );
+    let full = run(&mut pool, 1_001);
+    assert_eq!(full.len(), 2);
+    (pool, full)
+}
+
+/// A job of one task, about which a question takes half a second.
+fn slowly_advised(id: &str, millicores: u64) -> Job {
+    let mut advised = job(id, &[(1, millicores, 500)]);
+    advised.policy.advice = Some(Advice {
+        base: 490.0,
+        each: 7.0,
+        valid: 2_000,
+    });
+    advised
+}
+
 /// Steps of a queue with an advisor start only with a ticket that holds; an answer is kept, and only its ticket renewed.
 #[test]
 fn advised_steps_need_a_ticket() {
@@ -57,25 +85,8 @@
 /// with the answer and a ticket at hand, the step starts the moment there is room.
 #[test]
 fn the_advisor_is_asked_before_there_is_room() {
-    let mut pool = Pool::new(Options {
-        askers: 4,
-        ..Options::default()
-    });
-    list_workers(&mut pool, 2);
-    adopt(
-        &mut pool,
-        1_000,
-        job("00000000000000f1", &[(2, 4_000, 5_000)]),
-    );
-    let full = run(&mut pool, 1_001);
-    assert_eq!(full.len(), 2);
-    let mut advised = job("00000000000000a3", &[(1, 4_000, 500)]);
-    advised.policy.advice = Some(Advice {
-        base: 490.0,
-        each: 7.0,
-        valid: 2_000,
-    });
-    adopt(&mut pool, 1_010, advised);
+    let (mut pool, full) = full();
+    adopt(&mut pool, 1_010, slowly_advised("00000000000000a3", 4_000));
     let orders = pool.plan(1_020, UNIX);
     let [Order::Ask(ask)] = orders.as_slice() else {
         panic!("{orders:?}");
@@ -100,25 +111,10 @@
 /// Questions ahead of need leave half of the advisor's time to steps for which there is room.
 #[test]
 fn questions_ahead_leave_time_to_others() {
-    let mut pool = Pool::new(Options {
-        askers: 4,
-        ..Options::default()
-    });
-    list_workers(&mut pool, 2);
-    adopt(
-        &mut pool,
-        1_000,
-        job("00000000000000f1", &[(2, 4_000, 5_000)]),
-    );
-    assert_eq!(run(&mut pool, 1_001).len(), 2);
+    let (mut pool, _) = full();
     for at in 0..8 {
-        let mut advised = job(&format!("00000000000000b{at}"), &[(1, 1_000, 500)]);
-        advised.policy.advice = Some(Advice {
-            base: 490.0,
-            each: 7.0,
-            valid: 2_000,
-        });
-        adopt(&mut pool, 1_010, advised);
+        let id = format!("00000000000000b{at}");
+        adopt(&mut pool, 1_010, slowly_advised(&id, 1_000));
     }
     assert_eq!(pool.plan(1_020, UNIX).len(), 2);
 }
