--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -262,7 +262,10 @@
                 let rows = match change {
                     Change::All(page) => page.rows,
                     Change::Some(rows) => rows,
-                    Change::Failed(_) => return,
+                    Change::Failed(error) => {
+                        warn!(error:% = error; "the configuration is not followed for now");
+                        return;
+                    }
                 };
                 self.confirm(clock::now());
                 for row in rows.iter().filter(|row| row.key == key) {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -148,8 +148,12 @@
                 FromOwner::NotOwner { life } => return Ended::NotOwner { life },
                 FromOwner::Take { epoch: of } if of == epoch => return Ended::Take,
                 FromOwner::Told(number, reply) => {
-                    if let Some(to) = lock(&link.calls).remove(&number) {
-                        drop(to.send(reply));
+                    let waiting = lock(&link.calls).remove(&number);
+                    match waiting {
+                        Some(to) => drop(to.send(reply)),
+                        None => {
+                            warn!(pool = pool, owner:% = address, reply = reply.name(); "an answer came too late");
+                        }
                     }
                 }
                 FromOwner::Advise {
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -93,6 +93,23 @@
     Plan(Box<crate::Plan>),
 }
 
+impl Reply {
+    /// Its kind, for logs.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::State(_) => "state",
+            Self::Unknown => "unknown",
+            Self::Cancelled => "cancelled",
+            Self::Inserted(_) => "inserted",
+            Self::Refused => "refused",
+            Self::Unsure => "unsure",
+            Self::Catalog(_) => "configuration",
+            Self::Plan(_) => "plan",
+        }
+    }
+}
+
 /// What the owner says to a host.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum FromOwner {
