A configuration counts as current as of the time at which it was the newest

An owner's beat confirmed the version that the owner had itself, if any call of the owner had been answered lately, and counted from its arrival. An owner on a full line that can't read the configuration but is served otherwise confirmed its old version to all hosts at that version.

Ruled out: hosts that lose track alone, they refuse after 3.5 s as they should.

A beat now says for how long the owner's version has not been known to be the newest, and which beat of the host the owner had heard then, on that host's clock; the host goes by the earlier of all that. An answer of the store counts from when it was asked for (one that tells of nothing: from when its wait was over), since it may arrive slowly.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -6,8 +6,10 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use log::warn;
+use pool::Ms;
 
-use crate::outside::{Page, Row, Store, StoreError};
+use crate::clock;
+use crate::outside::{Feed, Page, Store, StoreError};
 
 /// A question for changes waits this long. A connection that has gone silent shows when no answer comes soon after, so
 /// this bounds how long a change may go unseen; the configuration has to be in force within 2.5 s.
@@ -16,6 +18,8 @@
 /// next question at once. With a pause after each, a table of 3,000 workers changed faster than it was told, and the owner
 /// learnt that a worker leaves seconds late.
 const FULL: usize = 450;
+/// Age of an answer from which on the next one is asked for without a wait.
+const LATE: Ms = 300;
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(120);
 /// Reads that are under way at once when a table is read, at first: enough for the way between regions.
@@ -33,7 +37,7 @@
     /// All rows as they are: what isn't among them is not there.
     All(Page),
     /// Rows that changed, the newest last.
-    Some(Vec<Row>),
+    Some(Feed),
     /// The store did not answer or refused.
     Failed(StoreError),
 }
@@ -66,18 +70,18 @@
             tell(Change::All(page));
             listed = true;
         }
+        let asked = clock::now();
         match store.feed(table, newest, wait).await {
-            Ok(feed) => {
-                wait = WAIT;
+            Ok(mut feed) => {
                 newest = newest.max(feed.version);
                 let full = feed.rows.len() >= FULL;
-                let rows: Vec<Row> = feed
-                    .rows
-                    .into_iter()
-                    .filter(|row| parts.contains(&row.part))
-                    .collect();
-                let any = !rows.is_empty();
-                tell(Change::Some(rows));
+                feed.at = known_at(asked, wait, &feed);
+                // After an answer that took long a short one tells that nothing has changed since.
+                let late = clock::now().saturating_sub(feed.at) > LATE;
+                wait = if late { Duration::ZERO } else { WAIT };
+                feed.rows.retain(|row| parts.contains(&row.part));
+                let any = !feed.rows.is_empty();
+                tell(Change::Some(feed));
                 if any && !full && !pace.is_zero() {
                     tokio::time::sleep(pace).await;
                 }
@@ -92,6 +96,17 @@
     }
 }
 
+/// When an answer for changes was the newest there was, if it was asked for at this time. One that tells of nothing was
+/// given when the wait was over, any other at some time since it was asked for.
+fn known_at(asked: Ms, wait: Duration, feed: &Feed) -> Ms {
+    let waited = if feed.rows.is_empty() {
+        wait.as_millis() as Ms
+    } else {
+        0
+    };
+    (asked + waited).min(clock::now())
+}
+
 /// Reads all rows of parts of a table, as of the oldest moment among them, but not before the transaction `least`.
 ///
 /// Each page is read until it is there. A store that fails a part of all calls, or a line that loses a part of all packets,
@@ -100,6 +115,7 @@
 pub async fn read(store: &dyn Store, table: &str, parts: &[String], least: u64) -> Page {
     let mut all = Page {
         version: u64::MAX,
+        at: Ms::MAX,
         ..Page::default()
     };
     read_each(store, table, parts, least, |page| all.add(page)).await;
@@ -124,7 +140,9 @@
         {
             reads.push(async move {
                 tokio::time::sleep(pause).await;
+                let asked = clock::now();
                 let page = store.page(table, part, &from).await;
+                let page = page.map(|page| Page { at: asked, ..page });
                 (part, from, page)
             });
         }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -120,8 +120,7 @@
     /// Whether the configuration is known to be current.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        let age = clock::now().saturating_sub(self.current.load(Ordering::Relaxed));
-        Duration::from_millis(age) < self.settings.catalog_within.mul_f64(CURRENT)
+        Duration::from_millis(self.catalog_age()) < self.settings.catalog_within.mul_f64(CURRENT)
     }
 
     /// Whether a mechanism is on.
@@ -162,7 +161,7 @@
         }
     }
 
-    /// An owner's beat has come: the configuration is current if the owner has the same.
+    /// An owner's beat has come: the configuration is as current as the owner's if that is the same.
     pub(crate) fn hear(&self, beat: Beat) {
         let now = clock::now();
         let mine = self
@@ -170,15 +169,21 @@
             .load()
             .as_ref()
             .map_or(0, |catalog| catalog.version);
-        if beat.served && beat.catalog == mine && mine > 0 {
-            self.confirm(now);
+        if let Some(at) = beat.confirms(mine) {
+            self.confirm(at);
         }
         let pool = beat.pool;
         self.change(pool, |seat| seat.heard = Heard { at: now, beat });
     }
 
-    fn confirm(&self, now: Ms) {
-        self.current.fetch_max(now, Ordering::Relaxed);
+    /// The configuration in force was the newest at this time.
+    fn confirm(&self, at: Ms) {
+        self.current.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Time since the configuration in force was known to be the newest.
+    pub(crate) fn catalog_age(&self) -> Ms {
+        clock::now().saturating_sub(self.current.load(Ordering::Relaxed))
     }
 
     /// The store answered a call after this long, or did not.
@@ -259,22 +264,21 @@
             None,
             Duration::ZERO,
             |change| {
-                let rows = match change {
-                    Change::All(page) => page.rows,
-                    Change::Some(rows) => rows,
+                let page = match change {
+                    Change::All(page) | Change::Some(page) => page,
                     Change::Failed(error) => {
                         warn!(error:% = error; "the configuration is not followed for now");
                         return;
                     }
                 };
-                self.confirm(clock::now());
-                for row in rows.iter().filter(|row| row.key == key) {
+                for row in page.rows.iter().filter(|row| row.key == key) {
                     let value = row.value.as_deref().unwrap_or_default();
                     match self.decode.catalog(value) {
                         Some(catalog) => self.put_catalog(catalog),
                         None => warn!(bytes = value.len(); "the configuration can't be read"),
                     }
                 }
+                self.confirm(page.at);
             },
         );
         let from_owner = async {
--- a/crates/host/src/outside.rs
+++ b/crates/host/src/outside.rs
@@ -73,12 +73,16 @@
     pub version: u64,
     /// The key at which the next page begins; `None` if there is none.
     pub next: Option<String>,
+    /// When this was the newest there was, by [`crate::clock::now`]: a reader sets it to a time that is surely not too
+    /// late, since an answer may have been on its way for long.
+    pub at: Ms,
 }
 
 impl Page {
     /// Adds a further page: both together are as old as the older one.
     pub fn add(&mut self, page: Self) {
         self.version = self.version.min(page.version);
+        self.at = self.at.min(page.at);
         self.rows.extend(page.rows);
         self.next = page.next;
     }
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -44,6 +44,8 @@
     line: f64,
     pub(super) to: mpsc::Sender<FromOwner>,
     pub(super) heard: Ms,
+    /// When its last beat was sent, on its clock; 0 if none came.
+    sent: Ms,
     /// Since when the store serves it, as far as it said; `None` if it doesn't.
     served: Option<Ms>,
     away: u64,
@@ -208,6 +210,8 @@
                 pool: self.number,
                 epoch: self.epoch,
                 catalog: self.host.catalog().map_or(0, |catalog| catalog.version),
+                catalog_age: Ms::MAX,
+                heard: 0,
                 served: self.host.served(),
                 plan: self.host.plan().version,
                 pending: loaded.then_some(pending),
@@ -220,7 +224,11 @@
                 let mut members = lock(&self.members);
                 for (name, member) in members.iter_mut() {
                     member.helps = self.is_helped_by(name);
-                    drop(member.to.try_send(FromOwner::Beat(beat.clone())));
+                    drop(
+                        member
+                            .to
+                            .try_send(FromOwner::Beat(self.beat_to(member, &beat))),
+                    );
                     alive += usize::from(member.helps && now.saturating_sub(member.heard) < QUIET);
                 }
             }
@@ -230,6 +238,18 @@
         }
     }
 
+    /// A beat as it is told to one host: what it says of the configuration was so when that host's last beat came.
+    fn beat_to(&self, member: &Member, beat: &Beat) -> Beat {
+        let catalog_age = self.host.catalog_age();
+        Beat {
+            heard: member.sent,
+            catalog_age,
+            // Read after its age: a version that came between is only newer.
+            catalog: self.host.catalog().map_or(0, |catalog| catalog.version),
+            ..beat.clone()
+        }
+    }
+
     /// Whether a host asks the advisor for this pool.
     fn is_helped_by(&self, name: &str) -> bool {
         let pools = u64::from(self.host.plan().pools());
@@ -280,6 +300,7 @@
                 line,
                 to,
                 heard: clock::now(),
+                sent: 0,
                 served: None,
                 away: u64::MAX,
                 owns: 0,
@@ -312,7 +333,11 @@
     ) {
         match message {
             ToOwner::Beat {
-                served, away, owns, ..
+                served,
+                away,
+                owns,
+                sent,
+                ..
             } => {
                 if let Some(member) = lock(&self.members).get_mut(name)
                     && member.number == number
@@ -321,6 +346,7 @@
                     member.served = served.then(|| member.served.unwrap_or(member.heard));
                     member.away = away;
                     member.owns = owns;
+                    member.sent = sent;
                 }
             }
             ToOwner::Accepted(job, place) => self.accepted(*job, place),
--- a/crates/host/src/owner/news.rs
+++ b/crates/host/src/owner/news.rs
@@ -81,7 +81,7 @@
     pub(super) fn jobs_changed(&self, change: Change) {
         let rows = match change {
             Change::All(page) => page.rows,
-            Change::Some(rows) => rows,
+            Change::Some(feed) => feed.rows,
             Change::Failed(error) => {
                 warn!(error:% = error; "jobs are not followed for now");
                 return;
@@ -109,7 +109,7 @@
     pub(super) fn workers_changed(self: &Arc<Self>, change: Change) {
         let (rows, all) = match change {
             Change::All(page) => (page.rows, true),
-            Change::Some(rows) => (rows, false),
+            Change::Some(feed) => (feed.rows, false),
             Change::Failed(error) => {
                 warn!(error:% = error; "workers are not followed for now");
                 return;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -125,6 +125,7 @@
                 served: host.served(),
                 away: host.away(),
                 owns: host.owns(),
+                sent: clock::now(),
             };
             if !link.tell(beat) {
                 return;
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt as _};
-use pool::{Job, State};
+use pool::{Job, Ms, State};
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -46,6 +46,9 @@
         away: u64,
         /// How many pools it owns.
         owns: u32,
+        /// When this was sent, on its clock.
+        #[serde(default)]
+        sent: Ms,
     },
     /// It has accepted a job: the row is written, and says this.
     Accepted(Box<Job>, Place),
@@ -152,6 +155,12 @@
     pub epoch: u64,
     /// Version of the configuration in force there.
     pub catalog: u64,
+    /// Time since that version was known to be the newest there.
+    #[serde(default)]
+    pub catalog_age: Ms,
+    /// When the host that is told this sent the last beat that the owner has heard, on that host's clock; 0 if none.
+    #[serde(default)]
+    pub heard: Ms,
     /// The store serves the owner.
     pub served: bool,
     /// Version of the plan of pools known there.
@@ -164,6 +173,18 @@
     pub labels: Vec<String>,
 }
 
+impl Beat {
+    /// When a configuration of this version was surely the newest, on the clock of the host that is told this; `None` if
+    /// the beat doesn't say so.
+    ///
+    /// A beat may have been on its way for long. What it says was so when the owner had heard the beat that it names.
+    #[must_use]
+    pub fn confirms(&self, version: u64) -> Option<Ms> {
+        let same = version > 0 && self.catalog == version;
+        (same && self.heard > 0).then(|| self.heard.saturating_sub(self.catalog_age))
+    }
+}
+
 /// Sends frames.
 pub struct Sender<T> {
     to: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
--- a/crates/host/tests/follow.rs
+++ b/crates/host/tests/follow.rs
@@ -57,6 +57,7 @@
             rows: rows.collect(),
             version,
             next: None,
+            at: 0,
         })
     }
 }
@@ -73,8 +74,8 @@
     let pace = Duration::from_millis(350);
     let mut most = 0;
     let following = follow(&store, "workers", &parts, Some(0), pace, |change| {
-        if let Change::Some(rows) = change {
-            most = most.max(rows.len());
+        if let Change::Some(feed) = change {
+            most = most.max(feed.rows.len());
         }
     });
     drop(timeout(Duration::from_secs(20), following).await);
@@ -150,6 +151,7 @@
             rows: vec![row],
             version: 7,
             next: from.is_empty().then(|| "m".to_owned()),
+            at: 0,
         })
     }
 
