--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -134,7 +134,7 @@
     };
     let reads = async {
         loop {
-            let Ok(Ok(Some(message))) = timeout(SILENCE, receiver.next()).await else {
+            let Ok(Some(message)) = receiver.next_within(SILENCE).await else {
                 return Ended::Lost;
             };
             match message {
@@ -245,16 +245,16 @@
     let mut receiver = Receiver::<ToOwner>::new(read);
     let (to, from) = mpsc::channel::<FromOwner>(QUEUE);
     let reads = async {
-        let first = timeout(SILENCE, receiver.next()).await;
+        let first = receiver.next_within(SILENCE).await;
         let (name, address, power, owner) = match first {
-            Ok(Ok(Some(ToOwner::Hello {
+            Ok(Some(ToOwner::Hello {
                 host: name,
                 address,
                 pool,
                 epoch,
                 processors,
                 line,
-            }))) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
+            })) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
                 Some(owner) => (name, address, (processors, line), owner),
                 None => {
                     drop(to.send(FromOwner::NotOwner { life: host.life }).await);
@@ -262,7 +262,7 @@
                     return;
                 }
             },
-            Ok(Ok(Some(ToOwner::Hears(pool)))) => {
+            Ok(Some(ToOwner::Hears(pool))) => {
                 let seat = host.seat(pool);
                 let recent = clock::now().saturating_sub(seat.heard.at) < 900;
                 let hears = seat.owner.is_some() || recent && seat.link.is_some();
@@ -275,8 +275,7 @@
         let since = Instant::now();
         let member = owner.joined(&name, address, power, to.clone());
         loop {
-            let message = timeout(SILENCE * 2, receiver.next()).await;
-            let Ok(Ok(Some(message))) = message else {
+            let Ok(Some(message)) = receiver.next_within(SILENCE * 2).await else {
                 break;
             };
             owner.told(&name, member, message, &to);
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -2,7 +2,9 @@
 //!
 //! One connection that both sides write to as they like needs one wake-up a message; a call over HTTP needs four.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt as _};
@@ -10,7 +12,9 @@
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::timeout;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::insert::Place;
@@ -148,15 +152,15 @@
 }
 
 /// Sends frames.
-pub struct Sender<T> {
-    to: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+pub struct Sender<T, W = OwnedWriteHalf> {
+    to: FramedWrite<W, LengthDelimitedCodec>,
     kind: std::marker::PhantomData<fn(T)>,
 }
 
-impl<T: Serialize> Sender<T> {
+impl<T: Serialize, W: AsyncWrite + Unpin> Sender<T, W> {
     /// Over this half of a connection.
     #[must_use]
-    pub fn new(half: OwnedWriteHalf) -> Self {
+    pub fn new(half: W) -> Self {
         Self {
             to: FramedWrite::new(half, codec()),
             kind: std::marker::PhantomData,
@@ -182,15 +186,15 @@
 }
 
 /// Receives frames.
-pub struct Receiver<T> {
-    from: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+pub struct Receiver<T, R = OwnedReadHalf> {
+    from: FramedRead<R, LengthDelimitedCodec>,
     kind: std::marker::PhantomData<fn() -> T>,
 }
 
-impl<T: DeserializeOwned> Receiver<T> {
+impl<T: DeserializeOwned, R: AsyncRead + Unpin> Receiver<T, R> {
     /// From this half of a connection.
     #[must_use]
-    pub fn new(half: OwnedReadHalf) -> Self {
+    pub fn new(half: R) -> Self {
         Self {
             from: FramedRead::new(half, codec()),
             kind: std::marker::PhantomData,
@@ -207,6 +211,16 @@
             Some(frame) => Ok(Some(serde_json::from_slice(&frame?)?)),
         }
     }
+
+    /// The next frame from a sender that is never silent for longer than `silence`; `None` at the end.
+    ///
+    /// # Errors
+    /// Of the kind `TimedOut` if the sender is silent; otherwise as [`Receiver::next`].
+    pub async fn next_within(&mut self, silence: Duration) -> std::io::Result<Option<T>> {
+        timeout(silence, self.next())
+            .await
+            .unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+    }
 }
 
 fn codec() -> LengthDelimitedCodec {
