Links are judged by bytes, not by whole frames

Cause: a link ended when no whole frame came within 0.9 s (at the owner 1.8 s). A frame that takes longer on its line was given up while its bytes arrived.

Ruled out: a longer limit (a lost owner would be found later, and a larger frame would still not pass); the length of the decoder's buffer in place of a reader (it tells that bytes came, not when).

Change: the reader under the frames remembers when it gave bytes last, and Receiver::next_within counts its limit from there.

Why it works: who sends bytes is alive, however long its frame is; who doesn't is found as soon as before, since the limit is the same. The time is kept in the reader, so a receive that is cancelled loses neither bytes nor the time.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -29,6 +29,7 @@
 mod seat;
 mod session;
 mod settings;
+mod timed_reader;
 mod transfer;
 pub mod turn;
 pub mod wire;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -19,7 +19,7 @@
 
 /// Time between two beats. A shorter one finds a lost owner sooner and costs each host a wake-up more.
 pub(crate) const BEAT: Duration = Duration::from_millis(250);
-/// An owner that was not heard for this long is taken as lost: three beats, and some for the way between regions.
+/// An owner from which no byte has come for this long is taken as lost: three beats, and some for the way between regions.
 pub(crate) const SILENCE: Duration = Duration::from_millis(900);
 /// Time in which a connection has to be made; the way between regions takes 40 ms there and back.
 const CONNECT: Duration = Duration::from_millis(400);
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -14,10 +14,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::insert::Place;
+use crate::timed_reader::TimedReader;
 
 /// Longest frame in bytes: the rows of one transaction and some more.
 const FRAME_MOST: usize = 4 << 20;
@@ -187,7 +188,7 @@
 
 /// Receives frames.
 pub struct Receiver<T, R = OwnedReadHalf> {
-    from: FramedRead<R, LengthDelimitedCodec>,
+    from: FramedRead<TimedReader<R>, LengthDelimitedCodec>,
     kind: std::marker::PhantomData<fn() -> T>,
 }
 
@@ -196,7 +197,7 @@
     #[must_use]
     pub fn new(half: R) -> Self {
         Self {
-            from: FramedRead::new(half, codec()),
+            from: FramedRead::new(TimedReader::new(half), codec()),
             kind: std::marker::PhantomData,
         }
     }
@@ -212,14 +213,23 @@
         }
     }
 
-    /// The next frame from a sender that is never silent for longer than `silence`; `None` at the end.
+    /// The next frame from a sender that is never silent for longer than `silence`; `None` at the end. Each byte that
+    /// arrives starts the time anew, so a frame may take longer. A call that is dropped loses nothing of a frame.
     ///
     /// # Errors
     /// Of the kind `TimedOut` if the sender is silent; otherwise as [`Receiver::next`].
     pub async fn next_within(&mut self, silence: Duration) -> std::io::Result<Option<T>> {
-        timeout(silence, self.next())
-            .await
-            .unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+        let mut since = Instant::now();
+        loop {
+            if let Ok(next) = timeout_at(since + silence, self.next()).await {
+                return next;
+            }
+            let last_read = self.from.get_ref().last_read();
+            if last_read <= since {
+                return Err(ErrorKind::TimedOut.into());
+            }
+            since = last_read;
+        }
     }
 }
 
