Links: failing test for a configuration that is fetched over a thin line

Hosts behind the owner's configuration ask it for it (Host::ask_newer). On lines that need longer than 0.6 s for it the answer is given up while it arrives, and asked for again 0.15 s later: the owner sends it whole each time, and beats wait behind these frames.

Change, without another behaviour: Link is a public type in a module of its own, with fetch for what may be large (the same 0.6 s) and answer for what comes; the test drives it over the thin line of tests/links.rs.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`Plan`]: which workers belong to which pool; [`route`]: which pool a job goes to.
 //! * [`post`]: which hosts have what a pool needs.
 //! * [`turn`]: how long a host leaves a pool to others.
+//! * [`link`]: what a host asks an owner.
 //! * [`wire`]: what hosts say to each other.
 //! * [`Owner`]: a pool's owner: takes over, holds workers, starts tasks, stores progress.
 
@@ -18,6 +19,7 @@
 mod front;
 mod host;
 pub mod insert;
+pub mod link;
 mod outside;
 mod owner;
 mod owners;
--- /dev/null
+++ b/crates/host/src/link.rs
@@ -0,0 +1,82 @@
+//! What a host says to an owner over their connection.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use crate::host::lock;
+use crate::wire::{Call, Reply, ToOwner};
+
+/// Longest time in which a fetch is answered.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A host's side of its connection to an owner.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
+/// use host::link::Link;
+/// use host::wire::{Call, Reply, ToOwner};
+///
+/// let (to, mut from) = tokio::sync::mpsc::channel(8);
+/// let link = Link::new(to);
+/// let owner = async {
+///     if let Some(ToOwner::Ask(number, Call::Plan)) = from.recv().await {
+///         link.answer(number, Reply::Unsure);
+///     }
+/// };
+/// let (reply, ()) = tokio::join!(link.fetch(Call::Plan), owner);
+/// assert!(matches!(reply, Some(Reply::Unsure)));
+/// # });
+/// ```
+pub struct Link {
+    to: mpsc::Sender<ToOwner>,
+    calls: Mutex<FxHashMap<u64, oneshot::Sender<Reply>>>,
+    number: AtomicU64,
+}
+
+impl Link {
+    /// What is said goes into this channel.
+    #[must_use]
+    pub fn new(to: mpsc::Sender<ToOwner>) -> Self {
+        Self {
+            to,
+            calls: Mutex::default(),
+            number: AtomicU64::new(1),
+        }
+    }
+
+    /// Tells the owner something; `false` if the link is broken or full.
+    pub fn tell(&self, message: ToOwner) -> bool {
+        self.to.try_send(message).is_ok()
+    }
+
+    /// Asks the owner something; `None` if it doesn't answer within `time`.
+    pub async fn call(&self, call: Call, time: Duration) -> Option<Reply> {
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let (to, answer) = oneshot::channel();
+        lock(&self.calls).insert(number, to);
+        let reply = if self.tell(ToOwner::Ask(number, call)) {
+            timeout(time, answer).await.ok().and_then(Result::ok)
+        } else {
+            None
+        };
+        lock(&self.calls).remove(&number);
+        reply
+    }
+
+    /// Asks the owner for something whose answer may be large; `None` if it doesn't come.
+    pub async fn fetch(&self, call: Call) -> Option<Reply> {
+        self.call(call, FETCH_TIMEOUT).await
+    }
+
+    /// The owner has answered the call with this number.
+    pub fn answer(&self, number: u64, reply: Reply) {
+        if let Some(to) = lock(&self.calls).remove(&number) {
+            drop(to.send(reply));
+        }
+    }
+}
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,19 +1,18 @@
 //! Connections between hosts.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::{info, warn};
-use rustc_hash::FxHashMap;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use crate::clock;
-use crate::host::{Host, lock};
+use crate::host::Host;
+use crate::link::Link;
 use crate::owner::Owner;
 use crate::wire::{Call, FromOwner, Receiver, Reply, Sender, ToOwner};
 
@@ -42,34 +41,6 @@
     Stopped,
 }
 
-/// A link from this host to the owner.
-pub(crate) struct Link {
-    to: mpsc::Sender<ToOwner>,
-    calls: Mutex<FxHashMap<u64, oneshot::Sender<Reply>>>,
-    number: AtomicU64,
-}
-
-impl Link {
-    /// Tells the owner something; `false` if the link is broken or full.
-    pub(crate) fn tell(&self, message: ToOwner) -> bool {
-        self.to.try_send(message).is_ok()
-    }
-
-    /// Asks the owner something.
-    pub(crate) async fn call(&self, call: Call, time: Duration) -> Option<Reply> {
-        let number = self.number.fetch_add(1, Ordering::Relaxed);
-        let (to, answer) = oneshot::channel();
-        lock(&self.calls).insert(number, to);
-        let reply = if self.tell(ToOwner::Ask(number, call)) {
-            timeout(time, answer).await.ok().and_then(Result::ok)
-        } else {
-            None
-        };
-        lock(&self.calls).remove(&number);
-        reply
-    }
-}
-
 /// Writes what comes through a channel, several frames at a time.
 async fn write<T: Serialize>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
     while let Some(message) = from.recv().await {
@@ -104,11 +75,7 @@
     let (read, half) = stream.into_split();
     let mut receiver = Receiver::<FromOwner>::new(read);
     let (to, from) = mpsc::channel(QUEUE);
-    let link = Arc::new(Link {
-        to,
-        calls: Mutex::default(),
-        number: AtomicU64::new(1),
-    });
+    let link = Arc::new(Link::new(to));
     link.tell(ToOwner::Hello {
         host: host.settings.id.clone(),
         address: host.settings.address,
@@ -147,11 +114,7 @@
                 }
                 FromOwner::NotOwner { life } => return Ended::NotOwner { life },
                 FromOwner::Take { epoch: of } if of == epoch => return Ended::Take,
-                FromOwner::Told(number, reply) => {
-                    if let Some(to) = lock(&link.calls).remove(&number) {
-                        drop(to.send(reply));
-                    }
-                }
+                FromOwner::Told(number, reply) => link.answer(number, reply),
                 FromOwner::Advise {
                     number,
                     stage,
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/seat.rs
@@ -8,8 +8,8 @@
 
 use crate::clock;
 use crate::host::{Host, SERVED, lock};
+use crate::link::Link;
 use crate::owner::Owner;
-use crate::peers::Link;
 use crate::route::Load;
 use crate::wire::Beat;
 
--- a/crates/host/tests/links.rs
+++ b/crates/host/tests/links.rs
@@ -3,8 +3,11 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use host::wire::{Beat, FromOwner, Receiver, Sender};
+use host::link::Link;
+use host::wire::{Beat, Call, FromOwner, Receiver, Reply, Sender, ToOwner};
+use host::{Catalog, Queue};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time without a byte.
@@ -116,3 +119,67 @@
     assert_eq!(labels(message.expect("the bytes arrive")), 3_000_000 / 36);
     assert!(tries > 5, "the frame came at once");
 }
+
+/// A configuration of 3 MB.
+fn catalog() -> Catalog {
+    let queue = Queue {
+        prefix: "x".repeat(1_000),
+        ..Queue::default()
+    };
+    Catalog {
+        version: 7,
+        queues: vec![queue; 2_500],
+        ..Catalog::default()
+    }
+}
+
+/// An owner that answers each call with the configuration; tells how often it was asked.
+async fn answer_calls(
+    mut calls: mpsc::Receiver<ToOwner>,
+    mut sender: Sender<FromOwner, DuplexStream>,
+) -> u32 {
+    let mut asked = 0;
+    while let Some(ToOwner::Ask(number, Call::Catalog)) = calls.recv().await {
+        asked += 1;
+        let reply = Reply::Catalog(Box::new(catalog()));
+        send(&mut sender, &FromOwner::Told(number, reply)).await;
+    }
+    asked
+}
+
+/// Passes answers to the link.
+async fn read_answers(link: &Link, mut receiver: Receiver<FromOwner, DuplexStream>) {
+    while let Ok(Some(message)) = receiver.next_within(SILENCE).await {
+        if let FromOwner::Told(number, reply) = message {
+            link.answer(number, reply);
+        }
+    }
+}
+
+/// A configuration that arrives slowly is given up and asked for again from its start, so that it never comes.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_on_a_thin_line_is_fetched_once() {
+    let (sender, receiver) = line(usize::MAX);
+    let (to, calls) = mpsc::channel(16);
+    let owner = tokio::spawn(answer_calls(calls, sender));
+    let link = Link::new(to);
+    let fetch = async {
+        loop {
+            if let Some(reply) = link.fetch(Call::Catalog).await {
+                return reply;
+            }
+            sleep(Duration::from_millis(150)).await;
+        }
+    };
+    let reply = tokio::select! {
+        reply = fetch => reply,
+        () = read_answers(&link, receiver) => panic!("the owner is silent"),
+        () = sleep(Duration::from_secs(60)) => panic!("the configuration doesn't come"),
+    };
+    let Reply::Catalog(catalog) = reply else {
+        panic!("not a configuration: {reply:?}");
+    };
+    assert_eq!(catalog.version, 7);
+    drop(link);
+    assert_eq!(owner.await.expect("the owner ran"), 1);
+}
