--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,25 +1,24 @@
 //! Connections between hosts.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::{info, warn};
-use rustc_hash::FxHashMap;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use crate::clock;
-use crate::host::{Host, lock};
+use crate::host::Host;
+use crate::link::Link;
 use crate::owner::Owner;
 use crate::wire::{Call, FromOwner, Receiver, Reply, Sender, ToOwner};
 
 /// Time between two beats. A shorter one finds a lost owner sooner and costs each host a wake-up more.
 pub(crate) const BEAT: Duration = Duration::from_millis(250);
-/// An owner that was not heard for this long is taken as lost: three beats, and some for the way between regions.
+/// An owner from which no byte has come for this long is taken as lost: three beats, and some for the way between regions.
 pub(crate) const SILENCE: Duration = Duration::from_millis(900);
 /// Time in which a connection has to be made; the way between regions takes 40 ms there and back.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -42,34 +41,6 @@
     Stopped,
 }
 
-/// A link from this host to the owner.
-pub(crate) struct Link {
-    to: mpsc::Sender<ToOwner>,
-    calls: Mutex<FxHashMap<u64, oneshot::Sender<Reply>>>,
-    number: AtomicU64,
-}
-
-impl Link {
-    /// Tells the owner something; `false` if the link is broken or full.
-    pub(crate) fn tell(&self, message: ToOwner) -> bool {
-        self.to.try_send(message).is_ok()
-    }
-
-    /// Asks the owner something.
-    pub(crate) async fn call(&self, call: Call, time: Duration) -> Option<Reply> {
-        let number = self.number.fetch_add(1, Ordering::Relaxed);
-        let (to, answer) = oneshot::channel();
-        lock(&self.calls).insert(number, to);
-        let reply = if self.tell(ToOwner::Ask(number, call)) {
-            timeout(time, answer).await.ok().and_then(Result::ok)
-        } else {
-            None
-        };
-        lock(&self.calls).remove(&number);
-        reply
-    }
-}
-
 /// Writes what comes through a channel, several frames at a time.
 async fn write<T: Serialize>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
     while let Some(message) = from.recv().await {
@@ -104,11 +75,7 @@
     let (read, half) = stream.into_split();
     let mut receiver = Receiver::<FromOwner>::new(read);
     let (to, from) = mpsc::channel(QUEUE);
-    let link = Arc::new(Link {
-        to,
-        calls: Mutex::default(),
-        number: AtomicU64::new(1),
-    });
+    let link = Arc::new(Link::new(to));
     link.tell(ToOwner::Hello {
         host: host.settings.id.clone(),
         address: host.settings.address,
@@ -135,7 +102,7 @@
     };
     let reads = async {
         loop {
-            let Ok(Ok(Some(message))) = timeout(SILENCE, receiver.next()).await else {
+            let Ok(Some(message)) = receiver.next_within(SILENCE).await else {
                 return Ended::Lost;
             };
             match message {
@@ -149,12 +116,8 @@
                 FromOwner::NotOwner { life } => return Ended::NotOwner { life },
                 FromOwner::Take { epoch: of } if of == epoch => return Ended::Take,
                 FromOwner::Told(number, reply) => {
-                    let waiting = lock(&link.calls).remove(&number);
-                    match waiting {
-                        Some(to) => drop(to.send(reply)),
-                        None => {
-                            warn!(pool = pool, owner:% = address, reply = reply.name(); "an answer came too late");
-                        }
+                    if let Some(late) = link.answer(number, reply) {
+                        warn!(pool = pool, owner:% = address, reply = late.name(); "an answer came too late");
                     }
                 }
                 FromOwner::Advise {
@@ -250,16 +213,16 @@
     let mut receiver = Receiver::<ToOwner>::new(read);
     let (to, from) = mpsc::channel::<FromOwner>(QUEUE);
     let reads = async {
-        let first = timeout(SILENCE, receiver.next()).await;
+        let first = receiver.next_within(SILENCE).await;
         let (name, address, power, owner) = match first {
-            Ok(Ok(Some(ToOwner::Hello {
+            Ok(Some(ToOwner::Hello {
                 host: name,
                 address,
                 pool,
                 epoch,
                 processors,
                 line,
-            }))) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
+            })) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
                 Some(owner) => (name, address, (processors, line), owner),
                 None => {
                     drop(to.send(FromOwner::NotOwner { life: host.life }).await);
@@ -267,7 +230,7 @@
                     return;
                 }
             },
-            Ok(Ok(Some(ToOwner::Hears(pool)))) => {
+            Ok(Some(ToOwner::Hears(pool))) => {
                 let seat = host.seat(pool);
                 let recent = clock::now().saturating_sub(seat.heard.at) < 900;
                 let hears = seat.owner.is_some() || recent && seat.link.is_some();
@@ -280,8 +243,7 @@
         let since = Instant::now();
         let member = owner.joined(&name, address, power, to.clone());
         loop {
-            let message = timeout(SILENCE * 2, receiver.next()).await;
-            let Ok(Ok(Some(message))) = message else {
+            let Ok(Some(message)) = receiver.next_within(SILENCE * 2).await else {
                 break;
             };
             owner.told(&name, member, message, &to);
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -2,7 +2,9 @@
 //!
 //! One connection that both sides write to as they like needs one wake-up a message; a call over HTTP needs four.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt as _};
@@ -10,10 +12,13 @@
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::insert::Place;
+use crate::timed_reader::TimedReader;
 
 /// Longest frame in bytes: the rows of one transaction and some more.
 const FRAME_MOST: usize = 4 << 20;
@@ -186,15 +191,15 @@
 }
 
 /// Sends frames.
-pub struct Sender<T> {
-    to: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+pub struct Sender<T, W = OwnedWriteHalf> {
+    to: FramedWrite<W, LengthDelimitedCodec>,
     kind: std::marker::PhantomData<fn(T)>,
 }
 
-impl<T: Serialize> Sender<T> {
+impl<T: Serialize, W: AsyncWrite + Unpin> Sender<T, W> {
     /// Over this half of a connection.
     #[must_use]
-    pub fn new(half: OwnedWriteHalf) -> Self {
+    pub fn new(half: W) -> Self {
         Self {
             to: FramedWrite::new(half, codec()),
             kind: std::marker::PhantomData,
@@ -220,17 +225,17 @@
 }
 
 /// Receives frames.
-pub struct Receiver<T> {
-    from: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+pub struct Receiver<T, R = OwnedReadHalf> {
+    from: FramedRead<TimedReader<R>, LengthDelimitedCodec>,
     kind: std::marker::PhantomData<fn() -> T>,
 }
 
-impl<T: DeserializeOwned> Receiver<T> {
+impl<T: DeserializeOwned, R: AsyncRead + Unpin> Receiver<T, R> {
     /// From this half of a connection.
     #[must_use]
-    pub fn new(half: OwnedReadHalf) -> Self {
+    pub fn new(half: R) -> Self {
         Self {
-            from: FramedRead::new(half, codec()),
+            from: FramedRead::new(TimedReader::new(half), codec()),
             kind: std::marker::PhantomData,
         }
     }
@@ -245,6 +250,25 @@
             Some(frame) => Ok(Some(serde_json::from_slice(&frame?)?)),
         }
     }
+
+    /// The next frame from a sender that is never silent for longer than `silence`; `None` at the end. Each byte that
+    /// arrives starts the time anew, so a frame may take longer. A call that is dropped loses nothing of a frame.
+    ///
+    /// # Errors
+    /// Of the kind `TimedOut` if the sender is silent; otherwise as [`Receiver::next`].
+    pub async fn next_within(&mut self, silence: Duration) -> std::io::Result<Option<T>> {
+        let mut since = Instant::now();
+        loop {
+            if let Ok(next) = timeout_at(since + silence, self.next()).await {
+                return next;
+            }
+            let last_read = self.from.get_ref().last_read();
+            if last_read <= since {
+                return Err(ErrorKind::TimedOut.into());
+            }
+            since = last_read;
+        }
+    }
 }
 
 fn codec() -> LengthDelimitedCodec {
