Owners pass the configuration on, compressed; other hosts don't read it

Callers saw jobs late and refused for seconds after each growth of the configuration, also once it arrived everywhere. Each host read a copy of its own from the store: 17 copies of 1.05 MB over a line between regions that carries 7.5 MB/s, and beside that an owner sent a copy of the whole to each host that its beat told of a newer version, again every 0.75 s while the first was not there. Beats and holds waited behind.

Ruled out: the store's own speed (strong hosts of its region have it in 0.2 s).

Now owners follow the configuration in the store. A host that an owner keeps current doesn't: it hears of a newer version by a beat, which is sent at once, and fetches it from the owner, compressed and packed once for all. It follows a small table meanwhile, so that it knows whether the store serves it. Beats tell up to which transaction the configuration is known, so that a host that loses its owners goes on from there and reads nothing again. A host reads and fetches at the same time only if it has none or has been behind for a second.

--- /dev/null
+++ b/crates/host/src/current.rs
@@ -0,0 +1,187 @@
+//! How a host keeps its configuration current.
+//!
+//! Owners of pools follow the configuration in the store. All other hosts are told by an owner's beats whether theirs is
+//! the newest, and fetch a newer one from the owner, compressed: a copy from the store for each host of a region would fill
+//! the line between the regions. A host that no owner tells anything follows the store itself.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::catalog::Catalog;
+use crate::clock;
+use crate::follow::{Change, follow};
+use crate::host::{Host, lock};
+use crate::outside::Page;
+use crate::packed::Packed;
+use crate::plan::Plan;
+use crate::rows::{COMMON, PLAN};
+use crate::wire::{Call, Reply};
+
+/// Time between two looks whether owners have something newer; a beat that says so wakes the host at once.
+const ASK: Duration = Duration::from_millis(150);
+/// Time between two looks whether an owner keeps this host current.
+const CHECK: Duration = Duration::from_millis(200);
+/// A host relies on owners once they tell of a time within this share of the time in which a change has to be in force.
+const RELY: f64 = 0.5;
+/// A host follows the store again once that time is longer ago than this share.
+const DOUBT: f64 = 0.7;
+/// A host that reads the store asks an owner as well after it has been behind for this long.
+const BEHIND: Duration = Duration::from_millis(1_000);
+
+impl Host {
+    /// Keeps the configuration current until the host stops.
+    pub(crate) async fn follow_catalog(self: &Arc<Self>) {
+        tokio::select! {
+            () = self.read_or_rely() => {}
+            () = self.ask_owners() => {}
+            () = self.stop.ended() => {}
+        }
+    }
+
+    /// Follows the store, but for the time in which owners keep this host current.
+    async fn read_or_rely(&self) {
+        loop {
+            info!(from = "store", as_of = self.catalog_as_of(); "the configuration is followed");
+            tokio::select! {
+                () = self.read_catalog() => {}
+                () = self.until(|| self.owns() == 0 && self.is_told_within(RELY)) => {}
+            }
+            info!(from = "owner", as_of = self.catalog_as_of(); "the configuration is followed");
+            self.relying.store(true, Ordering::Relaxed);
+            tokio::select! {
+                // A small table: its answers tell whether the store serves this host.
+                () = self.follow_plan() => {}
+                () = self.until(|| self.owns() > 0 || !self.is_kept_current()) => {}
+            }
+            self.relying.store(false, Ordering::Relaxed);
+        }
+    }
+
+    async fn until(&self, holds: impl Fn() -> bool) {
+        while !holds() {
+            sleep(CHECK).await;
+        }
+    }
+
+    /// Whether an owner has told that the configuration was the newest within this share of the time for changes.
+    fn is_told_within(&self, share: f64) -> bool {
+        let age = clock::now().saturating_sub(self.told.load(Ordering::Relaxed));
+        Duration::from_millis(age) < self.settings.catalog_within.mul_f64(share)
+    }
+
+    fn is_kept_current(&self) -> bool {
+        self.fetching.load(Ordering::Relaxed) || self.is_told_within(DOUBT)
+    }
+
+    /// Follows the configuration in the store, from where it is known.
+    async fn read_catalog(&self) {
+        let (table, key) = &self.settings.places.catalog;
+        let from = Some(self.catalog_as_of()).filter(|version| *version > 0);
+        let parts = [String::new()];
+        let store = self.store.as_ref();
+        follow(
+            store,
+            table,
+            &parts,
+            from,
+            Duration::ZERO,
+            |change| match change {
+                Change::All(page) | Change::Some(page) => self.take_up_catalog(&page, key),
+                Change::Failed(error) => {
+                    warn!(error:% = error; "the configuration is not followed for now");
+                }
+            },
+        )
+        .await;
+    }
+
+    fn take_up_catalog(&self, page: &Page, key: &str) {
+        for row in page.rows.iter().filter(|row| row.key == key) {
+            let value = row.value.as_deref().unwrap_or_default();
+            match self.decode.catalog(value) {
+                Some(catalog) => self.put_catalog(catalog),
+                None => warn!(bytes = value.len(); "the configuration can't be read"),
+            }
+        }
+        self.confirm(page.at, page.version);
+    }
+
+    async fn follow_plan(&self) {
+        let parts = [COMMON.to_owned()];
+        let store = self.store.as_ref();
+        follow(store, PLAN, &parts, None, Duration::ZERO, |change| {
+            let rows = match change {
+                Change::All(page) | Change::Some(page) => page.rows,
+                Change::Failed(error) => {
+                    warn!(error:% = error; "the plan of pools is not followed for now");
+                    return;
+                }
+            };
+            for value in rows.iter().filter_map(|row| row.value.as_deref()) {
+                match serde_json::from_slice::<Plan>(value) {
+                    Ok(plan) => self.put_plan(plan),
+                    Err(error) => warn!(error:% = error; "the plan of pools can't be read"),
+                }
+            }
+        })
+        .await;
+    }
+
+    /// Asks owners for what they have newer than this host: the configuration and the plan of pools.
+    async fn ask_owners(&self) {
+        let mut behind: Option<Instant> = None;
+        loop {
+            drop(timeout(ASK, self.newer.notified()).await);
+            let mine = self.catalog_version();
+            if let Some(link) = self.ahead(|beat| beat.catalog > mine) {
+                let since = *behind.get_or_insert_with(Instant::now);
+                let reads = !self.relying.load(Ordering::Relaxed) && mine > 0 && self.served();
+                if !reads || since.elapsed() > BEHIND {
+                    self.fetching.store(true, Ordering::Relaxed);
+                    let reply = link.fetch(Call::Catalog).await;
+                    if let Some(Reply::Catalog(packed)) = reply {
+                        self.take_up_packed(&packed);
+                    }
+                    self.fetching.store(false, Ordering::Relaxed);
+                }
+            } else {
+                behind = None;
+            }
+            let mine = self.plan.load().version;
+            if let Some(link) = self.ahead(|beat| beat.plan > mine)
+                && let Some(Reply::Plan(plan)) = link.fetch(Call::Plan).await
+            {
+                self.put_plan(*plan);
+            }
+        }
+    }
+
+    fn take_up_packed(&self, packed: &Packed) {
+        match Catalog::try_from(packed) {
+            Ok(catalog) => self.put_catalog(catalog),
+            Err(error) => {
+                warn!(version = packed.version, error:% = error; "an owner's configuration can't be read");
+            }
+        }
+    }
+
+    /// The configuration in force, as it is sent to other hosts. It is packed once for all of them.
+    pub(crate) fn packed_catalog(&self) -> Option<Packed> {
+        let catalog = self.catalog()?;
+        let mut packed = lock(&self.packed);
+        if packed.version != catalog.version {
+            match Packed::try_from(catalog.as_ref()) {
+                Ok(newer) => *packed = newer,
+                Err(error) => {
+                    warn!(version = catalog.version, error:% = error; "the configuration can't be packed");
+                    return None;
+                }
+            }
+        }
+        Some(packed.clone())
+    }
+}
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -62,7 +62,8 @@
 ) {
     let mut newest = from.unwrap_or(0);
     let mut listed = from.is_some();
-    let mut wait = WAIT;
+    // What is known already may be old.
+    let mut wait = if listed { Duration::ZERO } else { WAIT };
     loop {
         if !listed {
             let page = read(store, table, parts, newest).await;
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -12,13 +12,13 @@
 
 use crate::catalog::Catalog;
 use crate::clock;
-use crate::follow::{Change, follow};
 use crate::outside::{Advisor, Decode, Store, Workers};
 use crate::owners::Owners;
+use crate::packed::Packed;
 use crate::plan::Plan;
 use crate::seat::{Heard, Seat};
 use crate::settings::Settings;
-use crate::wire::{Beat, Call, Reply};
+use crate::wire::Beat;
 
 /// A configuration that was confirmed longer ago than this share of the time in which a change has to be in force may be
 /// out of date: nothing is accepted by it. The rest is for requests that are in hand then.
@@ -34,10 +34,6 @@
 const PATIENCE_MOST: Duration = Duration::from_millis(900);
 /// A store that has failed all calls for this long doesn't serve this host.
 const FAILING: Ms = 400;
-/// Time between two looks whether owners have something newer; their beats come every 250 ms.
-const ASK: Duration = Duration::from_millis(150);
-/// An owner answers within this: there and back between regions takes 40 ms.
-const ANSWERS: Duration = Duration::from_millis(600);
 
 /// One process of the system.
 pub struct Host {
@@ -50,7 +46,22 @@
     /// Start of this life in Unix milliseconds.
     pub(crate) life: u64,
     catalog: ArcSwapOption<Catalog>,
+    /// The configuration as it is sent to other hosts.
+    pub(crate) packed: Mutex<Packed>,
+    /// When the configuration in force was known to be the newest.
     current: AtomicU64,
+    /// The same, as far as owners have told.
+    pub(crate) told: AtomicU64,
+    /// The transaction of the store up to which it is known to be the newest.
+    as_of: AtomicU64,
+    /// Owners keep the configuration current.
+    pub(crate) relying: AtomicBool,
+    /// A configuration is on its way from an owner.
+    pub(crate) fetching: AtomicBool,
+    /// An owner has a newer configuration.
+    pub(crate) newer: Notify,
+    /// A newer configuration is in force.
+    pub(crate) changed: Notify,
     served_at: AtomicU64,
     /// Since when the store has only refused or not answered; 0 if it serves.
     failing: AtomicU64,
@@ -88,7 +99,14 @@
             stop,
             life: clock::unix(),
             catalog: ArcSwapOption::empty(),
+            packed: Mutex::default(),
             current: AtomicU64::new(0),
+            told: AtomicU64::new(0),
+            as_of: AtomicU64::new(0),
+            relying: AtomicBool::new(false),
+            fetching: AtomicBool::new(false),
+            newer: Notify::new(),
+            changed: Notify::new(),
             served_at: AtomicU64::new(0),
             failing: AtomicU64::new(0),
             away: AtomicU64::new(u64::MAX),
@@ -164,21 +182,33 @@
     /// An owner's beat has come: the configuration is as current as the owner's if that is the same.
     pub(crate) fn hear(&self, beat: Beat) {
         let now = clock::now();
-        let mine = self
-            .catalog
-            .load()
-            .as_ref()
-            .map_or(0, |catalog| catalog.version);
+        let mine = self.catalog_version();
         if let Some(at) = beat.confirms(mine) {
-            self.confirm(at);
+            self.confirm(at, beat.catalog_as_of);
+            self.told.fetch_max(at, Ordering::Relaxed);
+        }
+        if beat.catalog > mine {
+            self.newer.notify_one();
         }
         let pool = beat.pool;
         self.change(pool, |seat| seat.heard = Heard { at: now, beat });
     }
 
-    /// The configuration in force was the newest at this time.
-    fn confirm(&self, at: Ms) {
+    /// The configuration in force was the newest at this time and up to this transaction of the store.
+    pub(crate) fn confirm(&self, at: Ms, as_of: u64) {
         self.current.fetch_max(at, Ordering::Relaxed);
+        self.as_of.fetch_max(as_of, Ordering::Relaxed);
+    }
+
+    /// Up to which transaction of the store the configuration in force is known to be the newest; 0 if to none.
+    pub(crate) fn catalog_as_of(&self) -> u64 {
+        self.as_of.load(Ordering::Relaxed)
+    }
+
+    /// Version of the configuration in force; 0 if there is none.
+    pub(crate) fn catalog_version(&self) -> u64 {
+        let catalog = self.catalog.load();
+        catalog.as_ref().map_or(0, |catalog| catalog.version)
     }
 
     /// Time since the configuration in force was known to be the newest.
@@ -242,75 +272,11 @@
 
     /// Puts a configuration into force unless a newer one is.
     pub(crate) fn put_catalog(&self, catalog: Catalog) {
-        let before = self
-            .catalog
-            .load()
-            .as_ref()
-            .map_or(0, |catalog| catalog.version);
+        let before = self.catalog_version();
         if catalog.version > before {
             info!(version = catalog.version, before = before, queues = catalog.queues.len(); "configuration in force");
             self.catalog.store(Some(Arc::new(catalog)));
-        }
-    }
-
-    /// Follows the configuration; asks the owner for it while the store doesn't serve this host.
-    async fn follow_catalog(self: &Arc<Self>) {
-        let (table, key) = self.settings.places.catalog.clone();
-        let parts = [String::new()];
-        let from_store = follow(
-            self.store.as_ref(),
-            &table,
-            &parts,
-            None,
-            Duration::ZERO,
-            |change| {
-                let page = match change {
-                    Change::All(page) | Change::Some(page) => page,
-                    Change::Failed(error) => {
-                        warn!(error:% = error; "the configuration is not followed for now");
-                        return;
-                    }
-                };
-                for row in page.rows.iter().filter(|row| row.key == key) {
-                    let value = row.value.as_deref().unwrap_or_default();
-                    match self.decode.catalog(value) {
-                        Some(catalog) => self.put_catalog(catalog),
-                        None => warn!(bytes = value.len(); "the configuration can't be read"),
-                    }
-                }
-                self.confirm(page.at);
-            },
-        );
-        let from_owner = async {
-            loop {
-                tokio::time::sleep(ASK).await;
-                self.ask_newer().await;
-            }
-        };
-        tokio::select! {
-            () = from_store => {}
-            () = from_owner => {}
-            () = self.stop.ended() => {}
-        }
-    }
-
-    /// Asks owners for what they have newer than this host: the configuration and the plan of pools.
-    async fn ask_newer(&self) {
-        let mine = self
-            .catalog
-            .load()
-            .as_ref()
-            .map_or(0, |catalog| catalog.version);
-        if let Some(link) = self.ahead(|beat| beat.catalog > mine)
-            && let Some(Reply::Catalog(catalog)) = link.call(Call::Catalog, ANSWERS).await
-        {
-            self.put_catalog(*catalog);
-        }
-        let mine = self.plan.load().version;
-        if let Some(link) = self.ahead(|beat| beat.plan > mine)
-            && let Some(Reply::Plan(plan)) = link.call(Call::Plan, ANSWERS).await
-        {
-            self.put_plan(*plan);
+            self.changed.notify_waiters();
         }
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Host`]: what callers ask ([`Host::submit`], [`Host::state`], [`Host::cancel`], [`Host::pending`]).
 //! * [`insert`]: how a job's row is written, once.
 //! * [`Plan`]: which workers belong to which pool; [`route`]: which pool a job goes to.
+//! * [`packed`]: the configuration as hosts send it to each other.
 //! * [`post`]: which hosts have what a pool needs.
 //! * [`turn`]: how long a host leaves a pool to others.
 //! * [`link`]: what a host asks an owner.
@@ -14,6 +15,7 @@
 pub mod catalog;
 mod claim;
 pub mod clock;
+mod current;
 mod election;
 pub mod follow;
 mod front;
@@ -23,6 +25,7 @@
 mod outside;
 mod owner;
 mod owners;
+pub mod packed;
 mod peers;
 pub mod plan;
 pub mod post;
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -9,6 +9,7 @@
 use pool::{Mechanism, Ms, WorkerId};
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::Owner;
@@ -209,7 +210,8 @@
             let beat = Beat {
                 pool: self.number,
                 epoch: self.epoch,
-                catalog: self.host.catalog().map_or(0, |catalog| catalog.version),
+                catalog: self.host.catalog_version(),
+                catalog_as_of: 0,
                 catalog_age: Ms::MAX,
                 heard: 0,
                 served: self.host.served(),
@@ -234,18 +236,19 @@
             }
             lock(&self.pool).set_askers(alive);
             self.host.hear(beat);
-            tokio::time::sleep(BEAT).await;
+            drop(timeout(BEAT, self.host.changed.notified()).await);
         }
     }
 
     /// A beat as it is told to one host: what it says of the configuration was so when that host's last beat came.
     fn beat_to(&self, member: &Member, beat: &Beat) -> Beat {
-        let catalog_age = self.host.catalog_age();
+        let (catalog_as_of, catalog_age) = (self.host.catalog_as_of(), self.host.catalog_age());
         Beat {
             heard: member.sent,
+            catalog_as_of,
             catalog_age,
-            // Read after its age: a version that came between is only newer.
-            catalog: self.host.catalog().map_or(0, |catalog| catalog.version),
+            // Read after these: a version that came between is only newer.
+            catalog: self.host.catalog_version(),
             ..beat.clone()
         }
     }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -86,7 +86,7 @@
     });
     let beats = async {
         loop {
-            let catalog = host.catalog().map_or(0, |catalog| catalog.version);
+            let catalog = host.catalog_version();
             let beat = ToOwner::Beat {
                 catalog,
                 served: host.served(),
@@ -268,9 +268,13 @@
             Call::State(id) => self.state(&id).map_or(Reply::Unknown, Reply::State),
             Call::Cancel(id) => self.cancel(&id).await,
             Call::Insert(pool, job) => self.insert(pool, *job).await,
-            Call::Catalog => self.host().catalog().map_or(Reply::Unsure, |catalog| {
-                Reply::Catalog(Box::new((*catalog).clone()))
-            }),
+            Call::Catalog => match self.host().packed_catalog() {
+                Some(packed) => {
+                    info!(version = packed.version, bytes = packed.text.len(); "told the configuration");
+                    Reply::Catalog(packed)
+                }
+                None => Reply::Unsure,
+            },
             Call::Plan => Reply::Plan(Box::new((*self.host().plan()).clone())),
         }
     }
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -18,6 +18,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::insert::Place;
+use crate::packed::Packed;
 use crate::timed_reader::TimedReader;
 
 /// Longest frame in bytes: the rows of one transaction and some more.
@@ -96,7 +97,7 @@
     /// It can't be told.
     Unsure,
     /// The configuration in force.
-    Catalog(Box<crate::Catalog>),
+    Catalog(Packed),
     /// Which workers belong to which pool.
     Plan(Box<crate::Plan>),
 }
@@ -160,6 +161,9 @@
     pub epoch: u64,
     /// Version of the configuration in force there.
     pub catalog: u64,
+    /// The transaction of the store up to which that version is known to be the newest.
+    #[serde(default)]
+    pub catalog_as_of: u64,
     /// Time since that version was known to be the newest there.
     #[serde(default)]
     pub catalog_age: Ms,
--- a/crates/host/tests/links.rs
+++ b/crates/host/tests/links.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use host::link::Link;
+use host::packed::Packed;
 use host::wire::{Beat, Call, FromOwner, Receiver, Reply, Sender, ToOwner};
-use host::{Catalog, Queue};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
@@ -121,15 +121,10 @@
 }
 
 /// A configuration of 3 MB.
-fn catalog() -> Catalog {
-    let queue = Queue {
-        prefix: "x".repeat(1_000),
-        ..Queue::default()
-    };
-    Catalog {
+fn catalog() -> Packed {
+    Packed {
         version: 7,
-        queues: vec![queue; 2_500],
-        ..Catalog::default()
+        text: "x".repeat(3_000_000),
     }
 }
 
@@ -141,7 +136,7 @@
     let mut asked = 0;
     while let Some(ToOwner::Ask(number, Call::Catalog)) = calls.recv().await {
         asked += 1;
-        let reply = Reply::Catalog(Box::new(catalog()));
+        let reply = Reply::Catalog(catalog());
         send(&mut sender, &FromOwner::Told(number, reply)).await;
     }
     asked
