Reads that fail again are repeated less often

A page that the store refused, or told of an older moment than asked for, was read again after 20 ms for good, by each reader and for each part at once: 4,960 calls in three seconds in the test, which failed before.

The pause doubles up to 320 ms with each round of failures and ends with the first success, so a store that fails some calls is read as fast as before, and one that is back is noticed 320 ms later at most. A page of an older moment is logged. Ruled out: a pause for each page by itself; pages that wait take the few slots of a reader after failures (the test of a store that fails a third of its calls took over a second).

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -5,7 +5,7 @@
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use log::warn;
+use log::{info, warn};
 use pool::Ms;
 
 use crate::clock;
@@ -28,8 +28,10 @@
 const READS_MOST: usize = 64;
 /// The same after failures: one that waits for its time-out must not hold up all others.
 const READS_LEAST: usize = 2;
-/// Pause before a read that failed is tried again.
-const READ_AGAIN: Duration = Duration::from_millis(20);
+/// Pause of all reads after one that failed; twice as long after each further round of failures until one succeeds.
+const READ_RETRY_FIRST: Duration = Duration::from_millis(20);
+/// The same at most: this much later than it could a reader notices that the store is back.
+const READ_RETRY_MOST: Duration = Duration::from_millis(320);
 
 /// What a follower learns.
 #[derive(Debug)]
@@ -131,41 +133,53 @@
     least: u64,
     mut tell: impl FnMut(Page),
 ) {
-    let first = |part| (part, String::new(), Duration::ZERO);
-    let mut left: VecDeque<(&String, String, Duration)> = parts.iter().map(first).collect();
+    let first = |part| (part, String::new());
+    let mut left: VecDeque<(&String, String)> = parts.iter().map(first).collect();
     let mut most = READS_FIRST;
+    let mut pause = Duration::ZERO;
     let mut reads = FuturesUnordered::new();
     loop {
         while reads.len() < most
-            && let Some((part, from, pause)) = left.pop_front()
+            && let Some((part, from)) = left.pop_front()
         {
             reads.push(async move {
                 tokio::time::sleep(pause).await;
                 let asked = clock::now();
                 let page = store.page(table, part, &from).await;
-                let page = page.map(|page| Page { at: asked, ..page });
-                (part, from, page)
+                (
+                    part,
+                    from,
+                    pause,
+                    page.map(|page| Page { at: asked, ..page }),
+                )
             });
         }
-        let Some((part, from, page)) = reads.next().await else {
+        let Some((part, from, paused, page)) = reads.next().await else {
             return;
         };
         match page {
             Ok(page) if page.version >= least => {
                 most = (most + 1).min(READS_MOST);
+                pause = Duration::ZERO;
                 let next = page.next.clone();
                 tell(page);
                 if let Some(next) = next {
-                    left.push_front((part, next, Duration::ZERO));
+                    left.push_front((part, next));
                 }
+                continue;
             }
-            outcome => {
-                if let Err(error) = outcome {
-                    warn!(table = table, part = part.as_str(), error:% = error; "can't be read yet");
-                    most = (most / 2).max(READS_LEAST);
-                }
-                left.push_back((part, from, READ_AGAIN));
+            Ok(page) => {
+                info!(table = table, part = part.as_str(), version = page.version, least = least; "what was read is too old");
+            }
+            Err(error) => {
+                warn!(table = table, part = part.as_str(), error:% = error; "can't be read yet");
+                most = (most / 2).max(READS_LEAST);
             }
         }
+        left.push_back((part, from));
+        // Reads that were under way together count once.
+        if paused == pause {
+            pause = (pause * 2).clamp(READ_RETRY_FIRST, READ_RETRY_MOST);
+        }
     }
 }
--- a/crates/host/tests/follow.rs
+++ b/crates/host/tests/follow.rs
@@ -88,12 +88,17 @@
 enum Trouble {
     /// One call in three is refused.
     Refuses,
+    /// All calls are refused for this long.
+    RefusesAll(Duration),
+    /// Pages are of an older moment than asked for, for this long.
+    Lags(Duration),
     /// The line carries this many pages a second, and a call is given up after 900 ms.
     Thin(u64),
 }
 
 /// A table of 64 parts with two pages each.
 struct Troubled {
+    began: Instant,
     trouble: Trouble,
     calls: Mutex<u64>,
     under_way: Mutex<u64>,
@@ -102,6 +107,7 @@
 impl Troubled {
     fn new(trouble: Trouble) -> Self {
         Self {
+            began: Instant::now(),
             trouble,
             calls: Mutex::new(0),
             under_way: Mutex::new(0),
@@ -114,7 +120,8 @@
         };
         match self.trouble {
             Trouble::Refuses if call.is_multiple_of(3) => Err(lost()),
-            Trouble::Refuses => Ok(()),
+            Trouble::RefusesAll(time) if self.began.elapsed() < time => Err(lost()),
+            Trouble::Refuses | Trouble::RefusesAll(_) | Trouble::Lags(_) => Ok(()),
             Trouble::Thin(pages) => {
                 *self.under_way.lock().expect("not poisoned") += 1;
                 let share = *self.under_way.lock().expect("not poisoned");
@@ -147,9 +154,10 @@
             value: Some(Vec::new()),
             version: 1,
         };
+        let lags = matches!(self.trouble, Trouble::Lags(time) if self.began.elapsed() < time);
         Ok(Page {
             rows: vec![row],
-            version: 7,
+            version: if lags { 6 } else { 7 },
             next: from.is_empty().then(|| "m".to_owned()),
             at: 0,
         })
@@ -186,6 +194,18 @@
     assert!(took < Duration::from_secs(1), "{took:?}");
 }
 
+/// Guards against readers that repeat all their reads as fast as the store refuses them, or tells what is too old.
+#[tokio::test(start_paused = true)]
+async fn reads_that_fail_again_are_repeated_less_often() {
+    let time = Duration::from_secs(3);
+    for trouble in [Trouble::RefusesAll(time), Trouble::Lags(time)] {
+        let (rows, calls, took) = read_through(trouble).await;
+        assert_eq!(rows, 128);
+        assert!(calls < 64 * 20, "{calls} calls");
+        assert!(took < time + Duration::from_millis(500), "{took:?}");
+    }
+}
+
 /// A host on a thin line takes a pool. Sixty-four reads at once share the line, all are given up and begun again: it never
 /// knew the jobs, and leases lapsed.
 #[tokio::test(start_paused = true)]
