--- a/crates/pool/tests/advice.rs
+++ b/crates/pool/tests/advice.rs
@@ -150,3 +150,43 @@
         }
     }
 }
+
+/// More short work of a queue that goes first comes than the advisor has time for, while most of the room is free. A task that
+/// lasts and had lost its worker was not asked about for as long as that went on.
+#[test]
+fn lasting_work_is_asked_about_while_other_work_keeps_the_advisor_busy() {
+    let mut pool = Pool::new(Options {
+        askers: 4,
+        ..Options::default()
+    });
+    list_workers(&mut pool, 8);
+    let mut lasting = slowly_advised("00000000000000c0", 1_000);
+    lasting.steps[0].lasting = true;
+    lasting.policy.priority = 1;
+    adopt(&mut pool, 1_000, lasting);
+    let mut under_way = Vec::new();
+    for now in (1_010..4_010).step_by(100) {
+        hold_all(&mut pool, now, &[]);
+        for at in 0..4 {
+            let mut short = slowly_advised(&format!("{now:015x}{at}"), 100);
+            short.accepted = UNIX + now;
+            adopt(&mut pool, now, short);
+        }
+        under_way.retain(|(sent, ask): &(u64, pool::Ask)| {
+            let over = now - sent >= 300;
+            if over {
+                pool.advised(now, ask, Some((&[], 2_000)));
+            }
+            !over
+        });
+        for order in pool.plan(now, UNIX + now) {
+            if let Order::Ask(ask) = order {
+                if &*ask.stage.job == "00000000000000c0" {
+                    return;
+                }
+                under_way.push((now, ask));
+            }
+        }
+    }
+    panic!("not asked about for three seconds");
+}
