Session: take answers to holds that come late

Cause: an answer to a hold was given up 450 ms after it was due, and with it the ends that it listed. On a full line that happened to one hold after the other, until the lease was over, and the task was started again.

Before the new start of four of them a hold had reached the worker and its answer was given up. Four were reported as run twice.

Ruled out: an owner that changed, as it was the same from the first start to the second in all that were followed; a lease that was taken for lapsed too early, as the one asked for last was over by the worker's clock; ends of unknown jobs that were passed over, and runs that were not listed any more, as no line of either kind was written for these tasks.

The other connections to that worker are closed at the time when the answer was due, as before. An answer is now due 650 ms after the hold's own wait with the time to connect in that, instead of 450 ms beside it.

--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -1,10 +1,17 @@
 //! Holding one worker: renewing its lease, hearing what runs and what ended.
+//!
+//! Answers the load in which the way to a worker is full, and its answers arrive late. A worker whose answer is due gets nothing
+//! new and is asked again. The answer is taken all the same when it comes: it may tell of ends, and if the lease were over before
+//! one is known, the task would run again.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt as _;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use log::{info, warn};
-use pool::{Mechanism, WorkerId};
+use pool::{Listing, Mechanism, Ms, WorkerId};
 
 use crate::clock;
 use crate::host::lock;
@@ -13,6 +20,10 @@
 
 /// A hold waits this long for an end. A worker counts as silent after 1.6 s, so one lost hold is borne.
 const WAIT: Duration = Duration::from_millis(600);
+/// An answer is due this long after the hold's own wait: the way there and back, and a connection to be made.
+const ANSWER_LATE: Duration = Duration::from_millis(650);
+/// Answers of one worker that are awaited although they were due.
+const LATE_MOST: usize = 4;
 /// An owner without a majority renews no lease, and holds a worker that it has heard for this long, so that the lease is
 /// asked for soon after the majority is there. Without any wait, each worker was asked 4,000 times a second.
 const UNPROVED: Duration = Duration::from_millis(150);
@@ -34,9 +45,22 @@
     }
 }
 
+/// A hold and what became of it.
+struct Held {
+    /// When it was asked for.
+    asked: Ms,
+    /// Life, applied and noted number of ends as they were known then.
+    ends: (u64, u64, u64),
+    outcome: Result<Listing, HoldFailure>,
+}
+
+/// Holds whose answers are awaited although they were due.
+type Late = FuturesUnordered<BoxFuture<'static, Held>>;
+
 async fn hold(owner: &Arc<Owner>, id: &WorkerId) {
     let mut lost = false;
     let mut pause = PAUSE;
+    let mut late = Late::new();
     loop {
         let (address, mut ends) = {
             let pool = lock(&owner.pool);
@@ -72,31 +96,10 @@
             None if all_noted && heard => UNPROVED,
             _ => Duration::ZERO,
         };
-        let workers = &owner.host().workers;
-        let held = workers
-            .hold(&address, id, owner.epoch(), lease, ends.2, wait)
-            .await;
-        match held {
-            Ok(mut listing) => {
-                listing.asked = asked;
-                let same_life = listing.born == ends.0;
-                for end in listing
-                    .ended
-                    .iter()
-                    .filter(|end| !same_life || end.number > ends.1)
-                {
-                    tell_end(id, end);
-                }
-                let (now, unix) = (clock::now(), clock::unix());
-                let news = {
-                    let mut pool = lock(&owner.pool);
-                    pool.heard(now, unix, id, &listing);
-                    pool.unsaved()
-                };
-                owner.wake.notify_one();
-                if news {
-                    owner.dirty.notify_one();
-                }
+        let call = ask(owner, id, address, (asked, ends), lease, wait);
+        match answer(owner, id, call, wait + ANSWER_LATE, &mut late).await {
+            Ok(listing) => {
+                take(owner, id, ends, asked, listing);
                 if lost {
                     info!(dependency = "worker", worker = &**id; "regained");
                     lost = false;
@@ -133,6 +136,88 @@
     }
 }
 
+/// Asks for a hold.
+fn ask(
+    owner: &Owner,
+    id: &WorkerId,
+    address: String,
+    (asked, ends): (Ms, (u64, u64, u64)),
+    lease: Option<Ms>,
+    wait: Duration,
+) -> BoxFuture<'static, Held> {
+    let (workers, id, epoch) = (
+        Arc::clone(&owner.host().workers),
+        Arc::clone(id),
+        owner.epoch(),
+    );
+    Box::pin(async move {
+        let outcome = workers
+            .hold(&address, &id, epoch, lease, ends.2, wait)
+            .await;
+        Held {
+            asked,
+            ends,
+            outcome,
+        }
+    })
+}
+
+/// Waits for the answer to a hold until it is due, and takes answers to earlier ones meanwhile. One that is due is awaited
+/// with those from then on.
+async fn answer(
+    owner: &Owner,
+    id: &WorkerId,
+    mut call: BoxFuture<'static, Held>,
+    due: Duration,
+    late: &mut Late,
+) -> Result<Listing, HoldFailure> {
+    let due = tokio::time::sleep(due);
+    tokio::pin!(due);
+    loop {
+        tokio::select! {
+            held = &mut call => return held.outcome,
+            Some(held) = late.next(), if !late.is_empty() => match held.outcome {
+                Ok(listing) => take(owner, id, held.ends, held.asked, listing),
+                Err(HoldFailure::Fenced) => return Err(HoldFailure::Fenced),
+                Err(_) => {}
+            },
+            () = &mut due => {
+                if late.len() < LATE_MOST {
+                    late.push(call);
+                }
+                return Err(HoldFailure::Lost);
+            }
+        }
+    }
+}
+
+/// Takes what a worker lists.
+fn take(owner: &Owner, id: &WorkerId, ends: (u64, u64, u64), asked: Ms, mut listing: Listing) {
+    listing.asked = asked;
+    // An answer that came meanwhile may have told of some of them.
+    let told = lock(&owner.pool)
+        .worker(id)
+        .map_or(ends, |worker| worker.ends().max(ends));
+    let same_life = listing.born == told.0;
+    for end in listing
+        .ended
+        .iter()
+        .filter(|end| !same_life || end.number > told.1)
+    {
+        tell_end(id, end);
+    }
+    let (now, unix) = (clock::now(), clock::unix());
+    let news = {
+        let mut pool = lock(&owner.pool);
+        pool.heard(now, unix, id, &listing);
+        pool.unsaved()
+    };
+    owner.wake.notify_one();
+    if news {
+        owner.dirty.notify_one();
+    }
+}
+
 /// Logs and counts an end that a worker lists for the first time. An end that is not good says more than a good one, of
 /// which there are hundreds a second.
 fn tell_end(id: &WorkerId, end: &pool::End) {
