Pool: lasting work gets a part of the advisor's time

Cause: steps are asked about by rank alone, so work of queues that go first takes all questions that may be under way as long as more of it comes than can be asked about.

For each such task that waited 130 to 300 workers had room, nothing was under way for it, and it was not resting. 88 to 152 lasting tasks waited from second 25 on.

Ruled out: room that is missing (used 0.65 to 1.5 million of 3.5 to 6.6 million millicores on workers that may be given something); the owner's majority (missed once in 39 looks); inherited jobs that wait for workers (until second 26 only).

Change: a quarter of the questions that may be under way go to steps that were not asked about for a second, those that last first, then those that waited longest. With fewer than four at once, every fourth question does. A step without room, or with a ticket at hand, takes none of them.

--- a/crates/pool/src/ask.rs
+++ b/crates/pool/src/ask.rs
@@ -1,5 +1,6 @@
 //! When the advisor is asked about a step.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use crate::advice::{self, Choice, choose};
@@ -9,12 +10,74 @@
 use crate::order::{Ask, Order};
 use crate::place::TICKET_SLACK;
 use crate::pool::Pool;
+use crate::rank::Rank;
 use crate::task::{Ms, StageKey, WorkerId};
 
 /// Share of the questions that may be under way at once which questions ahead of need leave to others.
 const LEFT_TO_OTHERS: usize = 2;
+/// A step that was not asked about for this long may be asked about out of turn, in milliseconds.
+const OVERDUE: Ms = 1_000;
+/// One in this many questions may be asked out of turn.
+const OVERDUE_SHARE: usize = 4;
 
 impl Pool {
+    /// Asks about steps out of turn that have long waited for it: those that last first, then those that waited longest.
+    ///
+    /// Answers the load in which work that goes first takes all of the advisor's time while most of the room is free. Asked by
+    /// rank alone, other work waited as long as that went on.
+    pub(crate) fn ask_overdue(&mut self, now: Ms, order: &[(Rank, StageKey)]) {
+        if !self.may_ask_out_of_turn() {
+            return;
+        }
+        let mut overdue: Vec<_> = order
+            .iter()
+            .filter_map(|(_, key)| {
+                let since = self.unasked_since(now, key)?;
+                let live = self.jobs.get(&key.job)?;
+                (since + OVERDUE <= now).then_some((Reverse(live.job.lasting()), since, key))
+            })
+            .collect();
+        overdue.sort();
+        for (.., key) in overdue {
+            if !self.may_ask_out_of_turn() {
+                return;
+            }
+            let Some(live) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            let job = Arc::clone(&live.job);
+            let (Some(step), Some(stage)) = (job.steps.get(usize::from(key.step)), self.stage(key))
+            else {
+                continue;
+            };
+            let need = stage.tasks.iter().filter(|task| task.waits(now)).count();
+            self.ask(now, key, &job, step, need as u32);
+            if self.asking.contains(key) {
+                self.overdue.insert(key.clone());
+            }
+        }
+    }
+
+    fn may_ask_out_of_turn(&self) -> bool {
+        let most = self.options.askers / OVERDUE_SHARE;
+        if most > 0 {
+            self.overdue.len() < most
+        } else {
+            self.questions.is_multiple_of(OVERDUE_SHARE)
+        }
+    }
+
+    /// Since when a step waits to be asked about; `None` if it doesn't: it has an advisor's ticket, or needs none.
+    fn unasked_since(&self, now: Ms, key: &StageKey) -> Option<Ms> {
+        self.jobs.get(&key.job)?.job.policy.advice?;
+        let stage = self.stage(key)?;
+        let mut tickets = stage.advised.allowed.values();
+        if stage.advised.asking.is_some() || tickets.any(|it| it.until > now + TICKET_SLACK) {
+            return None;
+        }
+        stage.opened.max(stage.advised.asked)
+    }
+
     /// Asks the advisor about workers with room for tasks that could not be placed.
     pub(crate) fn ask(&mut self, now: Ms, key: &StageKey, job: &Job, step: &Step, need: u32) {
         let Some(advice) = job.policy.advice else {
@@ -127,8 +190,10 @@
         }
         let takes = advice::takes(&advice, workers.len());
         self.asking.insert(key.clone());
+        self.questions += 1;
         if let Some(stage) = self.stage_mut(key) {
             stage.advised.asking = Some(now);
+            stage.advised.asked = Some(now);
         }
         self.orders.push(Order::Ask(Ask {
             stage: key.clone(),
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -30,6 +30,8 @@
     pub denied: BTreeSet<WorkerId>,
     /// A question is under way since then.
     pub asking: Option<Ms>,
+    /// A question was sent last then.
+    pub asked: Option<Ms>,
     /// No question before this.
     pub rest: Ms,
 }
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -46,6 +46,7 @@
             }
         }
         order.sort();
+        self.ask_overdue(now, &order);
         let mut mix: Option<Mix> = None;
         let mut starts = 0;
         for (_, key) in &order {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -82,6 +82,10 @@
     pub(crate) proved_at: Option<Ms>,
     /// Steps about which the advisor is being asked.
     pub(crate) asking: BTreeSet<StageKey>,
+    /// Those among them that were asked about out of turn.
+    pub(crate) overdue: BTreeSet<StageKey>,
+    /// How many questions were sent.
+    pub(crate) questions: usize,
     /// Observed durations against estimates.
     pub(crate) learned: Learned,
     /// Paces of tasks that fill.
--- a/crates/pool/src/settle.rs
+++ b/crates/pool/src/settle.rs
@@ -136,6 +136,7 @@
                 .collect()
         });
         self.asking.remove(&ask.stage);
+        self.overdue.remove(&ask.stage);
         let queue = self
             .jobs
             .get(&ask.stage.job)
