Constants of the choice of an owner say what they bound

What callers saw: nothing; names only. The house rules list BEGINS, AGAIN, HEARD, GATHER and LEAVING in host::election as names that have to be explained.

Change: BEGINS is OWNER_START_TIMEOUT (in which a new owner has to answer for the pool), AGAIN is CLAIM_RETRY_DELAY (after a claim that failed), JOIN_AGAIN is JOIN_RETRY_DELAY (after a join that the owner refused), HEARD is REJOIN_DELAY (before an owner that others hear is joined again), GATHER is FIRST_CLAIM_DELAY (before the first claim of a pool), LEAVING is DRAINING_POLL_INTERVAL (of a host that drains). None stands in the glossary. session::AGAIN and the placer's aren't touched.

Values are unchanged, so nothing was measured.

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -31,21 +31,21 @@
 /// Hosts that aren't heirs and are equally well placed are spread over this time, in milliseconds.
 const SPREAD_MS: u64 = 200;
 /// At the first start, hosts wait this long for others.
-const GATHER: Duration = Duration::from_millis(150);
+const FIRST_CLAIM_DELAY: Duration = Duration::from_millis(150);
 /// A new owner may be known by its row before it answers for the pool; it has this long.
-const BEGINS: Duration = Duration::from_millis(700);
+const OWNER_START_TIMEOUT: Duration = Duration::from_millis(700);
 /// How many other hosts are asked whether they hear the owner.
 const WITNESSES: usize = 4;
 /// A row that the former owner has changed meanwhile is tried again this often.
 const TRIES: usize = 3;
 /// After a try to take a pool that failed, the next one comes no sooner.
-const AGAIN: Duration = Duration::from_millis(120);
+const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(120);
 /// Time between two tries to join an owner that doesn't answer for the pool yet: some ten tries while it begins.
-const JOIN_AGAIN: Duration = Duration::from_millis(60);
+const JOIN_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// A host that is leaving looks again after this whether others own the pool.
-const LEAVING: Duration = Duration::from_millis(200);
+const DRAINING_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time before an owner that others hear is joined again: the way to it may be cut for this host only.
-const HEARD: Duration = Duration::from_millis(150);
+const REJOIN_DELAY: Duration = Duration::from_millis(150);
 
 /// Takes part in the choice of all owners until the host stops.
 pub(crate) async fn run(host: &Arc<Host>) {
@@ -101,7 +101,7 @@
         match known {
             Known::Unread => drop(rows.changed().await),
             Known::Absent => {
-                tokio::time::sleep(GATHER).await;
+                tokio::time::sleep(FIRST_CLAIM_DELAY).await;
                 if wait_turn(host, pool, None, &mut rows).await {
                     own(host, pool, None).await;
                     pause(&mut rows).await;
@@ -149,7 +149,7 @@
                 if (life == row.life || !host.has(Mechanism::Restart))
                     && self.may_begin(row.epoch) =>
             {
-                tokio::time::sleep(JOIN_AGAIN).await;
+                tokio::time::sleep(JOIN_RETRY_DELAY).await;
             }
             Ended::NotOwner { life } => {
                 self.lost = Some(row.epoch);
@@ -167,7 +167,7 @@
     /// Whether an owner that doesn't answer for the pool may just be beginning.
     fn may_begin(&mut self, epoch: u64) -> bool {
         match self.began {
-            Some((of, at)) if of == epoch => at.elapsed() < BEGINS,
+            Some((of, at)) if of == epoch => at.elapsed() < OWNER_START_TIMEOUT,
             _ => {
                 self.began = Some((epoch, Instant::now()));
                 true
@@ -185,7 +185,7 @@
     ) {
         if host.stop.is_draining() {
             self.lost = None;
-            tokio::time::sleep(LEAVING).await;
+            tokio::time::sleep(DRAINING_POLL_INTERVAL).await;
             return;
         }
         if self.urged != Some(row.epoch) {
@@ -195,7 +195,7 @@
             let over = row.host == host.settings.id || self.over == Some(row.epoch);
             if !over && host.has(Mechanism::Witnesses) && witnessed(host, pool, row).await {
                 self.lost = None;
-                tokio::time::sleep(HEARD).await;
+                tokio::time::sleep(REJOIN_DELAY).await;
                 return;
             }
         }
@@ -214,7 +214,7 @@
 /// After a try to take a pool, the owner's row is looked at again when it has changed, or a little later: a store that
 /// refuses is not asked at once.
 async fn pause(rows: &mut watch::Receiver<Known>) {
-    drop(timeout(AGAIN, rows.changed()).await);
+    drop(timeout(CLAIM_RETRY_DELAY, rows.changed()).await);
 }
 
 /// Lets the heirs that the owner has named go first, one after the other, and then hosts that are well placed: near the
