--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -20,7 +20,7 @@
 use crate::outside::{StoreError, Transaction};
 use crate::owner::Owner;
 use crate::owners::{self, Known};
-use crate::peers::{self, Ended};
+use crate::peers::{self, LinkEnd};
 use crate::plan::Plan;
 use crate::post::Post;
 use crate::rows::{COMMON, OWNER, OwnerRow, PLAN, ROSTER, RosterRow, pool_part};
@@ -111,7 +111,7 @@
                 let mine = row.host == host.settings.id;
                 if mine || member.gave_up(row.epoch) {
                     member.stand(host, pool, &row, &mut rows).await;
-                } else if member.follow(host, pool, &row).await == Ended::Stopped {
+                } else if member.follow(host, pool, &row).await == LinkEnd::Stopped {
                     return;
                 }
             }
@@ -139,24 +139,24 @@
     }
 
     /// Keeps a link to the owner until it ends.
-    async fn follow(&mut self, host: &Arc<Host>, pool: u32, row: &OwnerRow) -> Ended {
+    async fn follow(&mut self, host: &Arc<Host>, pool: u32, row: &OwnerRow) -> LinkEnd {
         let ended = peers::join(host, pool, row.address, row.epoch).await;
         match ended {
-            Ended::Stopped => {}
+            LinkEnd::Stopped => {}
             // An owner that was replaced and doesn't know it may urge too: its epoch tells.
-            Ended::Take => self.urged = Some(row.epoch),
-            Ended::NotOwner { life }
+            LinkEnd::Take => self.urged = Some(row.epoch),
+            LinkEnd::NotOwner { life }
                 if (life == row.life || !host.has(Mechanism::Restart))
                     && self.may_begin(row.epoch) =>
             {
                 tokio::time::sleep(JOIN_RETRY_DELAY).await;
             }
-            Ended::NotOwner { life } => {
+            LinkEnd::NotOwner { life } => {
                 self.lost = Some(row.epoch);
                 self.over = (life != row.life).then_some(row.epoch);
                 info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch, same_life = life == row.life; "lost the owner");
             }
-            Ended::Lost => {
+            LinkEnd::Lost => {
                 self.lost = Some(row.epoch);
                 info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch; "lost the owner");
             }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -28,7 +28,7 @@
 
 /// Why a link to the owner ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Ended {
+pub(crate) enum LinkEnd {
     /// It could not be reached, went silent or broke off.
     Lost,
     /// That host is not the owner.
@@ -97,9 +97,9 @@
 }
 
 /// Keeps a link to the owner until it ends.
-pub(crate) async fn join(host: &Arc<Host>, pool: u32, address: SocketAddr, epoch: u64) -> Ended {
+pub(crate) async fn join(host: &Arc<Host>, pool: u32, address: SocketAddr, epoch: u64) -> LinkEnd {
     let Some(stream) = connect(address).await else {
-        return Ended::Lost;
+        return LinkEnd::Lost;
     };
     let (read, half) = stream.into_split();
     let mut receiver = Receiver::<FromOwner>::new(read);
@@ -135,7 +135,7 @@
     let reads = async {
         loop {
             let Ok(Ok(Some(message))) = timeout(SILENCE, receiver.next()).await else {
-                return Ended::Lost;
+                return LinkEnd::Lost;
             };
             match message {
                 FromOwner::Beat(beat) => {
@@ -145,8 +145,8 @@
                         info!(pool = pool, owner:% = address, epoch = epoch; "joined the owner");
                     }
                 }
-                FromOwner::NotOwner { life } => return Ended::NotOwner { life },
-                FromOwner::Take { epoch: of } if of == epoch => return Ended::Take,
+                FromOwner::NotOwner { life } => return LinkEnd::NotOwner { life },
+                FromOwner::Take { epoch: of } if of == epoch => return LinkEnd::Take,
                 FromOwner::Told(number, reply) => {
                     if let Some(to) = lock(&link.calls).remove(&number) {
                         drop(to.send(reply));
@@ -183,9 +183,9 @@
     };
     let ended = tokio::select! {
         ended = reads => ended,
-        () = beats => Ended::Lost,
-        () = write(Sender::new(half), from) => Ended::Lost,
-        () = host.stop.ended() => Ended::Stopped,
+        () = beats => LinkEnd::Lost,
+        () = write(Sender::new(half), from) => LinkEnd::Lost,
+        () = host.stop.ended() => LinkEnd::Stopped,
     };
     host.set_link(pool, None);
     ended
