The lines by which a host takes a pool tell on what grounds

What callers saw: after several large configurations a host of the far region took the pool from an owner that worked. The log said that it had lost the owner and taken the pool, not how the link had ended or what the hosts that it asked had answered.

Change: `lost the owner` tells why (not reached, refused, silent, broken, not the owner); a new line tells of each question to others how many were asked, hear the owner, don't, refused the connection (their process has ended) and gave no answer in time, how long it took and what was concluded; `took the pool` names its grounds. For that an answer that doesn't come, a refused connection and a no are three values in place of one; the conclusion moves to host::verdict and is what it was: lost unless somebody hears the owner.

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -4,6 +4,7 @@
 //! the host takes its place by compare-and-set on that row. An owner names its heirs there: hosts near the store, since an
 //! owner writes there often, with much of a processor, and without a pool of their own. Nobody has to know all hosts.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use crate::post::Post;
 use crate::rows::{COMMON, OWNER, OwnerRow, PLAN, ROSTER, RosterRow, pool_part};
 use crate::turn::Turn;
+use crate::verdict::{Evidence, Tally, Verdict};
 
 /// A store that answers within this is in the same region.
 pub(crate) const NEAR_MS: u64 = 12;
@@ -103,7 +105,7 @@
             Known::Absent => {
                 tokio::time::sleep(FIRST_CLAIM_DELAY).await;
                 if wait_turn(host, pool, None, &mut rows).await {
-                    own(host, pool, None).await;
+                    own(host, pool, None, Grounds::NoOwnerYet).await;
                     pause(&mut rows).await;
                 }
             }
@@ -154,11 +156,11 @@
             LinkEnd::NotOwner { life } => {
                 self.lost = Some(row.epoch);
                 self.over = (life != row.life).then_some(row.epoch);
-                info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch, same_life = life == row.life; "lost the owner");
+                info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch, why = "not the owner", same_life = life == row.life; "lost the owner");
             }
-            LinkEnd::Lost => {
+            LinkEnd::Lost(loss) => {
                 self.lost = Some(row.epoch);
-                info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch; "lost the owner");
+                info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch, why:? = loss; "lost the owner");
             }
         }
         ended
@@ -188,12 +190,13 @@
             tokio::time::sleep(DRAINING_POLL_INTERVAL).await;
             return;
         }
+        let mut grounds = Grounds::Urged;
         if self.urged != Some(row.epoch) {
             if !wait_turn(host, pool, Some(row), rows).await {
                 return;
             }
-            let over = row.host == host.settings.id || self.over == Some(row.epoch);
-            if !over && host.has(Mechanism::Witnesses) && witnessed(host, pool, row).await {
+            grounds = self.grounds(host, pool, row).await;
+            if grounds.verdict() == Verdict::Alive {
                 self.lost = None;
                 tokio::time::sleep(REJOIN_DELAY).await;
                 return;
@@ -205,10 +208,74 @@
         if let Some((claim, version)) = read_claim(host, pool).await
             && claim.owner.epoch == row.epoch
         {
-            own(host, pool, Some((claim, version))).await;
+            own(host, pool, Some((claim, version)), grounds).await;
         }
         pause(rows).await;
     }
+
+    /// Why the owner is or isn't taken for lost.
+    async fn grounds(&self, host: &Host, pool: u32, row: &OwnerRow) -> Grounds {
+        if row.host == host.settings.id {
+            return Grounds::EarlierLife;
+        }
+        if self.over == Some(row.epoch) {
+            return Grounds::LifeOver;
+        }
+        if !host.has(Mechanism::Witnesses) {
+            return Grounds::NotAsked;
+        }
+        let began = clock::now();
+        let evidence = Evidence {
+            witnesses: ask_witnesses(host, pool, row).await,
+        };
+        let tally = &evidence.witnesses;
+        info!(
+            pool = pool, owner = row.host.as_str(), epoch = row.epoch, verdict:? = evidence.verdict(),
+            asked = tally.asked(), hears = tally.hears, does_not_hear = tally.does_not_hear,
+            refused = tally.refused, timed_out = tally.timed_out, ms = clock::now().saturating_sub(began);
+            "asked others whether they hear the owner"
+        );
+        Grounds::Evidence(evidence)
+    }
+}
+
+/// Why a host takes a pool.
+enum Grounds {
+    /// The pool has had no owner yet.
+    NoOwnerYet,
+    /// The owner wants it.
+    Urged,
+    /// The row names an earlier life of this host.
+    EarlierLife,
+    /// The owner's host has said that its life is over.
+    LifeOver,
+    /// The owner is lost to this host, and others are not asked.
+    NotAsked,
+    /// The owner is lost to this host, and this is what others say.
+    Evidence(Evidence),
+}
+
+impl Grounds {
+    /// What follows from them.
+    fn verdict(&self) -> Verdict {
+        match self {
+            Self::Evidence(evidence) => evidence.verdict(),
+            _ => Verdict::Lost,
+        }
+    }
+}
+
+impl fmt::Display for Grounds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoOwnerYet => f.write_str("no owner yet"),
+            Self::Urged => f.write_str("urged by the owner"),
+            Self::EarlierLife => f.write_str("owned it in an earlier life"),
+            Self::LifeOver => f.write_str("the owner's life is over"),
+            Self::NotAsked => f.write_str("lost the owner, nobody asked"),
+            Self::Evidence(evidence) => write!(f, "lost the owner, {}", evidence.witnesses),
+        }
+    }
 }
 
 /// After a try to take a pool, the owner's row is looked at again when it has changed, or a little later: a store that
@@ -248,8 +315,8 @@
     timeout(turn.wait(), rows.changed()).await.is_err()
 }
 
-/// Whether one of the heirs hears the owner: then this host is cut off, and the owner is not lost.
-async fn witnessed(host: &Host, pool: u32, owner: &OwnerRow) -> bool {
+/// Asks heirs whether they hear the owner. If one does, this host is cut off, and the owner is not lost.
+async fn ask_witnesses(host: &Host, pool: u32, owner: &OwnerRow) -> Tally {
     let others = owner
         .heirs
         .iter()
@@ -257,8 +324,8 @@
     let asked = others
         .take(WITNESSES)
         .map(|heir| peers::hears(heir.address, pool));
-    let told = futures::future::join_all(asked).await;
-    told.contains(&Some(true))
+    let answers = futures::future::join_all(asked).await;
+    answers.into_iter().collect()
 }
 
 /// Reads who owns a pool and which workers it may use; `None` if that can't be read.
@@ -272,7 +339,7 @@
 }
 
 /// Takes the pool, and owns it until another does or this host leaves.
-async fn own(host: &Arc<Host>, pool: u32, mut before: Option<(Claim, Version)>) {
+async fn own(host: &Arc<Host>, pool: u32, mut before: Option<(Claim, Version)>, grounds: Grounds) {
     let began = clock::now();
     for _ in 0..TRIES {
         let former = before.as_ref().map(|(claim, _)| claim);
@@ -283,7 +350,7 @@
         match write(host, pool, &claim, version).await {
             Written::Yes(version) => {
                 let former = before.map(|(claim, _)| claim);
-                info!(pool = pool, epoch = claim.owner.epoch, before = former.as_ref().map_or("", |claim| claim.owner.host.as_str()), workers = claim.roster.roster.len(), ms = clock::now().saturating_sub(began); "took the pool");
+                info!(pool = pool, epoch = claim.owner.epoch, before = former.as_ref().map_or("", |claim| claim.owner.host.as_str()), workers = claim.roster.roster.len(), grounds:% = grounds, ms = clock::now().saturating_sub(began); "took the pool");
                 host.owners.note(pool, Some((claim.owner.clone(), version)));
                 let roster = former.map_or_else(Vec::new, |claim| claim.roster.roster);
                 Owner::run(host, pool, claim, roster, version).await;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`Plan`]: which workers belong to which pool; [`route`]: which pool a job goes to.
 //! * [`post`]: which hosts have what a pool needs.
 //! * [`turn`]: how long a host leaves a pool to others.
+//! * [`verdict`]: whether an owner is lost.
 //! * [`wire`]: what hosts say to each other.
 //! * [`Owner`]: a pool's owner: takes over, holds workers, starts tasks, stores progress.
 
@@ -31,6 +32,7 @@
 mod settings;
 mod transfer;
 pub mod turn;
+pub mod verdict;
 pub mod wire;
 mod writer;
 
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,5 +1,6 @@
 //! Connections between hosts.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -15,6 +16,7 @@
 use crate::clock;
 use crate::host::{Host, lock};
 use crate::owner::Owner;
+use crate::verdict::Answer;
 use crate::wire::{Call, FromOwner, Receiver, Reply, Sender, ToOwner};
 
 /// Time between two beats. A shorter one finds a lost owner sooner and costs each host a wake-up more.
@@ -29,8 +31,8 @@
 /// Why a link to the owner ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LinkEnd {
-    /// It could not be reached, went silent or broke off.
-    Lost,
+    /// There is none any more.
+    Lost(Loss),
     /// That host is not the owner.
     NotOwner {
         /// Start of its life in Unix milliseconds.
@@ -42,6 +44,19 @@
     Stopped,
 }
 
+/// How a link to the owner was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Loss {
+    /// No connection was made in time.
+    NotReached,
+    /// The owner's machine refused the connection: the process has ended.
+    Refused,
+    /// Nothing came for [`SILENCE`].
+    Silent,
+    /// The connection broke off, or this host could not write to it.
+    Broken,
+}
+
 /// A link from this host to the owner.
 pub(crate) struct Link {
     to: mpsc::Sender<ToOwner>,
@@ -87,19 +102,23 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<TcpStream> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
-        .await
-        .ok()?
-        .ok()?;
-    stream.set_nodelay(true).ok()?;
-    Some(stream)
+async fn connect(address: SocketAddr) -> Result<TcpStream, Loss> {
+    let connected = timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_| Loss::NotReached)?
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => Loss::Refused,
+            _ => Loss::NotReached,
+        })?;
+    stream.set_nodelay(true).map_err(|_| Loss::Broken)?;
+    Ok(stream)
 }
 
 /// Keeps a link to the owner until it ends.
 pub(crate) async fn join(host: &Arc<Host>, pool: u32, address: SocketAddr, epoch: u64) -> LinkEnd {
-    let Some(stream) = connect(address).await else {
-        return LinkEnd::Lost;
+    let stream = match connect(address).await {
+        Ok(stream) => stream,
+        Err(loss) => return LinkEnd::Lost(loss),
     };
     let (read, half) = stream.into_split();
     let mut receiver = Receiver::<FromOwner>::new(read);
@@ -134,8 +153,11 @@
     };
     let reads = async {
         loop {
-            let Ok(Ok(Some(message))) = timeout(SILENCE, receiver.next()).await else {
-                return LinkEnd::Lost;
+            let Ok(received) = timeout(SILENCE, receiver.next()).await else {
+                return LinkEnd::Lost(Loss::Silent);
+            };
+            let Ok(Some(message)) = received else {
+                return LinkEnd::Lost(Loss::Broken);
             };
             match message {
                 FromOwner::Beat(beat) => {
@@ -183,27 +205,33 @@
     };
     let ended = tokio::select! {
         ended = reads => ended,
-        () = beats => LinkEnd::Lost,
-        () = write(Sender::new(half), from) => LinkEnd::Lost,
+        () = beats => LinkEnd::Lost(Loss::Broken),
+        () = write(Sender::new(half), from) => LinkEnd::Lost(Loss::Broken),
         () = host.stop.ended() => LinkEnd::Stopped,
     };
     host.set_link(pool, None);
     ended
 }
 
-/// Whether another host hears the owner of a pool.
-pub(crate) async fn hears(address: SocketAddr, pool: u32) -> Option<bool> {
+/// Asks another host whether it hears the owner of a pool.
+pub(crate) async fn hears(address: SocketAddr, pool: u32) -> Answer {
     let ask = async {
-        let (read, half) = connect(address).await?.into_split();
+        let (read, half) = match connect(address).await {
+            Ok(stream) => stream.into_split(),
+            Err(Loss::Refused) => return Answer::Refused,
+            Err(_) => return Answer::TimedOut,
+        };
         let mut sender = Sender::<ToOwner>::new(half);
-        sender.feed(&ToOwner::Hears(pool)).await.ok()?;
-        sender.flush().await.ok()?;
-        match Receiver::<FromOwner>::new(read).next().await.ok()?? {
-            FromOwner::Hears(hears) => Some(hears),
-            _ => None,
+        if sender.feed(&ToOwner::Hears(pool)).await.is_err() || sender.flush().await.is_err() {
+            return Answer::TimedOut;
+        }
+        match Receiver::<FromOwner>::new(read).next().await {
+            Ok(Some(FromOwner::Hears(true))) => Answer::Hears,
+            Ok(Some(FromOwner::Hears(false))) => Answer::DoesNotHear,
+            _ => Answer::TimedOut,
         }
     };
-    timeout(CONNECT, ask).await.ok()?
+    timeout(CONNECT, ask).await.unwrap_or(Answer::TimedOut)
 }
 
 /// Answers other hosts.
