No answer is not a no: a host on a full line doesn't depose an owner that works

What callers saw: after several large configurations hosts of the far region took the pool from owners that worked; starts stood still, leases of lasting tasks lapsed, queues were missing.

Cause: a host that has lost its link asked four heirs for 400 ms and took the pool unless one heard the owner. On a full line nothing comes back, and a host whose copy of the owner's row names no heirs asked nobody; both counted as "nobody hears it".

Change: host::verdict concludes from what came back. - One that hears the owner spares it, as before. All heirs are asked in place of four, and the owner itself over a new connection: its yes spares it, its refusal (the process has ended) or its no ends the question at once. - Otherwise the owner is lost if more heirs answered than timed out; a refused connection is an answer. - Otherwise it can't be told, and the host asks again, for a second each time. It goes ahead at once if some heir answered no and the store, asked at the same time, answered in half the time that the heirs had (an answer of theirs takes two round trips, one of the store's one): its line works, so those that don't answer are dead. If none answered, after 1 s if the store answers so, after 5 s if not, which is less than a lease. - A row that the owner has rewritten since the first question spares it too. Hosts without evidence thereby come after all that have some.

Ruled out: asking for longer only (a full line of 40 s outlasts any time that a dead owner allows); never going ahead without answers (the owner and all heirs lose power together, and nobody would own the pool); a longer turn for weak hosts (one of the two hosts had enough for the pool by its own measure).

Why it works: what a time-out says depends on the line that it was waited for on, and that line is now measured by a call that is answered for sure.

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -1,10 +1,12 @@
 //! Which host owns which pool.
 //!
-//! A host without a link to a pool's owner finds it by its row. If the owner can't be reached, and no other host hears it,
-//! the host takes its place by compare-and-set on that row. An owner names its heirs there: hosts near the store, since an
-//! owner writes there often, with much of a processor, and without a pool of their own. Nobody has to know all hosts.
+//! A host without a link to a pool's owner finds it by its row. If the owner can't be reached, and other hosts don't hear it
+//! either ([`crate::verdict`]), the host takes its place by compare-and-set on that row. An owner names its heirs there: hosts
+//! near the store, since an owner writes there often, with much of a processor, and without a pool of their own. Nobody has to
+//! know all hosts.
 
 use std::fmt;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,7 +28,7 @@
 use crate::post::Post;
 use crate::rows::{COMMON, OWNER, OwnerRow, PLAN, ROSTER, RosterRow, pool_part};
 use crate::turn::Turn;
-use crate::verdict::{Evidence, Tally, Verdict};
+use crate::verdict::{Evidence, Verdict};
 
 /// A store that answers within this is in the same region.
 pub(crate) const NEAR_MS: u64 = 12;
@@ -36,8 +38,10 @@
 const FIRST_CLAIM_DELAY: Duration = Duration::from_millis(150);
 /// A new owner may be known by its row before it answers for the pool; it has this long.
 const OWNER_START_TIMEOUT: Duration = Duration::from_millis(700);
-/// How many other hosts are asked whether they hear the owner.
-const WITNESSES: usize = 4;
+/// Time in which others have to answer whether they hear the owner.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(400);
+/// The same for a host that could not tell by the first answers: on a full line they come late.
+const WITNESS_TIMEOUT_UNSURE: Duration = Duration::from_millis(1_000);
 /// A row that the former owner has changed meanwhile is tried again this often.
 const TRIES: usize = 3;
 /// After a try to take a pool that failed, the next one comes no sooner.
@@ -132,6 +136,17 @@
     over: Option<u64>,
     /// The one that did not answer for the pool yet, and since when.
     began: Option<(u64, Instant)>,
+    /// The one of which it can't be told yet whether it is lost.
+    doubt: Option<Doubt>,
+}
+
+/// An owner of which it can't be told whether it is lost.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    epoch: u64,
+    since: Instant,
+    /// Version of its row, once it could be read.
+    version: Option<u64>,
 }
 
 impl Member {
@@ -186,24 +201,32 @@
         rows: &mut watch::Receiver<Known>,
     ) {
         if host.stop.is_draining() {
-            self.lost = None;
+            self.follow_again();
             tokio::time::sleep(DRAINING_POLL_INTERVAL).await;
             return;
         }
         let mut grounds = Grounds::Urged;
         if self.urged != Some(row.epoch) {
-            if !wait_turn(host, pool, Some(row), rows).await {
+            // Who stood back has had its turn.
+            if self.doubted(row).is_none() && !wait_turn(host, pool, Some(row), rows).await {
                 return;
             }
             grounds = self.grounds(host, pool, row).await;
-            if grounds.verdict() == Verdict::Alive {
-                self.lost = None;
-                tokio::time::sleep(REJOIN_DELAY).await;
-                return;
+            match grounds.verdict() {
+                Verdict::Lost => {}
+                Verdict::Alive => {
+                    self.follow_again();
+                    tokio::time::sleep(REJOIN_DELAY).await;
+                    return;
+                }
+                Verdict::Unsure => {
+                    pause(rows).await;
+                    return;
+                }
             }
         }
         self.urged = None;
-        self.lost = None;
+        self.follow_again();
         // The owner has written its row since, if only to name other heirs.
         if let Some((claim, version)) = read_claim(host, pool).await
             && claim.owner.epoch == row.epoch
@@ -213,8 +236,19 @@
         pause(rows).await;
     }
 
+    /// The owner is to be followed, whoever it is.
+    fn follow_again(&mut self) {
+        self.lost = None;
+        self.doubt = None;
+    }
+
+    /// The doubt about this owner, if there is one.
+    fn doubted(&self, row: &OwnerRow) -> Option<Doubt> {
+        self.doubt.filter(|doubt| doubt.epoch == row.epoch)
+    }
+
     /// Why the owner is or isn't taken for lost.
-    async fn grounds(&self, host: &Host, pool: u32, row: &OwnerRow) -> Grounds {
+    async fn grounds(&mut self, host: &Host, pool: u32, row: &OwnerRow) -> Grounds {
         if row.host == host.settings.id {
             return Grounds::EarlierLife;
         }
@@ -225,18 +259,52 @@
             return Grounds::NotAsked;
         }
         let began = clock::now();
-        let evidence = Evidence {
-            witnesses: ask_witnesses(host, pool, row).await,
-        };
+        let evidence = self.evidence(host, pool, row).await;
         let tally = &evidence.witnesses;
         info!(
             pool = pool, owner = row.host.as_str(), epoch = row.epoch, verdict:? = evidence.verdict(),
             asked = tally.asked(), hears = tally.hears, does_not_hear = tally.does_not_hear,
-            refused = tally.refused, timed_out = tally.timed_out, ms = clock::now().saturating_sub(began);
+            refused = tally.refused, timed_out = tally.timed_out, itself:? = evidence.owner,
+            store_answered = evidence.store_answered, rewritten = evidence.rewritten,
+            unsure_ms = evidence.unsure_for.as_millis() as u64, ms = clock::now().saturating_sub(began);
             "asked others whether they hear the owner"
         );
         Grounds::Evidence(evidence)
     }
+
+    /// Asks the owner, its heirs and the store, and notes since when that doesn't tell.
+    async fn evidence(&mut self, host: &Host, pool: u32, row: &OwnerRow) -> Evidence {
+        let doubted = self.doubted(row);
+        let time = match doubted {
+            Some(_) => WITNESS_TIMEOUT_UNSURE,
+            None => WITNESS_TIMEOUT,
+        };
+        let mut asked = pin!(ask_others(host, pool, row, time));
+        let mut read = pin!(timeout(time / 2, owners::read(host, pool)));
+        let mut found = None;
+        let mut evidence = tokio::select! {
+            evidence = &mut asked => evidence,
+            read = &mut read => {
+                found = read.ok().flatten();
+                asked.await
+            }
+        };
+        evidence.store_answered = found.is_some();
+        let found = found.and_then(|(found, _)| found);
+        let version = found.map(|(_, version)| version);
+        if let Some(doubt) = doubted {
+            evidence.unsure_for = doubt.since.elapsed();
+            evidence.rewritten = doubt.version.is_some() && version > doubt.version;
+        }
+        if evidence.verdict() == Verdict::Unsure {
+            self.doubt = Some(Doubt {
+                epoch: row.epoch,
+                since: doubted.map_or_else(Instant::now, |doubt| doubt.since),
+                version: doubted.and_then(|doubt| doubt.version).or(version),
+            });
+        }
+        evidence
+    }
 }
 
 /// Why a host takes a pool.
@@ -273,7 +341,7 @@
             Self::EarlierLife => f.write_str("owned it in an earlier life"),
             Self::LifeOver => f.write_str("the owner's life is over"),
             Self::NotAsked => f.write_str("lost the owner, nobody asked"),
-            Self::Evidence(evidence) => write!(f, "lost the owner, {}", evidence.witnesses),
+            Self::Evidence(evidence) => write!(f, "lost the owner, {evidence}"),
         }
     }
 }
@@ -315,17 +383,35 @@
     timeout(turn.wait(), rows.changed()).await.is_err()
 }
 
-/// Asks heirs whether they hear the owner. If one does, this host is cut off, and the owner is not lost.
-async fn ask_witnesses(host: &Host, pool: u32, owner: &OwnerRow) -> Tally {
+/// Asks the owner and its heirs whether it is alive. If one says so, this host is cut off, and the owner is not lost.
+async fn ask_others(host: &Host, pool: u32, owner: &OwnerRow, time: Duration) -> Evidence {
     let others = owner
         .heirs
         .iter()
         .filter(|heir| heir.host != host.settings.id);
-    let asked = others
-        .take(WITNESSES)
-        .map(|heir| peers::hears(heir.address, pool));
-    let answers = futures::future::join_all(asked).await;
-    answers.into_iter().collect()
+    let heirs = others.map(|heir| peers::hears(heir.address, pool, time));
+    let mut heirs = pin!(futures::future::join_all(heirs));
+    let mut itself = pin!(peers::hears(owner.address, pool, time));
+    tokio::select! {
+        answers = &mut heirs => {
+            let evidence = Evidence {
+                witnesses: answers.into_iter().collect(),
+                ..Evidence::default()
+            };
+            let all_answered = evidence.witnesses.asked() > 0 && evidence.witnesses.timed_out == 0;
+            if all_answered || evidence.verdict() == Verdict::Alive {
+                return evidence;
+            }
+            Evidence { owner: Some(itself.await), ..evidence }
+        }
+        answer = &mut itself => {
+            let evidence = Evidence { owner: Some(answer), ..Evidence::default() };
+            if evidence.verdict() != Verdict::Unsure {
+                return evidence;
+            }
+            Evidence { witnesses: heirs.await.into_iter().collect(), ..evidence }
+        }
+    }
 }
 
 /// Reads who owns a pool and which workers it may use; `None` if that can't be read.
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -102,8 +102,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<TcpStream, Loss> {
-    let connected = timeout(CONNECT, TcpStream::connect(address)).await;
+async fn connect(address: SocketAddr, time: Duration) -> Result<TcpStream, Loss> {
+    let connected = timeout(time, TcpStream::connect(address)).await;
     let stream = connected
         .map_err(|_| Loss::NotReached)?
         .map_err(|error| match error.kind() {
@@ -116,7 +116,7 @@
 
 /// Keeps a link to the owner until it ends.
 pub(crate) async fn join(host: &Arc<Host>, pool: u32, address: SocketAddr, epoch: u64) -> LinkEnd {
-    let stream = match connect(address).await {
+    let stream = match connect(address, CONNECT).await {
         Ok(stream) => stream,
         Err(loss) => return LinkEnd::Lost(loss),
     };
@@ -213,10 +213,10 @@
     ended
 }
 
-/// Asks another host whether it hears the owner of a pool.
-pub(crate) async fn hears(address: SocketAddr, pool: u32) -> Answer {
+/// Asks another host, for this long, whether it hears the owner of a pool or is it.
+pub(crate) async fn hears(address: SocketAddr, pool: u32, time: Duration) -> Answer {
     let ask = async {
-        let (read, half) = match connect(address).await {
+        let (read, half) = match connect(address, time).await {
             Ok(stream) => stream.into_split(),
             Err(Loss::Refused) => return Answer::Refused,
             Err(_) => return Answer::TimedOut,
@@ -231,7 +231,7 @@
             _ => Answer::TimedOut,
         }
     };
-    timeout(CONNECT, ask).await.unwrap_or(Answer::TimedOut)
+    timeout(time, ask).await.unwrap_or(Answer::TimedOut)
 }
 
 /// Answers other hosts.
