--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`post`]: which hosts have what a pool needs.
 //! * [`turn`]: how long a host leaves a pool to others.
 //! * [`link`]: what a host asks an owner.
+//! * [`verdict`]: whether an owner is lost.
 //! * [`wire`]: what hosts say to each other.
 //! * [`Owner`]: a pool's owner: takes over, holds workers, starts tasks, stores progress.
 
@@ -37,6 +38,7 @@
 mod timed_reader;
 mod transfer;
 pub mod turn;
+pub mod verdict;
 pub mod wire;
 mod writer;
 
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,5 +1,6 @@
 //! Connections between hosts.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use crate::host::Host;
 use crate::link::Link;
 use crate::owner::Owner;
+use crate::verdict::Answer;
 use crate::wire::{Call, FromOwner, Receiver, Reply, Sender, ToOwner};
 
 /// Time between two beats. A shorter one finds a lost owner sooner and costs each host a wake-up more.
@@ -27,9 +29,9 @@
 
 /// Why a link to the owner ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Ended {
-    /// It could not be reached, went silent or broke off.
-    Lost,
+pub(crate) enum LinkEnd {
+    /// There is none any more.
+    Lost(Loss),
     /// That host is not the owner.
     NotOwner {
         /// Start of its life in Unix milliseconds.
@@ -41,6 +43,19 @@
     Stopped,
 }
 
+/// How a link to the owner was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Loss {
+    /// No connection was made in time.
+    NotReached,
+    /// The owner's machine refused the connection: the process has ended.
+    Refused,
+    /// Nothing came for [`SILENCE`].
+    Silent,
+    /// The connection broke off, or this host could not write to it.
+    Broken,
+}
+
 /// Writes what comes through a channel, several frames at a time.
 async fn write<T: Serialize>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
     while let Some(message) = from.recv().await {
@@ -58,19 +73,23 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<TcpStream> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
-        .await
-        .ok()?
-        .ok()?;
-    stream.set_nodelay(true).ok()?;
-    Some(stream)
+async fn connect(address: SocketAddr, time: Duration) -> Result<TcpStream, Loss> {
+    let connected = timeout(time, TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_| Loss::NotReached)?
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => Loss::Refused,
+            _ => Loss::NotReached,
+        })?;
+    stream.set_nodelay(true).map_err(|_| Loss::Broken)?;
+    Ok(stream)
 }
 
 /// Keeps a link to the owner until it ends.
-pub(crate) async fn join(host: &Arc<Host>, pool: u32, address: SocketAddr, epoch: u64) -> Ended {
-    let Some(stream) = connect(address).await else {
-        return Ended::Lost;
+pub(crate) async fn join(host: &Arc<Host>, pool: u32, address: SocketAddr, epoch: u64) -> LinkEnd {
+    let stream = match connect(address, CONNECT).await {
+        Ok(stream) => stream,
+        Err(loss) => return LinkEnd::Lost(loss),
     };
     let (read, half) = stream.into_split();
     let mut receiver = Receiver::<FromOwner>::new(read);
@@ -102,8 +121,12 @@
     };
     let reads = async {
         loop {
-            let Ok(Some(message)) = receiver.next_within(SILENCE).await else {
-                return Ended::Lost;
+            let message = match receiver.next_within(SILENCE).await {
+                Ok(Some(message)) => message,
+                Err(error) if error.kind() == ErrorKind::TimedOut => {
+                    return LinkEnd::Lost(Loss::Silent);
+                }
+                Ok(None) | Err(_) => return LinkEnd::Lost(Loss::Broken),
             };
             match message {
                 FromOwner::Beat(beat) => {
@@ -113,8 +136,8 @@
                         info!(pool = pool, owner:% = address, epoch = epoch; "joined the owner");
                     }
                 }
-                FromOwner::NotOwner { life } => return Ended::NotOwner { life },
-                FromOwner::Take { epoch: of } if of == epoch => return Ended::Take,
+                FromOwner::NotOwner { life } => return LinkEnd::NotOwner { life },
+                FromOwner::Take { epoch: of } if of == epoch => return LinkEnd::Take,
                 FromOwner::Told(number, reply) => {
                     if let Some(late) = link.answer(number, reply) {
                         warn!(pool = pool, owner:% = address, reply = late.name(); "an answer came too late");
@@ -151,27 +174,33 @@
     };
     let ended = tokio::select! {
         ended = reads => ended,
-        () = beats => Ended::Lost,
-        () = write(Sender::new(half), from) => Ended::Lost,
-        () = host.stop.ended() => Ended::Stopped,
+        () = beats => LinkEnd::Lost(Loss::Broken),
+        () = write(Sender::new(half), from) => LinkEnd::Lost(Loss::Broken),
+        () = host.stop.ended() => LinkEnd::Stopped,
     };
     host.set_link(pool, None);
     ended
 }
 
-/// Whether another host hears the owner of a pool.
-pub(crate) async fn hears(address: SocketAddr, pool: u32) -> Option<bool> {
+/// Asks another host, for this long, whether it hears the owner of a pool or is it.
+pub(crate) async fn hears(address: SocketAddr, pool: u32, time: Duration) -> Answer {
     let ask = async {
-        let (read, half) = connect(address).await?.into_split();
+        let (read, half) = match connect(address, time).await {
+            Ok(stream) => stream.into_split(),
+            Err(Loss::Refused) => return Answer::Refused,
+            Err(_) => return Answer::TimedOut,
+        };
         let mut sender = Sender::<ToOwner>::new(half);
-        sender.feed(&ToOwner::Hears(pool)).await.ok()?;
-        sender.flush().await.ok()?;
-        match Receiver::<FromOwner>::new(read).next().await.ok()?? {
-            FromOwner::Hears(hears) => Some(hears),
-            _ => None,
+        if sender.feed(&ToOwner::Hears(pool)).await.is_err() || sender.flush().await.is_err() {
+            return Answer::TimedOut;
+        }
+        match Receiver::<FromOwner>::new(read).next().await {
+            Ok(Some(FromOwner::Hears(true))) => Answer::Hears,
+            Ok(Some(FromOwner::Hears(false))) => Answer::DoesNotHear,
+            _ => Answer::TimedOut,
         }
     };
-    timeout(CONNECT, ask).await.ok()?
+    timeout(time, ask).await.unwrap_or(Answer::TimedOut)
 }
 
 /// Answers other hosts.
