A listing says nothing of a run that was ordered after it was asked for

Found by a review of late answers to holds; not seen by a caller.

Cause: a run that a listing lacks counts as over when it was ordered 4 s before the listing is taken, not before it was asked for. An answer to a hold may now come 4,050 ms after it was asked for, later if its body arrives slowly or after a process was frozen. One that lists what ran just before a start reached the worker ended that run, and the task was started a second time beside it.

Evidence: the test, which failed before: a listing asked for at 1,005 ms that comes at 5,100 ms ends a run ordered at 1,010 ms, and another worker is given the task. Ruled out: older listings after newer ones (the worker's clock in the listing tells), runs whose order is in doubt or that are stopped (judged by the worker's clock too).

Change: the 4 s count up to when the listing was asked for. Result: the test passes, as do the other tests of lentilyoke_pool.

--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -259,8 +259,9 @@
             };
             let over = match run.phase {
                 Phase::Ordered | Phase::Unsure => listing.clock > run.latest,
+                // An answer that was long on its way says nothing of a run that was ordered meanwhile.
                 Phase::Running => {
-                    !full && now.saturating_sub(run.moved.max(run.ordered)) > VANISHED
+                    !full && listing.asked.saturating_sub(run.moved.max(run.ordered)) > VANISHED
                 }
                 Phase::Stopping => {
                     !full
