A host that waits long for its owner's configuration reads the store

Found by a review of what relies on an owner; not seen by a caller.

Cause: a host that relies on owners counts as kept current for as long as a configuration is on its way from one. That call lasts as long as its connection, so a host whose owner is alive and doesn't answer it, or over a line that is nearly still, stays at its old version and refuses callers while the store would serve it. Besides, the configuration and the plan of pools were asked for one after the other, so an answer about the one that doesn't come holds up the other.

Ruled out: a limit on the call itself, which would ask again for what is arriving.

The two questions are asked beside each other.

--- a/crates/host/src/current.rs
+++ b/crates/host/src/current.rs
@@ -29,7 +29,8 @@
 const RELY: f64 = 0.5;
 /// A host follows the store again once that time is longer ago than this share.
 const DOUBT: f64 = 0.7;
-/// A host that reads the store asks an owner as well after it has been behind for this long.
+/// A host that reads the store asks an owner as well after it has been behind for this long, and one that asks an owner reads
+/// the store as well after it has waited for this long.
 const BEHIND: Duration = Duration::from_millis(1_000);
 
 impl Host {
@@ -74,7 +75,9 @@
     }
 
     fn is_kept_current(&self) -> bool {
-        self.fetching.load(Ordering::Relaxed) || self.is_told_within(DOUBT)
+        let since = self.fetching.load(Ordering::Relaxed);
+        let waited = Duration::from_millis(clock::now().saturating_sub(since));
+        since > 0 && waited < BEHIND || self.is_told_within(DOUBT)
     }
 
     /// Follows the configuration in the store, from where it is known.
@@ -131,26 +134,37 @@
         .await;
     }
 
-    /// Asks owners for what they have newer than this host: the configuration and the plan of pools.
+    /// Asks owners for what they have newer than this host. An answer may take as long as its connection lasts, so none waits
+    /// for another.
     async fn ask_owners(&self) {
+        tokio::join!(self.ask_for_catalog(), self.ask_for_plan());
+    }
+
+    async fn ask_for_catalog(&self) {
         let mut behind: Option<Instant> = None;
         loop {
             drop(timeout(ASK, self.newer.notified()).await);
             let mine = self.catalog_version();
-            if let Some(link) = self.ahead(|beat| beat.catalog > mine) {
-                let since = *behind.get_or_insert_with(Instant::now);
-                let reads = !self.relying.load(Ordering::Relaxed) && mine > 0 && self.served();
-                if !reads || since.elapsed() > BEHIND {
-                    self.fetching.store(true, Ordering::Relaxed);
-                    let reply = link.fetch(Call::Catalog).await;
-                    if let Some(Reply::Catalog(packed)) = reply {
-                        self.take_up_packed(&packed);
-                    }
-                    self.fetching.store(false, Ordering::Relaxed);
-                }
-            } else {
+            let Some(link) = self.ahead(|beat| beat.catalog > mine) else {
                 behind = None;
+                continue;
+            };
+            let since = *behind.get_or_insert_with(Instant::now);
+            let reads = !self.relying.load(Ordering::Relaxed) && mine > 0 && self.served();
+            if reads && since.elapsed() <= BEHIND {
+                continue;
+            }
+            self.fetching.store(clock::now(), Ordering::Relaxed);
+            if let Some(Reply::Catalog(packed)) = link.fetch(Call::Catalog).await {
+                self.take_up_packed(&packed);
             }
+            self.fetching.store(0, Ordering::Relaxed);
+        }
+    }
+
+    async fn ask_for_plan(&self) {
+        loop {
+            sleep(ASK).await;
             let mine = self.plan.load().version;
             if let Some(link) = self.ahead(|beat| beat.plan > mine)
                 && let Some(Reply::Plan(plan)) = link.fetch(Call::Plan).await
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -56,8 +56,8 @@
     as_of: AtomicU64,
     /// Owners keep the configuration current.
     pub(crate) relying: AtomicBool,
-    /// A configuration is on its way from an owner.
-    pub(crate) fetching: AtomicBool,
+    /// Since when a configuration is on its way from an owner; 0 if none is.
+    pub(crate) fetching: AtomicU64,
     /// An owner has a newer configuration.
     pub(crate) newer: Notify,
     /// A newer configuration is in force.
@@ -104,7 +104,7 @@
             told: AtomicU64::new(0),
             as_of: AtomicU64::new(0),
             relying: AtomicBool::new(false),
-            fetching: AtomicBool::new(false),
+            fetching: AtomicU64::new(0),
             newer: Notify::new(),
             changed: Notify::new(),
             served_at: AtomicU64::new(0),
