--- a/crates/host/tests/follow.rs
+++ b/crates/host/tests/follow.rs
@@ -265,3 +265,66 @@
         assert!(late < Duration::from_millis(600), "{late:?}");
     }
 }
+
+/// A store whose answers take this long to come back; a change is there from the start, or never.
+struct Distant {
+    back: Duration,
+    row: Option<Row>,
+}
+
+#[async_trait]
+impl Store for Distant {
+    async fn commit(&self, _: &Transaction) -> Result<u64, StoreError> {
+        Ok(0)
+    }
+
+    async fn page(&self, _: &str, _: &str, _: &str) -> Result<Page, StoreError> {
+        sleep(self.back).await;
+        Ok(Page::default())
+    }
+
+    async fn get(&self, _: &str, _: &str, _: &str) -> Result<Option<Row>, StoreError> {
+        Ok(None)
+    }
+
+    async fn feed(&self, _: &str, _: u64, wait: Duration) -> Result<Feed, StoreError> {
+        let told = self.row.is_some();
+        if !told {
+            sleep(wait).await;
+        }
+        // The answer's age is reckoned on a clock that no test can pause.
+        let back = self.back;
+        drop(tokio::task::spawn_blocking(move || std::thread::sleep(back)).await);
+        Ok(Feed {
+            rows: self.row.iter().cloned().collect(),
+            ..Feed::default()
+        })
+    }
+}
+
+/// Guards against an answer that was long on its way and counts as of its arrival.
+#[tokio::test]
+async fn an_answer_that_arrives_late_is_not_newer_than_its_question() {
+    let back = Duration::from_millis(400);
+    let row = Row {
+        table: "op".to_owned(),
+        part: String::new(),
+        key: "config".to_owned(),
+        value: Some(Vec::new()),
+        version: 1,
+    };
+    for row in [None, Some(row)] {
+        let store = Distant { back, row };
+        let parts = [String::new()];
+        let mut ages = Vec::new();
+        let following = follow(&store, "op", &parts, Some(0), Duration::ZERO, |change| {
+            if let Change::Some(feed) = change {
+                ages.push(host::clock::now().saturating_sub(feed.at));
+            }
+        });
+        drop(timeout(back * 4, following).await);
+        assert!(!ages.is_empty());
+        let least = back.as_millis() as u64 - 1;
+        assert!(ages.iter().all(|age| *age >= least), "{ages:?}");
+    }
+}
