--- a/crates/host/src/current.rs
+++ b/crates/host/src/current.rs
@@ -32,6 +32,8 @@
 /// A host that reads the store asks an owner as well after it has been behind for this long, and one that asks an owner reads
 /// the store as well after it has waited for this long.
 const BEHIND: Duration = Duration::from_millis(1_000);
+/// Pause after an owner's configuration that can't be read; the next one would hardly differ.
+const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 impl Host {
     /// Keeps the configuration current until the host stops.
@@ -155,10 +157,13 @@
                 continue;
             }
             self.fetching.store(clock::now(), Ordering::Relaxed);
-            if let Some(Reply::Catalog(packed)) = link.fetch(Call::Catalog).await {
-                self.take_up_packed(&packed);
-            }
+            let reply = link.fetch(Call::Catalog).await;
             self.fetching.store(0, Ordering::Relaxed);
+            if let Some(Reply::Catalog(packed)) = reply
+                && !self.take_up_packed(&packed)
+            {
+                sleep(UNREADABLE_RETRY_DELAY).await;
+            }
         }
     }
 
@@ -174,11 +179,16 @@
         }
     }
 
-    fn take_up_packed(&self, packed: &Packed) {
+    /// Takes up an owner's configuration; `false` if it can't be read.
+    fn take_up_packed(&self, packed: &Packed) -> bool {
         match Catalog::try_from(packed) {
-            Ok(catalog) => self.put_catalog(catalog),
+            Ok(catalog) => {
+                self.put_catalog(catalog);
+                true
+            }
             Err(error) => {
                 warn!(version = packed.version, error:% = error; "an owner's configuration can't be read");
+                false
             }
         }
     }
