--- a/crates/host/src/claim.rs
+++ b/crates/host/src/claim.rs
@@ -1,8 +1,7 @@
 //! Who owns a pool, and which workers that owner may use: two rows.
 //!
-//! Hosts that look for an owner follow the owners' rows alone, which change with the owner and its heirs. The roster of 500
-//! workers takes some 7 KB and changes with each worker that falls silent. With both in one row, the middle one of 99 hosts
-//! drew 62 KB/s in place of 7, and after a kill of all hosts those of the far region lost the store.
+//! Hosts that look for an owner follow the owners' rows alone, which are small and change with the owner and its heirs. The
+//! roster is larger and changes with each worker that falls silent, so it is a row of its own.
 
 use serde::de::DeserializeOwned;
 
