--- a/crates/host/src/current.rs
+++ b/crates/host/src/current.rs
@@ -4,11 +4,13 @@
 //! the newest, and fetch a newer one from the owner, compressed: a copy from the store for each host of a region would fill
 //! the line between the regions. A host that no owner tells anything follows the store itself.
 
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use log::{info, warn};
+use pool::Ms;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::catalog::Catalog;
@@ -22,20 +24,57 @@
 use crate::wire::{Call, Reply};
 
 /// Time between two looks whether owners have something newer; a beat that says so wakes the host at once.
-const ASK: Duration = Duration::from_millis(150);
+const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between two looks whether an owner keeps this host current.
-const CHECK: Duration = Duration::from_millis(200);
+const RELIANCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// A host relies on owners once they tell of a time within this share of the time in which a change has to be in force.
-const RELY: f64 = 0.5;
+const RELY_AGE_SHARE: f64 = 0.5;
 /// A host follows the store again once that time is longer ago than this share.
-const DOUBT: f64 = 0.7;
+const DOUBT_AGE_SHARE: f64 = 0.7;
 /// A host that reads the store asks an owner as well after it has been behind for this long, and one that asks an owner reads
 /// the store as well after it has waited for this long.
-const BEHIND: Duration = Duration::from_millis(1_000);
+const SECOND_SOURCE_DELAY: Duration = Duration::from_millis(1_000);
 /// Pause after an owner's configuration that can't be read; the next one would hardly differ.
 const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// What a host knows of how current its configuration is.
+#[derive(Default)]
+pub(crate) struct Current {
+    /// When the configuration in force was known to be the newest.
+    known: AtomicU64,
+    /// The transaction of the store up to which it is known to be the newest.
+    as_of: AtomicU64,
+    /// When it was the newest, as far as owners have told.
+    pub(crate) told: AtomicU64,
+    /// Owners keep it current.
+    relying: AtomicBool,
+    /// Since when one is on its way from an owner; 0 if none is.
+    fetching: AtomicU64,
+    /// An owner has a newer one.
+    pub(crate) newer: Notify,
+    /// A newer one is in force.
+    pub(crate) changed: Notify,
+    /// The configuration as it is sent to other hosts.
+    packed: Mutex<Packed>,
+}
+
 impl Host {
+    /// The configuration in force was the newest at this time and up to this transaction of the store.
+    pub(crate) fn confirm(&self, at: Ms, as_of: u64) {
+        self.current.known.fetch_max(at, Ordering::Relaxed);
+        self.current.as_of.fetch_max(as_of, Ordering::Relaxed);
+    }
+
+    /// Up to which transaction of the store the configuration in force is known to be the newest; 0 if to none.
+    pub(crate) fn catalog_as_of(&self) -> u64 {
+        self.current.as_of.load(Ordering::Relaxed)
+    }
+
+    /// Time since the configuration in force was known to be the newest.
+    pub(crate) fn catalog_age(&self) -> Ms {
+        clock::now().saturating_sub(self.current.known.load(Ordering::Relaxed))
+    }
+
     /// Keeps the configuration current until the host stops.
     pub(crate) async fn follow_catalog(self: &Arc<Self>) {
         tokio::select! {
@@ -51,35 +90,35 @@
             info!(from = "store", as_of = self.catalog_as_of(); "the configuration is followed");
             tokio::select! {
                 () = self.read_catalog() => {}
-                () = self.until(|| self.owns() == 0 && self.is_told_within(RELY)) => {}
+                () = self.until(|| self.owns() == 0 && self.is_told_within(RELY_AGE_SHARE)) => {}
             }
             info!(from = "owner", as_of = self.catalog_as_of(); "the configuration is followed");
-            self.relying.store(true, Ordering::Relaxed);
+            self.current.relying.store(true, Ordering::Relaxed);
             tokio::select! {
                 // A small table: its answers tell whether the store serves this host.
                 () = self.follow_plan() => {}
                 () = self.until(|| self.owns() > 0 || !self.is_kept_current()) => {}
             }
-            self.relying.store(false, Ordering::Relaxed);
+            self.current.relying.store(false, Ordering::Relaxed);
         }
     }
 
     async fn until(&self, holds: impl Fn() -> bool) {
         while !holds() {
-            sleep(CHECK).await;
+            sleep(RELIANCE_CHECK_INTERVAL).await;
         }
     }
 
     /// Whether an owner has told that the configuration was the newest within this share of the time for changes.
     fn is_told_within(&self, share: f64) -> bool {
-        let age = clock::now().saturating_sub(self.told.load(Ordering::Relaxed));
+        let age = clock::now().saturating_sub(self.current.told.load(Ordering::Relaxed));
         Duration::from_millis(age) < self.settings.catalog_within.mul_f64(share)
     }
 
     fn is_kept_current(&self) -> bool {
-        let since = self.fetching.load(Ordering::Relaxed);
+        let since = self.current.fetching.load(Ordering::Relaxed);
         let waited = Duration::from_millis(clock::now().saturating_sub(since));
-        since > 0 && waited < BEHIND || self.is_told_within(DOUBT)
+        since > 0 && waited < SECOND_SOURCE_DELAY || self.is_told_within(DOUBT_AGE_SHARE)
     }
 
     /// Follows the configuration in the store, from where it is known.
@@ -145,20 +184,20 @@
     async fn ask_for_catalog(&self) {
         let mut behind: Option<Instant> = None;
         loop {
-            drop(timeout(ASK, self.newer.notified()).await);
+            drop(timeout(OWNER_POLL_INTERVAL, self.current.newer.notified()).await);
             let mine = self.catalog_version();
             let Some(link) = self.ahead(|beat| beat.catalog > mine) else {
                 behind = None;
                 continue;
             };
             let since = *behind.get_or_insert_with(Instant::now);
-            let reads = !self.relying.load(Ordering::Relaxed) && mine > 0 && self.served();
-            if reads && since.elapsed() <= BEHIND {
+            let reads = !self.current.relying.load(Ordering::Relaxed) && mine > 0 && self.served();
+            if reads && since.elapsed() <= SECOND_SOURCE_DELAY {
                 continue;
             }
-            self.fetching.store(clock::now(), Ordering::Relaxed);
+            self.current.fetching.store(clock::now(), Ordering::Relaxed);
             let reply = link.fetch(Call::Catalog).await;
-            self.fetching.store(0, Ordering::Relaxed);
+            self.current.fetching.store(0, Ordering::Relaxed);
             if let Some(Reply::Catalog(packed)) = reply
                 && !self.take_up_packed(&packed)
             {
@@ -169,7 +208,7 @@
 
     async fn ask_for_plan(&self) {
         loop {
-            sleep(ASK).await;
+            sleep(OWNER_POLL_INTERVAL).await;
             let mine = self.plan.load().version;
             if let Some(link) = self.ahead(|beat| beat.plan > mine)
                 && let Some(Reply::Plan(plan)) = link.fetch(Call::Plan).await
@@ -196,7 +235,7 @@
     /// The configuration in force, as it is sent to other hosts. It is packed once for all of them.
     pub(crate) fn packed_catalog(&self) -> Option<Packed> {
         let catalog = self.catalog()?;
-        let mut packed = lock(&self.packed);
+        let mut packed = lock(&self.current.packed);
         if packed.version != catalog.version {
             match Packed::try_from(catalog.as_ref()) {
                 Ok(newer) => *packed = newer,
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -19,7 +19,7 @@
 /// learnt that a worker leaves seconds late.
 const FULL: usize = 450;
 /// Age of an answer from which on the next one is asked for without a wait.
-const LATE: Ms = 300;
+const LATE_ANSWER_MS: Ms = 300;
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(120);
 /// Reads that are under way at once when a table is read, at first: enough for the way between regions.
@@ -80,7 +80,7 @@
                 let full = feed.rows.len() >= FULL;
                 feed.at = known_at(asked, wait, &feed);
                 // After an answer that took long a short one tells that nothing has changed since.
-                let late = clock::now().saturating_sub(feed.at) > LATE;
+                let late = clock::now().saturating_sub(feed.at) > LATE_ANSWER_MS;
                 wait = if late { Duration::ZERO } else { WAIT };
                 feed.rows.retain(|row| parts.contains(&row.part));
                 let any = !feed.rows.is_empty();
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -12,9 +12,9 @@
 
 use crate::catalog::Catalog;
 use crate::clock;
+use crate::current::Current;
 use crate::outside::{Advisor, Decode, Store, Workers};
 use crate::owners::Owners;
-use crate::packed::Packed;
 use crate::plan::Plan;
 use crate::seat::{Heard, Seat};
 use crate::settings::Settings;
@@ -46,22 +46,8 @@
     /// Start of this life in Unix milliseconds.
     pub(crate) life: u64,
     catalog: ArcSwapOption<Catalog>,
-    /// The configuration as it is sent to other hosts.
-    pub(crate) packed: Mutex<Packed>,
-    /// When the configuration in force was known to be the newest.
-    current: AtomicU64,
-    /// The same, as far as owners have told.
-    pub(crate) told: AtomicU64,
-    /// The transaction of the store up to which it is known to be the newest.
-    as_of: AtomicU64,
-    /// Owners keep the configuration current.
-    pub(crate) relying: AtomicBool,
-    /// Since when a configuration is on its way from an owner; 0 if none is.
-    pub(crate) fetching: AtomicU64,
-    /// An owner has a newer configuration.
-    pub(crate) newer: Notify,
-    /// A newer configuration is in force.
-    pub(crate) changed: Notify,
+    /// What is known of how current the configuration is.
+    pub(crate) current: Current,
     served_at: AtomicU64,
     /// Since when the store has only refused or not answered; 0 if it serves.
     failing: AtomicU64,
@@ -99,14 +85,7 @@
             stop,
             life: clock::unix(),
             catalog: ArcSwapOption::empty(),
-            packed: Mutex::default(),
-            current: AtomicU64::new(0),
-            told: AtomicU64::new(0),
-            as_of: AtomicU64::new(0),
-            relying: AtomicBool::new(false),
-            fetching: AtomicU64::new(0),
-            newer: Notify::new(),
-            changed: Notify::new(),
+            current: Current::default(),
             served_at: AtomicU64::new(0),
             failing: AtomicU64::new(0),
             away: AtomicU64::new(u64::MAX),
@@ -185,37 +164,21 @@
         let mine = self.catalog_version();
         if let Some(at) = beat.confirms(mine) {
             self.confirm(at, beat.catalog_as_of);
-            self.told.fetch_max(at, Ordering::Relaxed);
+            self.current.told.fetch_max(at, Ordering::Relaxed);
         }
         if beat.catalog > mine {
-            self.newer.notify_one();
+            self.current.newer.notify_one();
         }
         let pool = beat.pool;
         self.change(pool, |seat| seat.heard = Heard { at: now, beat });
     }
 
-    /// The configuration in force was the newest at this time and up to this transaction of the store.
-    pub(crate) fn confirm(&self, at: Ms, as_of: u64) {
-        self.current.fetch_max(at, Ordering::Relaxed);
-        self.as_of.fetch_max(as_of, Ordering::Relaxed);
-    }
-
-    /// Up to which transaction of the store the configuration in force is known to be the newest; 0 if to none.
-    pub(crate) fn catalog_as_of(&self) -> u64 {
-        self.as_of.load(Ordering::Relaxed)
-    }
-
     /// Version of the configuration in force; 0 if there is none.
     pub(crate) fn catalog_version(&self) -> u64 {
         let catalog = self.catalog.load();
         catalog.as_ref().map_or(0, |catalog| catalog.version)
     }
 
-    /// Time since the configuration in force was known to be the newest.
-    pub(crate) fn catalog_age(&self) -> Ms {
-        clock::now().saturating_sub(self.current.load(Ordering::Relaxed))
-    }
-
     /// The store answered a call after this long, or did not.
     pub fn note_store(&self, answered: bool, took: Duration) {
         let outcome = if answered { "answered" } else { "failed" };
@@ -276,7 +239,7 @@
         if catalog.version > before {
             info!(version = catalog.version, before = before, queues = catalog.queues.len(); "configuration in force");
             self.catalog.store(Some(Arc::new(catalog)));
-            self.changed.notify_waiters();
+            self.current.changed.notify_waiters();
         }
     }
 }
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -236,7 +236,7 @@
             }
             lock(&self.pool).set_askers(alive);
             self.host.hear(beat);
-            drop(timeout(BEAT, self.host.changed.notified()).await);
+            drop(timeout(BEAT, self.host.current.changed.notified()).await);
         }
     }
 
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -21,7 +21,7 @@
 /// A hold waits this long for an end. A worker counts as silent after 1.6 s, so one lost hold is borne.
 const WAIT: Duration = Duration::from_millis(600);
 /// An answer is due this long after the hold's own wait: the way there and back, and a connection to be made.
-const ANSWER_LATE: Duration = Duration::from_millis(650);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(650);
 /// Answers of one worker that are awaited although they were due.
 const LATE_MOST: usize = 4;
 /// An owner without a majority renews no lease, and holds a worker that it has heard for this long, so that the lease is
@@ -97,7 +97,7 @@
             _ => Duration::ZERO,
         };
         let call = ask(owner, id, address, (asked, ends), lease, wait);
-        match answer(owner, id, call, wait + ANSWER_LATE, &mut late).await {
+        match answer(owner, id, call, wait + ANSWER_TIMEOUT, &mut late).await {
             Ok(listing) => {
                 take(owner, id, ends, asked, listing);
                 if lost {
--- a/crates/pool/src/ask.rs
+++ b/crates/pool/src/ask.rs
@@ -15,7 +15,7 @@
 /// Share of the questions that may be under way at once which questions ahead of need leave to others.
 const LEFT_TO_OTHERS: usize = 2;
 /// A step that was not asked about for this long may be asked about out of turn, in milliseconds.
-const OVERDUE: Ms = 1_000;
+const OVERDUE_MS: Ms = 1_000;
 /// One in this many questions may be asked out of turn.
 const OVERDUE_SHARE: usize = 4;
 /// A plan looks at this many steps at most for a question out of turn, of those that last and of the others. Where there is no
@@ -35,7 +35,7 @@
             .iter()
             .filter_map(|(_, key)| {
                 let since = self.unasked_since(now, key)?;
-                (since + OVERDUE <= now).then_some((since, key))
+                (since + OVERDUE_MS <= now).then_some((since, key))
             })
             .collect();
         overdue.sort();
