Store: a call that is refused for good is told from an outage

Callers: an insert ends at once, refused if that is certain and open if an earlier call is in doubt; a cancel that can't be written is told as open at once; a job that can't be handed on stays where it is until it is looked at again.

--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -269,7 +269,9 @@
         loop {
             match self.store.commit(&transaction).await {
                 Ok(_) => return Taken::State(State::Cancelled),
-                Err(StoreError::Conflict { .. }) => return Taken::Unsure,
+                Err(StoreError::Conflict { .. } | StoreError::Rejected { .. }) => {
+                    return Taken::Unsure;
+                }
                 Err(_) if Instant::now() >= until => return Taken::Unsure,
                 Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
             }
--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -111,6 +111,13 @@
                 doubt = true;
             }
             Err(StoreError::Lost { .. }) => doubt = true,
+            Err(StoreError::Rejected { .. }) => {
+                return if doubt || !calls.is_empty() {
+                    Inserted::Unsure
+                } else {
+                    Inserted::Refused
+                };
+            }
             Err(StoreError::Refused { .. } | StoreError::Gone) => {
                 if !doubt && calls.is_empty() {
                     return Inserted::Refused;
--- a/crates/host/src/outside.rs
+++ b/crates/host/src/outside.rs
@@ -32,6 +32,12 @@
         /// What it said.
         why: String,
     },
+    /// Nothing was done, and the same call will never be: it is wrong or too large.
+    #[snafu(display("the store rejected: {why}"))]
+    Rejected {
+        /// What it said.
+        why: String,
+    },
     /// It may have been done, or may be done yet.
     #[snafu(display("no answer from the store: {why}"))]
     Lost {
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -96,7 +96,12 @@
         }],
         ..Transaction::default()
     };
-    host.store.commit(&transaction).await?;
+    if let Err(error) = host.store.commit(&transaction).await {
+        if matches!(error, StoreError::Rejected { .. }) {
+            lock(&owner.pool).keep(id);
+        }
+        return Err(error);
+    }
     info!(job = &**id, from = owner.number(), to = to, epoch = owner.epoch(); "handed the job on");
     lock(&owner.pool).transferred(&Arc::clone(id));
     Ok(())
--- a/crates/host/tests/insert.rs
+++ b/crates/host/tests/insert.rs
@@ -32,6 +32,8 @@
     Silent,
     /// Refuses.
     Refuses,
+    /// Says that it will never take this.
+    Rejects,
 }
 
 /// A store with one row at most.
@@ -91,6 +93,9 @@
                 sleep(Duration::from_millis(900)).await;
                 Err(lost())
             }
+            Fate::Rejects => Err(StoreError::Rejected {
+                why: "too long".to_owned(),
+            }),
             Fate::Refuses => Err(StoreError::Refused {
                 why: "busy".to_owned(),
             }),
@@ -175,6 +180,22 @@
     assert!(took < Duration::from_millis(10), "{took:?}");
 }
 
+/// Guards against an insert that the store will never take being sent again until the caller's time is over.
+#[tokio::test(start_paused = true)]
+async fn a_rejected_insert_is_refused_at_once_and_not_sent_again() {
+    let (inserted, took, calls) = try_insert(&[Fate::Rejects], false).await;
+    assert_eq!((inserted, calls), (Inserted::Refused, 1));
+    assert!(took < Duration::from_millis(10), "{took:?}");
+}
+
+/// Guards against a rejection that is taken for certain while an earlier call may have written the row, and against sending
+/// the insert again after it.
+#[tokio::test(start_paused = true)]
+async fn a_rejection_in_doubt_leaves_it_open_and_ends_the_insert() {
+    let (inserted, _, calls) = try_insert(&[Fate::Rejects, Fate::Rejects], true).await;
+    assert_eq!((inserted, calls), (Inserted::Unsure, 1));
+}
+
 /// An insert that is in doubt from elsewhere stays in doubt until the row is found.
 #[tokio::test(start_paused = true)]
 async fn doubt_from_elsewhere_is_ended_by_the_row_only() {
