Owner: the roster stays within the store's bound on a row

Cause: the roster row lists each run on each worker that can't be reached, without a bound. An owner that was frozen takes all of its workers for silent when it goes on, and writes all that runs anywhere into that row. The next write is the same, so an owner that isn't replaced then stores no progress until workers answer again. The others stay in the roster as if nothing were known of them: a new owner then waits until they answer or their leases are over, as it does for any worker that it can't hear. When such a worker is heard again, it is used at once, since the stored roster names it already. Why it works: the size no longer depends on how much runs on silent workers, and the fallback is what a new owner does for unknown workers.

--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -117,13 +117,52 @@
     pub address: SocketAddr,
 }
 
-/// Which workers an owner may use.
+/// Which workers an owner may use. Use [`RosterRow::new`], which bounds its size.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct RosterRow {
     /// Counts the writes of this owner.
     pub serial: u64,
-    /// Workers that may be given something.
+    /// Workers that may be given something, and those that can't be reached for which `silent` has no room. A new owner
+    /// waits until it has heard from them, or until their leases have lapsed.
     pub roster: Vec<String>,
-    /// Workers that can't be reached, with what may run there.
+    /// Workers that can't be reached, with what may run there. A new owner holds back only these tasks.
     pub silent: Vec<pool::Silent>,
 }
+
+impl RosterRow {
+    /// A row of at most `most` bytes, unless the workers' ids alone take more.
+    ///
+    /// Silent workers are listed with their runs, in the order given, as far as there is room. The others go to the roster,
+    /// which takes little more than an id: a new owner then knows less, and waits longer.
+    pub(crate) fn new(
+        serial: u64,
+        roster: impl IntoIterator<Item = String>,
+        silent: Vec<pool::Silent>,
+        most: usize,
+    ) -> Self {
+        let mut row = Self {
+            serial,
+            roster: roster.into_iter().collect(),
+            silent: Vec::new(),
+        };
+        let ids: usize = silent.iter().map(|it| encoded_len(&it.worker)).sum();
+        let mut left = most.saturating_sub(encoded_len(&row) + ids);
+        for worker in silent {
+            let more = encoded_len(&worker) - encoded_len(&worker.worker);
+            if more <= left {
+                left -= more;
+                row.silent.push(worker);
+            } else {
+                row.roster.push(worker.worker.to_string());
+            }
+        }
+        row.roster.sort();
+        row.roster.dedup();
+        row
+    }
+}
+
+/// Bytes of an entry of a list, with the comma after it.
+fn encoded_len(entry: &impl Serialize) -> usize {
+    serde_json::to_vec(entry).map_or(0, |bytes| bytes.len() + 1)
+}
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -33,6 +33,8 @@
     pub pool: pool::Options,
     /// How many workers a pool has, about; more workers are divided over more pools.
     pub pool_workers: u32,
+    /// Most bytes of a row's value in the store.
+    pub row_bytes: usize,
     /// After SIGTERM the process is killed this much later.
     pub grace: Duration,
     /// A configuration has to be in force this long after it was accepted.
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -17,7 +17,7 @@
 use crate::host::lock;
 use crate::outside::{Row, StoreError, Transaction};
 use crate::owner::Owner;
-use crate::rows::{CANCEL, JOBS, PROGRESS, job_part, pool_part};
+use crate::rows::{CANCEL, JOBS, PROGRESS, RosterRow, job_part, pool_part};
 use crate::transfer::{self, Outcome};
 
 /// Heirs are stored with whatever else changes, or after this: hosts come and go together.
@@ -65,27 +65,32 @@
             let mut pool = lock(&owner.pool);
             (pool.batch(ROWS_MOST), pool.roster(now), pool.silent(now))
         };
-        let same_roster = roster.iter().map(|id| &**id).eq(claim
-            .roster
-            .roster
-            .iter()
-            .map(String::as_str));
+        let next_roster = RosterRow::new(
+            claim.roster.serial + 1,
+            roster.iter().map(ToString::to_string),
+            silent,
+            owner.host().settings.row_bytes,
+        );
+        let same_roster = next_roster.roster == claim.roster.roster;
+        let same_silent = next_roster.silent == claim.roster.silent;
         let heirs = owner.heirs();
         let new_heirs = heirs != claim.owner.heirs && renamed.elapsed() > HEIRS_PACE;
-        let roster_changed = !same_roster || silent != claim.roster.silent || new_heirs;
+        let roster_changed = !same_roster || !same_silent || new_heirs;
         if batch.rows.is_empty() && !roster_changed && !unsure && old.is_empty() {
             // Ends that change nothing may be forgotten at once.
             lock(&owner.pool).saved(&batch);
             owner.stored.notify_waiters();
+            // A silent worker that the roster names may be heard again.
+            if enroll(owner, &claim) {
+                owner.wake.notify_one();
+            }
             continue;
         }
         let mut next = claim.clone();
-        next.roster.serial += 1;
+        next.roster = next_roster;
         if new_heirs {
             next.owner.heirs = heirs;
         }
-        next.roster.silent = silent;
-        next.roster.roster = roster.iter().map(ToString::to_string).collect();
         let rewrite = roster_changed || unsure;
         let deletes = if batch.rows.is_empty() {
             old.len().min(SWEEP_MOST)
@@ -113,12 +118,8 @@
                 unsure = false;
                 old.drain(..deletes);
                 owner.unserved.store(0, Ordering::Relaxed);
-                let mut pool = lock(&owner.pool);
-                pool.saved(&batch);
-                if rewrite {
-                    pool.enroll(&roster);
-                }
-                drop(pool);
+                lock(&owner.pool).saved(&batch);
+                enroll(owner, &claim);
                 owner.stored.notify_waiters();
                 owner.wake.notify_one();
                 continue;
@@ -178,14 +179,15 @@
     gone
 }
 
-fn enroll(owner: &Owner, claim: &Claim) {
+/// Makes workers usable as the stored claim allows; tells whether one is that wasn't.
+fn enroll(owner: &Owner, claim: &Claim) -> bool {
     let ids: Vec<WorkerId> = claim
         .roster
         .roster
         .iter()
         .map(|id| id.as_str().into())
         .collect();
-    lock(&owner.pool).enroll(&ids);
+    lock(&owner.pool).enroll(&ids)
 }
 
 fn transaction(
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -326,11 +326,15 @@
         silent
     }
 
-    /// The stored roster names these workers and no others.
-    pub fn enroll(&mut self, ids: &[WorkerId]) {
+    /// The stored roster names these workers and no others. Tells whether one may be given something that might not before.
+    pub fn enroll(&mut self, ids: &[WorkerId]) -> bool {
+        let mut more = false;
         for (id, worker) in &mut self.workers {
-            worker.enrolled = ids.binary_search(id).is_ok();
+            let enrolled = ids.binary_search(id).is_ok();
+            more |= enrolled && !worker.enrolled;
+            worker.enrolled = enrolled;
         }
+        more
     }
 
     /// A worker.
