Owner: progress that is rejected is divided, and one bad row holds up no other

A rejected group of progress was sent again as it was every 60 ms, so one row that is too large (or rows that together are) kept an owner from storing anything. Now a rejected group is halved; a row that is rejected alone is held back for 2 s before it is tried again, and no worker is told to forget ends meanwhile; a roster that is rejected alone is tried again after 2 s.

--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -28,6 +28,8 @@
 const COLLECT: Duration = Duration::from_millis(25);
 /// Pause after a transaction that failed.
 const PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a rejected write of the roster alone, and time for which a rejected row of progress is held back.
+const REJECTED_PAUSE: Duration = Duration::from_secs(2);
 /// Time between two looks for jobs that may be forgotten.
 const SWEEP: Duration = Duration::from_secs(5);
 /// Most jobs that are forgotten in one transaction: two rows each in the table of jobs.
@@ -43,6 +45,8 @@
     let mut swept = tokio::time::Instant::now();
     let mut renamed = swept;
     let mut old: Vec<pool::JobId> = Vec::new();
+    let mut rows_most = ROWS_MOST;
+    let mut held: Vec<(tokio::time::Instant, Batch)> = Vec::new();
     loop {
         drop(tokio::time::timeout(Duration::from_millis(100), owner.dirty.notified()).await);
         if !lock(&owner.pool).urgent() {
@@ -60,11 +64,18 @@
                 continue;
             }
         }
-        let (batch, roster, silent) = {
+        for (_, batch) in held.extract_if(.., |(since, _)| since.elapsed() > REJECTED_PAUSE) {
+            lock(&owner.pool).failed(&batch);
+        }
+        let (mut batch, roster, silent) = {
             let now = clock::now();
             let mut pool = lock(&owner.pool);
-            (pool.batch(ROWS_MOST), pool.roster(now), pool.silent(now))
+            (pool.batch(rows_most), pool.roster(now), pool.silent(now))
         };
+        if !held.is_empty() {
+            // Workers may forget an end only when the progress with it is stored.
+            batch.ends.clear();
+        }
         let next_roster = RosterRow::new(
             claim.roster.serial + 1,
             roster.iter().map(ToString::to_string),
@@ -77,6 +88,7 @@
         let new_heirs = heirs != claim.owner.heirs && renamed.elapsed() > HEIRS_PACE;
         let roster_changed = !same_roster || !same_silent || new_heirs;
         if batch.rows.is_empty() && !roster_changed && !unsure && old.is_empty() {
+            rows_most = rows_most.max(1);
             // Ends that change nothing may be forgotten at once.
             lock(&owner.pool).saved(&batch);
             owner.stored.notify_waiters();
@@ -116,6 +128,7 @@
                     renamed = tokio::time::Instant::now();
                 }
                 unsure = false;
+                rows_most = (rows_most * 2).clamp(1, ROWS_MOST);
                 old.drain(..deletes);
                 owner.unserved.store(0, Ordering::Relaxed);
                 lock(&owner.pool).saved(&batch);
@@ -138,6 +151,20 @@
                     return;
                 }
             },
+            Err(error @ StoreError::Rejected { .. }) => {
+                let rows = batch.rows.len();
+                warn!(error:% = error, rows = rows, roster = rewrite; "progress is rejected");
+                // The same again would be rejected again: less of it may be taken, and shows which row it is.
+                rows_most = rows / 2;
+                if !rewrite && rows == 1 {
+                    held.push((tokio::time::Instant::now(), batch));
+                    rows_most = 1;
+                    continue;
+                }
+                if rows == 0 {
+                    tokio::time::sleep(REJECTED_PAUSE).await;
+                }
+            }
             Err(error) => {
                 warn!(error:% = error, rows = batch.rows.len(); "progress is not stored yet");
                 unsure |= matches!(error, StoreError::Lost { .. });
