A hold after one without an answer names no end

Callers would see a task run twice.

Cause: a worker may begin a new life under its old id, and its ends are numbered anew. The owner that has not heard the new life yet starts tasks there, and its next hold names the last end noted of the former life: the worker forgets the first ends of the new one, and their tasks are started again.

Ruled out: a lease or an order of the former life (the run was ordered 0.36 s before and acknowledged), late answers to holds (none in the log). Now a hold that follows one without an answer names no end; what the worker still lists is known by its number and applied once.

--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -96,7 +96,10 @@
             None if all_noted && heard => UNPROVED,
             _ => Duration::ZERO,
         };
-        let call = ask(owner, id, address, (asked, ends), lease, wait);
+        // A worker that did not answer may be in a new life, whose numbers begin anew: it must not forget ends by those of the
+        // former one.
+        let noted = if lost { 0 } else { ends.2 };
+        let call = ask(owner, id, address, (asked, ends), lease, noted, wait);
         match answer(owner, id, call, wait + ANSWER_TIMEOUT, &mut late).await {
             Ok(listing) => {
                 take(owner, id, ends, asked, listing);
@@ -143,6 +146,7 @@
     address: String,
     (asked, ends): (Ms, (u64, u64, u64)),
     lease: Option<Ms>,
+    noted: u64,
     wait: Duration,
 ) -> BoxFuture<'static, Held> {
     let (workers, id, epoch) = (
@@ -151,9 +155,7 @@
         owner.epoch(),
     );
     Box::pin(async move {
-        let outcome = workers
-            .hold(&address, &id, epoch, lease, ends.2, wait)
-            .await;
+        let outcome = workers.hold(&address, &id, epoch, lease, noted, wait).await;
         Held {
             asked,
             ends,
--- a/crates/pool/tests/late_holds.rs
+++ b/crates/pool/tests/late_holds.rs
@@ -37,3 +37,32 @@
     pool.heard(now, UNIX + now, &started[0].worker, &late);
     assert_eq!(run(&mut pool, now + 1).len(), 0, "it runs already");
 }
+
+/// A worker began a new life under its old id, took a start in it and had done the task when it was heard again. The run was
+/// taken as gone with the former life and started a second time.
+#[test]
+fn an_end_in_a_new_life_that_was_not_known_counts() {
+    let mut pool = pool(3);
+    let short = job("00000000000000d2", &[(1, 1_000, 100)]);
+    adopt(&mut pool, 1_000, short);
+    let started = run(&mut pool, 1_010);
+    assert_eq!(started.len(), 1);
+    let first = &started[0];
+    let end = pool::End {
+        number: 1,
+        task: first.task.clone(),
+        run: first.run,
+        how: pool::How::Done,
+        saved: String::new(),
+    };
+    let reborn = Listing {
+        clock: 500,
+        born: 2,
+        lease: 6_500,
+        asked: 1_500,
+        running: vec![],
+        ended: vec![end],
+    };
+    pool.heard(1_510, UNIX + 1_510, &first.worker, &reborn);
+    assert_eq!(run(&mut pool, 1_520).len(), 0, "it is done");
+}
