--- a/crates/host/src/current.rs
+++ b/crates/host/src/current.rs
@@ -11,7 +11,7 @@
 use log::{info, warn};
 use pool::Ms;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::catalog::Catalog;
 use crate::clock;
@@ -23,8 +23,6 @@
 use crate::rows::{COMMON, PLAN};
 use crate::wire::{Call, Reply};
 
-/// Time between two looks whether owners have something newer; a beat that says so wakes the host at once.
-const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between two looks whether an owner keeps this host current.
 const RELIANCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// A host relies on owners once they tell of a time within this share of the time in which a change has to be in force.
@@ -50,8 +48,10 @@
     relying: AtomicBool,
     /// Since when one is on its way from an owner; 0 if none is.
     fetching: AtomicU64,
-    /// An owner has a newer one.
+    /// An owner has a newer one: told with each of its beats until it is here.
     pub(crate) newer: Notify,
+    /// An owner has a newer plan of pools: told in the same way.
+    pub(crate) newer_plan: Notify,
     /// A newer one is in force.
     pub(crate) changed: Notify,
     /// The configuration as it is sent to other hosts.
@@ -184,7 +184,7 @@
     async fn ask_for_catalog(&self) {
         let mut behind: Option<Instant> = None;
         loop {
-            drop(timeout(OWNER_POLL_INTERVAL, self.current.newer.notified()).await);
+            self.current.newer.notified().await;
             let mine = self.catalog_version();
             let Some(link) = self.ahead(|beat| beat.catalog > mine) else {
                 behind = None;
@@ -208,7 +208,7 @@
 
     async fn ask_for_plan(&self) {
         loop {
-            sleep(OWNER_POLL_INTERVAL).await;
+            self.current.newer_plan.notified().await;
             let mine = self.plan.load().version;
             if let Some(link) = self.ahead(|beat| beat.plan > mine)
                 && let Some(Reply::Plan(plan)) = link.fetch(Call::Plan).await
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -166,11 +166,14 @@
             self.confirm(at, beat.catalog_as_of);
             self.current.told.fetch_max(at, Ordering::Relaxed);
         }
-        if beat.catalog > mine {
+        let (pool, catalog, plan) = (beat.pool, beat.catalog, beat.plan);
+        self.change(pool, |seat| seat.heard = Heard { at: now, beat });
+        if catalog > mine {
             self.current.newer.notify_one();
         }
-        let pool = beat.pool;
-        self.change(pool, |seat| seat.heard = Heard { at: now, beat });
+        if plan > self.plan.load().version {
+            self.current.newer_plan.notify_one();
+        }
     }
 
     /// Version of the configuration in force; 0 if there is none.
