--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -12,11 +12,10 @@
 use crate::outside::{Feed, Page, Store, StoreError};
 
 /// A question for changes waits this long. A connection that has gone silent shows when no answer comes soon after, so
-/// this bounds how long a change may go unseen; the configuration has to be in force within 2.5 s.
+/// this bounds how long a change may go unseen.
 const WAIT: Duration = Duration::from_millis(900);
 /// An answer with as many rows as this is taken for a full one: the store tells 500 rows at a time. It is followed by the
-/// next question at once. With a pause after each, a table of 3,000 workers changed faster than it was told, and the owner
-/// learnt that a worker leaves seconds late.
+/// next question at once: a large table may change faster than it is told with a pause after each answer.
 const FULL: usize = 450;
 /// Age of an answer from which on the next one is asked for without a wait.
 const LATE_ANSWER_MS: Ms = 300;
