The log tells each step and each job in a line, and tasks of a sample only

Seen: on a site of 97 hosts the owner's log gave no answer to where a late job had waited. Change: a line a step (when its turn came, was asked about, answered, started first and last, done) and a line a job (took, objective, time until stored), from times that the pool keeps. Starts, ends and answers are told one by one for one job in sixteen, by a hash of its id, and whenever they are out of the ordinary. `lentilyoke explain` has words for both and says when a job is not in the sample.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -89,6 +89,10 @@
             words(line)
         );
     }
+    let has = |message: &str| found.iter().any(|(_, line)| line.message == message);
+    if has("step") && !has("end") {
+        told.push_str("Its tasks are not told one by one: it is not in the sample.\n");
+    }
     let _ = writeln!(
         told,
         "{} lines; {unread} of {total} lines read are not JSON",
@@ -142,6 +146,28 @@
             of("percent"),
             of("worker")
         ),
+        "step" => format!(
+            "step {}: {} tasks, its turn came {} ms after the job was accepted; advisor asked first after {} ms and answered \
+             after {} ms ({} questions), started from {} to {} ms ({} orders), done after {} ms (a task: {} ms)",
+            of("step"),
+            of("tasks"),
+            of("age"),
+            of("asked"),
+            of("advised"),
+            of("questions"),
+            of("first_start"),
+            of("last_start"),
+            of("starts"),
+            of("done"),
+            of("estimate")
+        ),
+        "job" => format!(
+            "{} {} ms after it was accepted, of an objective of {} ms; stored {} ms later",
+            of("state"),
+            of("took"),
+            of("objective"),
+            of("stored")
+        ),
         "advice" => format!(
             "step {}: the advisor was asked about {} workers and allowed {}",
             of("step"),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -74,3 +74,30 @@
     let error = explain("j2", ["a", "b"].into_iter()).expect_err("they are none");
     assert_eq!(error, Error::NotLines { lines: 2 });
 }
+
+/// Guards against taking the lines of a job that was not sampled for all that happened: nothing of its tasks is there.
+#[test]
+fn a_job_outside_the_sample_is_told_by_steps() {
+    let lines = [
+        line(
+            "02.000",
+            "step",
+            r#""job":"j1","step":"0","tasks":"9","estimate":"513","age":"13","asked":"3","advised":"49","questions":"1","first_start":"53","last_start":"186","starts":"10","done":"913""#,
+        ),
+        line(
+            "02.020",
+            "job",
+            r#""job":"j1","state":"Completed","took":"926","objective":"1270","stored":"19""#,
+        ),
+    ];
+    let told = explain("j1", lines.iter().map(String::as_str)).expect("it is there");
+    let rows: Vec<&str> = told.lines().collect();
+    assert!(rows[0].contains("started from 53 to 186 ms (10 orders), done after 913 ms"));
+    assert!(rows[1].ends_with(
+        "Completed 926 ms after it was accepted, of an objective of 1270 ms; stored 19 ms later"
+    ));
+    assert_eq!(
+        rows[2],
+        "Its tasks are not told one by one: it is not in the sample."
+    );
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`Plan`]: which workers belong to which pool; [`route`]: which pool a job goes to.
 //! * [`packed`]: the configuration as hosts send it to each other.
 //! * [`post`]: which hosts have what a pool needs.
+//! * [`sample`]: which jobs are told in full in the log.
 //! * [`turn`]: how long a host leaves a pool to others.
 //! * [`link`]: what a host asks an owner.
 //! * [`verdict`]: whether an owner is lost.
@@ -32,6 +33,7 @@
 pub mod post;
 pub mod route;
 mod rows;
+pub mod sample;
 mod seat;
 mod session;
 mod settings;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use log::{info, warn};
-use pool::{Mechanism, Ms, Order, Pool, WorkerId};
+use pool::{Mechanism, Ms, Order, Pool, StepTimes, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -25,6 +25,7 @@
 use crate::outside::Page;
 use crate::owners;
 use crate::rows::{JOBS, job_parts};
+use crate::sample::is_told_in_full;
 use crate::writer;
 use advice::Question;
 use directory::Directory;
@@ -244,10 +245,15 @@
                 () = tokio::time::sleep(TICK) => {}
             }
             let began = Instant::now();
-            let (orders, unsaved, deposed) = {
+            let (orders, unsaved, deposed, steps) = {
                 let mut pool = lock(&self.pool);
                 let orders = pool.plan(clock::now(), clock::unix());
-                (orders, pool.unsaved(), pool.deposed())
+                (
+                    orders,
+                    pool.unsaved(),
+                    pool.deposed(),
+                    pool.take_steps_done(),
+                )
             };
             let took = began.elapsed();
             metrics::histogram!("lentilyoke_plan_ms").record(took.as_secs_f64() * 1_000.0);
@@ -268,6 +274,7 @@
             if unsaved {
                 self.dirty.notify_one();
             }
+            steps.iter().for_each(tell_step);
             self.expire_questions();
             tokio::time::sleep(GAP).await;
         }
@@ -320,12 +327,14 @@
                     metrics::counter!("lentilyoke_starts_total", "outcome" => answer.name())
                         .increment(1);
                     let key = &start.task;
-                    info!(
-                        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
-                        task = key.index, run = start.run, worker = &*start.worker, epoch = epoch,
-                        outcome:? = answer, ms = now.saturating_sub(began);
-                        "start"
-                    );
+                    if answer != pool::Answer::Running || is_told_in_full(&key.stage.job) {
+                        info!(
+                            job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
+                            task = key.index, run = start.run, worker = &*start.worker, epoch = epoch,
+                            outcome:? = answer, ms = now.saturating_sub(began);
+                            "start"
+                        );
+                    }
                     lock(&owner.pool).answered(now, &start, answer);
                     if answer != pool::Answer::Running {
                         owner.wake.notify_one();
@@ -369,3 +378,17 @@
         }
     }
 }
+
+/// Logs the course of a step that is complete; -1 where something did not happen under this owner.
+fn tell_step(step: &StepTimes) {
+    let key = &step.stage;
+    let time = |time: Option<Ms>| time.map_or(-1, |time| time as i64);
+    info!(
+        job = &*key.job, occurrence = key.occurrence, step = key.step, queue = step.queue.as_str(),
+        tasks = step.tasks, estimate = step.estimate, age = step.age, asked = time(step.asked),
+        advised = time(step.advised), first_start = time(step.first_start),
+        last_start = time(step.last_start), done = step.done, questions = step.questions,
+        starts = step.starts;
+        "step"
+    );
+}
--- a/crates/host/src/owner/advice.rs
+++ b/crates/host/src/owner/advice.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::host::lock;
 use crate::outside::Allowed;
+use crate::sample::is_told_in_full;
 use crate::wire::FromOwner;
 
 /// A question that another host asks the advisor.
@@ -82,11 +83,13 @@
             "failed"
         };
         metrics::counter!("lentilyoke_advice_total", "outcome" => outcome).increment(1);
-        info!(
-            job = &*ask.stage.job, step = ask.stage.step, asked = ask.workers.len(), takes = ask.takes,
-            allowed = allowed.map_or(-1, |(rows, _)| rows.len() as i64);
-            "advice"
-        );
+        if allowed.is_none() || is_told_in_full(&ask.stage.job) {
+            info!(
+                job = &*ask.stage.job, step = ask.stage.step, asked = ask.workers.len(), takes = ask.takes,
+                allowed = allowed.map_or(-1, |(rows, _)| rows.len() as i64);
+                "advice"
+            );
+        }
         let rows = allowed.map(|(rows, valid)| (rows.as_slice(), *valid));
         lock(&self.pool).advised(clock::now(), ask, rows);
         self.wake.notify_one();
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -11,12 +11,13 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use log::{info, warn};
-use pool::{Listing, Mechanism, Ms, WorkerId};
+use pool::{How, Listing, Mechanism, Ms, WorkerId};
 
 use crate::clock;
 use crate::host::lock;
 use crate::outside::HoldFailure;
 use crate::owner::Owner;
+use crate::sample::is_told_in_full;
 
 /// A hold waits this long for an end. A worker counts as silent after 1.6 s, so one lost hold is borne.
 const WAIT: Duration = Duration::from_millis(600);
@@ -225,9 +226,11 @@
 fn tell_end(id: &WorkerId, end: &pool::End) {
     metrics::counter!("lentilyoke_ends_total", "how" => end.how.name()).increment(1);
     let key = &end.task;
-    info!(
-        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
-        task = key.index, run = end.run, worker = &**id, how = end.how.name();
-        "end"
-    );
+    if end.how != How::Done || is_told_in_full(&key.stage.job) {
+        info!(
+            job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
+            task = key.index, run = end.run, worker = &**id, how = end.how.name();
+            "end"
+        );
+    }
 }
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -132,6 +132,7 @@
                 old.drain(..deletes);
                 owner.unserved.store(0, Ordering::Relaxed);
                 lock(&owner.pool).saved(&batch);
+                tell_jobs(owner);
                 enroll(owner, &claim);
                 owner.stored.notify_waiters();
                 owner.wake.notify_one();
@@ -206,6 +207,19 @@
     gone
 }
 
+/// Logs the courses of jobs whose final states are stored.
+fn tell_jobs(owner: &Owner) {
+    let unix = clock::unix();
+    let jobs = lock(&owner.pool).take_jobs_done();
+    for job in jobs {
+        info!(
+            job = &*job.job, queue = job.queue.as_str(), state:? = job.state, took = job.took,
+            objective = job.objective, stored = unix.saturating_sub(job.closed);
+            "job"
+        );
+    }
+}
+
 /// Makes workers usable as the stored claim allows; tells whether one is that wasn't.
 fn enroll(owner: &Owner, claim: &Claim) -> bool {
     let ids: Vec<WorkerId> = claim
--- a/crates/pool/src/ask.rs
+++ b/crates/pool/src/ask.rs
@@ -203,6 +203,7 @@
         if let Some(stage) = self.stage_mut(key) {
             stage.advised.asking = Some(now);
             stage.advised.asked = Some(now);
+            stage.timeline.asked(now);
         }
         self.orders.push(Order::Ask(Ask {
             stage: key.clone(),
--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -6,6 +6,7 @@
 use crate::pool::Pool;
 use crate::state::State;
 use crate::task::{Ms, Phase, StageKey, TaskKey, WorkerId};
+use crate::timeline::StepTimes;
 
 /// A task that failed waits this long, so that a worker which fails at once doesn't use up all attempts in one place
 /// before its doubt has grown. Short against the objective of quick work.
@@ -179,10 +180,45 @@
         stage.done = stage.tasks.iter().filter(|task| task.done).count();
         if stage.complete() {
             self.open.remove(key);
+            self.note_times(now, key);
             self.settle(now, unix, key);
         }
     }
 
+    /// Notes the course of a step that is complete, for the log.
+    fn note_times(&mut self, now: Ms, key: &StageKey) {
+        let (Some(live), Some(stage)) = (self.jobs.get(&key.job), self.stage(key)) else {
+            return;
+        };
+        let opened = stage.opened.unwrap_or(now);
+        let since = |at: Option<Ms>| at.map(|at| at.saturating_sub(opened));
+        let times = &stage.timeline;
+        let times = StepTimes {
+            stage: key.clone(),
+            queue: live.job.queue.clone(),
+            tasks: stage.tasks.len(),
+            estimate: live
+                .job
+                .steps
+                .get(usize::from(key.step))
+                .map_or(0, |step| step.estimate),
+            age: opened.saturating_sub(live.since),
+            asked: since(times.asked),
+            advised: since(times.advised),
+            first_start: since(times.first_start),
+            last_start: since(times.last_start),
+            done: now.saturating_sub(opened),
+            questions: times.questions,
+            starts: times.starts,
+        };
+        self.steps_done.push(times);
+    }
+
+    /// Takes the courses of the steps that were completed since the last call.
+    pub fn take_steps_done(&mut self) -> Vec<StepTimes> {
+        std::mem::take(&mut self.steps_done)
+    }
+
     /// Completes the job if its last run is over, and lets steps begin.
     pub(crate) fn settle(&mut self, now: Ms, unix: u64, key: &StageKey) {
         let Some(live) = self.jobs.get_mut(&key.job) else {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -33,6 +33,7 @@
 mod settle;
 mod state;
 mod task;
+mod timeline;
 mod watch;
 mod worker;
 
@@ -47,4 +48,5 @@
 pub use save::Batch;
 pub use state::State;
 pub use task::{JobId, Ms, StageKey, TaskKey, WorkerId};
+pub use timeline::{JobTimes, StepTimes};
 pub use worker::{News, Silent, Worker};
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -9,6 +9,7 @@
 use crate::progress::{Course, Progress, StepCourse};
 use crate::state::State;
 use crate::task::{Ms, StageKey, Task, WorkerId};
+use crate::timeline::Timeline;
 
 /// A ticket of the advisor.
 #[derive(Clone, Debug)]
@@ -47,6 +48,8 @@
     pub opened: Option<Ms>,
     /// What the advisor said.
     pub advised: Advised,
+    /// When it was asked about and started.
+    pub timeline: Timeline,
 }
 
 impl Stage {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -83,7 +83,6 @@
         let job = &live.job;
         let scale = self.learned.scale(&job.queue);
         let scaled = |chain: Ms| (chain as f64 * scale) as Ms;
-        let longest = live.chains.iter().max().copied().unwrap_or(0);
         let course = live.open.get(&key.occurrence);
         let since = if job.schedule.is_some() {
             course.map_or(live.since, |course| course.due)
@@ -110,7 +109,7 @@
         let rank = rank(&Claim {
             priority: job.policy.priority,
             age: now.saturating_sub(since),
-            objective: (scaled(longest) as f64 * job.policy.stretch) as Ms + job.policy.objective,
+            objective: self.objective(live),
             chain: scaled(live.chains.get(usize::from(key.step)).copied().unwrap_or(0)),
             work: (work * WORK_UNIT) as u64,
             lasting: job.lasting(),
@@ -118,6 +117,14 @@
         rank.without(&self.options.switches)
     }
 
+    /// Time in which a job should be completed, by what its tasks have taken against their estimates.
+    pub(crate) fn objective(&self, live: &Live) -> Ms {
+        let policy = &live.job.policy;
+        let longest = live.chains.iter().max().copied().unwrap_or(0);
+        let scaled = (longest as f64 * self.learned.scale(&live.job.queue)) as Ms;
+        (scaled as f64 * policy.stretch) as Ms + policy.objective
+    }
+
     /// Counts tasks that serve and tasks that fill on each worker.
     pub(crate) fn mix(&self) -> Mix {
         let mut mix = Mix::default();
@@ -299,6 +306,9 @@
         let saved = task.saved.clone();
         task.run = Some(Run::new(number, Arc::clone(worker), now, latest));
         self.attach(key, worker, number);
+        if let Some(stage) = self.stage_mut(&key.stage) {
+            stage.timeline.started(now);
+        }
         self.orders.push(Order::Start(Start {
             task: key.clone(),
             run: number,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -15,6 +15,7 @@
 use crate::rank::Learned;
 use crate::state::State;
 use crate::task::{JobId, Ms, Phase, StageKey, TaskKey, WorkerId};
+use crate::timeline::{JobTimes, StepTimes};
 use crate::worker::{News, Silent, Worker};
 
 /// What the pool's decisions depend on besides jobs and workers.
@@ -104,6 +105,10 @@
     pub(crate) given: FxHashSet<JobId>,
     /// When jobs that don't fit were looked for last.
     pub(crate) sought: Ms,
+    /// Courses of steps that were completed, for the log.
+    pub(crate) steps_done: Vec<StepTimes>,
+    /// Courses of jobs whose final states were stored, for the log.
+    pub(crate) jobs_done: Vec<JobTimes>,
     /// Orders that came out of news, for the next plan.
     pub(crate) orders: Vec<Order>,
     /// Another owner has a higher epoch.
--- a/crates/pool/src/save.rs
+++ b/crates/pool/src/save.rs
@@ -6,6 +6,7 @@
 use crate::progress::Progress;
 use crate::state::State;
 use crate::task::{JobId, WorkerId};
+use crate::timeline::JobTimes;
 
 /// What is stored in one transaction, and what may be forgotten elsewhere once it is.
 #[derive(Clone, Debug, Default)]
@@ -65,8 +66,12 @@
     /// A batch is stored: callers may be told, and workers may forget.
     pub fn saved(&mut self, batch: &Batch) {
         for (id, progress) in &batch.rows {
-            if let Some(live) = self.jobs.get_mut(id) {
-                live.shown = progress.state;
+            let Some(live) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let told = std::mem::replace(&mut live.shown, progress.state).is_final();
+            if progress.state.is_final() && !told {
+                self.note_job(id);
             }
         }
         for (id, born, number) in &batch.ends {
@@ -78,6 +83,27 @@
         }
     }
 
+    /// Notes the course of a job whose final state is stored, for the log.
+    fn note_job(&mut self, id: &JobId) {
+        let Some(live) = self.jobs.get(id) else {
+            return;
+        };
+        let times = JobTimes {
+            job: Arc::clone(id),
+            queue: live.job.queue.clone(),
+            state: live.state,
+            took: live.closed.saturating_sub(live.job.accepted),
+            objective: self.objective(live),
+            closed: live.closed,
+        };
+        self.jobs_done.push(times);
+    }
+
+    /// Takes the courses of the jobs whose final states were stored since the last call.
+    pub fn take_jobs_done(&mut self) -> Vec<JobTimes> {
+        std::mem::take(&mut self.jobs_done)
+    }
+
     /// A batch was not stored: its jobs are to be stored again.
     pub fn failed(&mut self, batch: &Batch) {
         for (id, _) in &batch.rows {
--- a/crates/pool/src/settle.rs
+++ b/crates/pool/src/settle.rs
@@ -149,6 +149,7 @@
             stage.advised.rest = now + REST_ASK;
             return;
         };
+        stage.timeline.advised(now);
         for ((id, text), born) in rows.iter().zip(lives) {
             stage.advised.denied.remove(id);
             stage.advised.allowed.insert(
