Short questions go to the host whose answer is back soonest, long ones far away

Callers: each step of a quick check waited 81 ms on average for the advisor's answer, in two groups of 45 and 130 ms; on a full pool half of them 130 ms. Cause: the host that is free soonest was asked, whatever the way. Half of the hosts are in the other region: 20 ms to the host, 20 ms from there to the advisor, and back. Ruled out: the advisor's own time (37 ms for 17 workers), the queue (few ms). Short questions by when the answer is back, learned by how late a host's answers were; long ones by which host is free, the farthest first.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`Store`], [`Workers`], [`Advisor`], [`Decode`]: what a host needs from outside, as traits.
 //! * [`asking`]: calls whose answers are overdue or late.
 //! * [`Catalog`]: queues in force; [`follow`]: how a table is followed.
+//! * [`helpers`]: which host asks the advisor.
 //! * [`Host`]: what callers ask ([`Host::submit`], [`Host::state`], [`Host::cancel`], [`Host::pending`]).
 //! * [`insert`]: how a job's row is written, once.
 //! * [`Plan`]: which workers belong to which pool; [`route`]: which pool a job goes to.
@@ -23,6 +24,7 @@
 mod election;
 pub mod follow;
 mod front;
+pub mod helpers;
 mod host;
 pub mod insert;
 pub mod link;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -21,6 +21,7 @@
 use crate::claim::Claim;
 use crate::clock;
 use crate::follow::follow;
+use crate::helpers::Helper;
 use crate::host::{Host, lock};
 use crate::outside::Page;
 use crate::owners;
@@ -66,8 +67,8 @@
     members: Mutex<FxHashMap<String, Member>>,
     numbers: AtomicU64,
     questions: Mutex<FxHashMap<u64, Question>>,
-    /// The advisor is done with this host's own questions by then.
-    busy: AtomicU64,
+    /// How this host answers its own questions to the advisor.
+    helper: Mutex<Helper>,
     /// Jobs are known: callers may be told what isn't there.
     loaded: AtomicBool,
     /// The transaction up to which they were read then.
@@ -102,7 +103,7 @@
             members: Mutex::default(),
             numbers: AtomicU64::new(1),
             questions: Mutex::default(),
-            busy: AtomicU64::new(0),
+            helper: Mutex::default(),
             loaded: AtomicBool::new(false),
             read_to: AtomicU64::new(0),
             unserved: AtomicU64::new(0),
--- a/crates/host/src/owner/advice.rs
+++ b/crates/host/src/owner/advice.rs
@@ -10,6 +10,7 @@
 use super::Owner;
 use super::members::QUIET;
 use crate::clock;
+use crate::helpers::Due;
 use crate::host::lock;
 use crate::outside::Allowed;
 use crate::sample::is_told_in_full;
@@ -17,33 +18,37 @@
 
 /// A question that another host asks the advisor.
 pub(super) struct Question {
-    pub(super) ask: Ask,
-    pub(super) until: Ms,
+    ask: Ask,
+    until: Ms,
+    /// The host that asks, and when its answer is due.
+    helper: String,
+    due: Due,
 }
 
 impl Owner {
     /// Has the advisor asked by the host that is free soonest: it serves one question at a time for each host.
     pub(super) fn ask(self: &Arc<Self>, ask: Ask) {
         let now = clock::now();
-        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
-        let own = self.busy.load(Ordering::Relaxed).max(now);
         let helper = {
+            let own = lock(&self.helper).place(now, 0, ask.takes);
             let mut members = lock(&self.members);
             let best = members
-                .values_mut()
-                .filter(|member| member.helps && now.saturating_sub(member.heard) < QUIET)
-                .min_by_key(|member| member.busy);
-            match best {
-                Some(member) if member.busy.max(now) < own => {
-                    member.busy = member.busy.max(now) + ask.takes;
-                    Some(member.to.clone())
-                }
-                _ => None,
-            }
+                .iter_mut()
+                .filter(|(_, member)| member.helps && now.saturating_sub(member.heard) < QUIET)
+                .map(|(name, member)| {
+                    let place = member.helper.place(now, member.away, ask.takes);
+                    (place, name, member)
+                })
+                .min_by_key(|(place, ..)| *place);
+            best.filter(|(place, ..)| *place < own)
+                .map(|(_, name, member)| {
+                    let due = member.helper.ask(now, ask.takes);
+                    (name.clone(), member.to.clone(), due)
+                })
         };
-        let takes = Duration::from_millis(ask.takes);
         match helper {
-            Some(to) => {
+            Some((name, to, due)) => {
+                let number = self.numbers.fetch_add(1, Ordering::Relaxed);
                 let key = &ask.stage;
                 let message = FromOwner::Advise {
                     number,
@@ -51,18 +56,25 @@
                     workers: ask.workers.iter().map(ToString::to_string).collect(),
                     takes: ask.takes,
                 };
-                let until = now + ask.takes * 3 + 1_000;
-                lock(&self.questions).insert(number, Question { ask, until });
+                let question = Question {
+                    until: now + ask.takes * 3 + 1_000,
+                    ask,
+                    helper: name,
+                    due,
+                };
+                lock(&self.questions).insert(number, question);
                 if to.try_send(message).is_err() {
                     self.told_advice(number, None);
                 }
             }
             None => {
-                self.busy.store(own + ask.takes, Ordering::Relaxed);
+                let due = lock(&self.helper).ask(now, ask.takes);
                 let owner = Arc::clone(self);
                 self.host.stop.spawn(async move {
+                    let takes = Duration::from_millis(ask.takes);
                     let advisor = Arc::clone(&owner.host.advisor);
                     let allowed = advisor.ask(&ask.stage, &ask.workers, takes).await;
+                    lock(&owner.helper).answered(clock::now(), due);
                     owner.advised(&ask, allowed.as_ref());
                 });
             }
@@ -72,6 +84,9 @@
     pub(super) fn told_advice(&self, number: u64, allowed: Option<&Allowed>) {
         let question = lock(&self.questions).remove(&number);
         if let Some(question) = question {
+            if let Some(member) = lock(&self.members).get_mut(&question.helper) {
+                member.helper.answered(clock::now(), question.due);
+            }
             self.advised(&question.ask, allowed);
         }
     }
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -15,6 +15,7 @@
 use super::Owner;
 use crate::clock;
 use crate::election::NEAR_MS;
+use crate::helpers::Helper;
 use crate::host::lock;
 use crate::peers::BEAT;
 use crate::post::Post;
@@ -49,11 +50,11 @@
     sent: Ms,
     /// Since when the store serves it, as far as it said; `None` if it doesn't.
     served: Option<Ms>,
-    away: u64,
+    pub(super) away: u64,
     /// How many pools it owns.
     owns: u32,
-    /// The advisor is done with its questions by then.
-    pub(super) busy: Ms,
+    /// How it answers questions to the advisor.
+    pub(super) helper: Helper,
     /// It asks the advisor for this pool: the advisor serves one question at a time for each host, so hosts are divided
     /// over the pools.
     pub(super) helps: bool,
@@ -308,7 +309,7 @@
                 away: u64::MAX,
                 owns: 0,
                 helps: self.is_helped_by(name),
-                busy: 0,
+                helper: Helper::default(),
             },
         );
         info!(pool = self.number, host = name, epoch = self.epoch; "a host joined the owner");
