Steps that are asked about at the same time name different workers

Callers: on a pool full of long work a step of 9 to 15 quick tasks had its last task started 244 ms after its first one on average, without any failure, while 7% of the room was free: it asked 2.9 times. Cause: each question names the workers with most room, by name among equals, so all steps that are asked about within the same 50 to 600 ms name the same ones; the first to be answered takes the room and the others ask again. Change: a worker counts as good if it has room for as many tasks as each of the least question should take; among equals each step draws its own. Test, seen failing first: 15 of 15 workers were named by all three steps.

--- a/crates/pool/src/advice.rs
+++ b/crates/pool/src/advice.rs
@@ -5,6 +5,11 @@
 //! So as many are named as give room for what waits with the share of yes that was seen, and a third more; and always as
 //! many as add little to the fixed time. Answers about a step never change, so what was asked too early is of use later.
 
+use std::cmp::Reverse;
+use std::hash::BuildHasher as _;
+
+use rustc_hash::FxBuildHasher;
+
 use crate::job::Advice;
 use crate::task::{Ms, WorkerId};
 
@@ -41,35 +46,66 @@
     (advice.base + advice.each * workers as f64) as Ms
 }
 
-/// Chooses whom to ask about for `need` tasks, given the share of yes: those that were allowed before and have room first,
-/// then those with most room; at most `most`, and at least `cheap` if there are so many.
+/// What a question is for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// How many tasks wait.
+    pub need: u32,
+    /// Share of workers that are allowed, as seen so far.
+    pub yes: f64,
+    /// Most workers in the question.
+    pub most: usize,
+    /// Least workers in the question, if there are so many.
+    pub cheap: usize,
+    /// Differs from step to step: of workers that are as good, each step asks about others.
+    pub seed: u64,
+}
+
+impl Wanted {
+    /// For how many tasks a worker should have room, so that the least question is enough.
+    fn each(&self) -> u32 {
+        let allowed = (self.cheap as f64 * self.yes).max(1.0);
+        let each = f64::from(self.need) * SPARE / allowed;
+        each.ceil().max(1.0) as u32
+    }
+
+    fn draw(&self, worker: &WorkerId) -> u64 {
+        FxBuildHasher.hash_one((self.seed, worker))
+    }
+}
+
+/// Chooses whom to ask about: those that were allowed before and have room first, then those with room for as many tasks as
+/// each should take; among equals by chance. Steps are asked about at the same time, and if all named the workers with most
+/// room, they would get the same answers, and all but the first would find that room taken.
 ///
 /// ```
-/// use pool::advice::{Choice, choose};
+/// use pool::advice::{Choice, Wanted, choose};
 ///
 /// let all: Vec<Choice> = (0..40)
 ///     .map(|at| Choice { worker: format!("w{at}").into(), fits: 2, known: false })
 ///     .collect();
-/// assert_eq!(choose(4, &all, 0.5, 30, 0).len(), 6);
-/// assert_eq!(choose(4, &all, 0.5, 30, 17).len(), 17);
+/// let wanted = Wanted { need: 4, yes: 0.5, most: 30, cheap: 0, seed: 1 };
+/// assert_eq!(choose(&wanted, &all).len(), 6);
+/// assert_eq!(choose(&Wanted { cheap: 17, ..wanted }, &all).len(), 17);
 /// ```
 #[must_use]
-pub fn choose(need: u32, choices: &[Choice], yes: f64, most: usize, cheap: usize) -> Vec<WorkerId> {
+pub fn choose(wanted: &Wanted, choices: &[Choice]) -> Vec<WorkerId> {
+    let each = wanted.each();
     let mut order: Vec<&Choice> = choices.iter().collect();
-    order.sort_by(|a, b| {
-        (b.known && b.fits > 0, b.fits, b.known)
-            .cmp(&(a.known && a.fits > 0, a.fits, a.known))
-            .then_with(|| a.worker.cmp(&b.worker))
+    order.sort_by_cached_key(|choice| {
+        let fits = choice.fits.min(each);
+        let known = choice.known && fits > 0;
+        Reverse((known, fits, choice.known, wanted.draw(&choice.worker)))
     });
     let mut expected = 0.0;
     let mut chosen = Vec::new();
     for choice in order {
-        let enough = expected >= f64::from(need) * SPARE || choice.fits == 0;
-        if chosen.len() >= most || enough && chosen.len() >= cheap {
+        let enough = expected >= f64::from(wanted.need) * SPARE || choice.fits == 0;
+        if chosen.len() >= wanted.most || enough && chosen.len() >= wanted.cheap {
             break;
         }
-        let yes = if choice.known { 1.0 } else { yes };
-        expected += f64::from(choice.fits.min(need)) * yes;
+        let yes = if choice.known { 1.0 } else { wanted.yes };
+        expected += f64::from(choice.fits.min(wanted.need)) * yes;
         chosen.push(choice.worker.clone());
     }
     chosen
--- a/crates/pool/src/ask.rs
+++ b/crates/pool/src/ask.rs
@@ -1,8 +1,11 @@
 //! When the advisor is asked about a step.
 
+use std::hash::BuildHasher as _;
 use std::sync::Arc;
 
-use crate::advice::{self, Choice, choose};
+use rustc_hash::FxBuildHasher;
+
+use crate::advice::{self, Choice, Wanted, choose};
 use crate::fit;
 use crate::job::{Advice, Job, Step};
 use crate::mechanism::Mechanism;
@@ -105,13 +108,14 @@
         } else {
             u32::MAX
         };
-        let workers = choose(
+        let wanted = Wanted {
             need,
-            &choices,
             yes,
-            self.options.ask_most,
-            self.cheap(&advice),
-        );
+            most: self.options.ask_most,
+            cheap: self.cheap(&advice),
+            seed: FxBuildHasher.hash_one(key),
+        };
+        let workers = choose(&wanted, &choices);
         self.send_question(now, key, advice, workers);
     }
 
@@ -136,7 +140,14 @@
             return;
         }
         let choices = self.choices(now, key, job, step, step.count);
-        let workers = choose(0, &choices, 1.0, self.options.ask_most, cheap);
+        let wanted = Wanted {
+            need: 0,
+            yes: 1.0,
+            most: self.options.ask_most,
+            cheap,
+            seed: FxBuildHasher.hash_one(key),
+        };
+        let workers = choose(&wanted, &choices);
         self.send_question(now, key, advice, workers);
     }
 
--- a/crates/pool/tests/advice.rs
+++ b/crates/pool/tests/advice.rs
@@ -209,3 +209,37 @@
     }
     false
 }
+
+/// Guards against quick steps that are asked about at the same time and all name the workers with most room: they get room on the
+/// same few workers, the first takes it, and the others have to ask again.
+#[test]
+fn steps_at_the_same_time_are_asked_about_different_workers() {
+    let mut pool = Pool::new(Options {
+        askers: 20,
+        ..Options::default()
+    });
+    list_workers(&mut pool, 60);
+    for at in 0..3 {
+        let mut advised = job(&format!("00000000000000d{at}"), &[(4, 2_000, 500)]);
+        advised.policy.advice = Some(Advice {
+            base: 30.0,
+            each: 0.5,
+            valid: 2_000,
+        });
+        adopt(&mut pool, 1_010, advised);
+    }
+    let asked = pool
+        .plan(1_020, UNIX)
+        .into_iter()
+        .filter_map(|order| match order {
+            Order::Ask(ask) => Some(ask.workers),
+            _ => None,
+        });
+    let asked: Vec<_> = asked.collect();
+    assert_eq!(asked.len(), 3);
+    let shared = asked[0]
+        .iter()
+        .filter(|id| asked[1].contains(id) && asked[2].contains(id))
+        .count();
+    assert!(shared <= asked[0].len() / 3, "{shared} of {asked:?}");
+}
