Hosts ask for changes of the plan seldom, and the owner tells of a regained store

Cause: all followers ask in the same rhythm: 0.9 s, and each 0.12 s while the store is down, which is 800 calls a second from 97 hosts. Change: a follower has a rhythm. Hosts that owners keep current wait 2 s for a change of the plan and 0.4 s after a failure; a store counts as serving for 2.6 s. Owners ask as before, and send a beat at once when the store serves them again, so that the others have jobs stored by the owner before their own next question. Test: host/tests/follow.rs, paused clock, calls of a minute counted.

--- a/crates/host/src/current.rs
+++ b/crates/host/src/current.rs
@@ -15,7 +15,7 @@
 
 use crate::catalog::Catalog;
 use crate::clock;
-use crate::follow::{Change, follow};
+use crate::follow::{Change, Rhythm, follow};
 use crate::host::{Host, lock};
 use crate::outside::Page;
 use crate::packed::Packed;
@@ -32,6 +32,11 @@
 /// A host that reads the store asks an owner as well after it has been behind for this long, and one that asks an owner reads
 /// the store as well after it has waited for this long.
 const SECOND_SOURCE_DELAY: Duration = Duration::from_millis(1_000);
+/// A host that owners keep current asks the store for a change of the plan so often, to know that the store serves it. Hosts
+/// that ask callers' jobs in know that from their inserts too.
+const PLAN_WAIT: Duration = Duration::from_millis(2_000);
+/// It asks again so often while the store doesn't serve it. An owner, which asks more often, tells when it is served again.
+const PLAN_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Pause after an owner's configuration that can't be read; the next one would hardly differ.
 const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -132,7 +137,7 @@
             table,
             &parts,
             from,
-            Duration::ZERO,
+            Rhythm::default(),
             |change| match change {
                 Change::All(page) | Change::Some(page) => self.take_up_catalog(&page, key),
                 Change::Failed(error) => {
@@ -157,7 +162,8 @@
     async fn follow_plan(&self) {
         let parts = [COMMON.to_owned()];
         let store = self.store.as_ref();
-        follow(store, PLAN, &parts, None, Duration::ZERO, |change| {
+        let rhythm = Rhythm::default().wait(PLAN_WAIT).retry(PLAN_RETRY_DELAY);
+        follow(store, PLAN, &parts, None, rhythm, |change| {
             let rows = match change {
                 Change::All(page) | Change::Some(page) => page.rows,
                 Change::Failed(error) => {
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -11,16 +11,11 @@
 use crate::clock;
 use crate::outside::{Feed, Page, Store, StoreError};
 
-/// A question for changes waits this long. A connection that has gone silent shows when no answer comes soon after, so
-/// this bounds how long a change may go unseen.
-const WAIT: Duration = Duration::from_millis(900);
 /// An answer with as many rows as this is taken for a full one: the store tells 500 rows at a time. It is followed by the
 /// next question at once: a large table may change faster than it is told with a pause after each answer.
 const FULL: usize = 450;
 /// Age of an answer from which on the next one is asked for without a wait.
 const LATE_ANSWER_MS: Ms = 300;
-/// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(120);
 /// Reads that are under way at once when a table is read, at first: enough for the way between regions.
 const READS_FIRST: usize = 32;
 /// The same at most.
@@ -32,6 +27,48 @@
 /// The same at most: this much later than it could a reader notices that the store is back.
 const READ_RETRY_MOST: Duration = Duration::from_millis(320);
 
+/// How often a follower asks. Each question is a call that the store counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Rhythm {
+    /// A question for changes waits this long. A connection that has gone silent shows when no answer comes soon after, so
+    /// this bounds how long a change may go unseen.
+    pub wait: Duration,
+    /// Pause after an answer with changes: a table that changes all the time would be asked about all the time.
+    pub pause: Duration,
+    /// Pause after a failed call.
+    pub retry: Duration,
+}
+
+impl Default for Rhythm {
+    fn default() -> Self {
+        Self {
+            wait: Duration::from_millis(900),
+            pause: Duration::ZERO,
+            retry: Duration::from_millis(120),
+        }
+    }
+}
+
+impl Rhythm {
+    /// With this longest wait for changes.
+    #[must_use]
+    pub fn wait(self, wait: Duration) -> Self {
+        Self { wait, ..self }
+    }
+
+    /// With this pause after changes.
+    #[must_use]
+    pub fn pause(self, pause: Duration) -> Self {
+        Self { pause, ..self }
+    }
+
+    /// With this pause after a failed call.
+    #[must_use]
+    pub fn retry(self, retry: Duration) -> Self {
+        Self { retry, ..self }
+    }
+}
+
 /// What a follower learns.
 #[derive(Debug)]
 pub enum Change {
@@ -48,9 +85,6 @@
 /// After a failure it asks for what there is now, without waiting for changes: the answer tells that the store is back.
 /// A host that waited for a change refused callers for one to two seconds after an outage had ended.
 ///
-/// Between two questions it pauses for `pace`: a table that changes all the time would be asked about all the time, and
-/// each call costs.
-///
 /// Reads may lag behind while the store compacts its history: a list that is older than what was seen already is read
 /// again, so that nothing older is ever told after something newer.
 pub async fn follow(
@@ -58,13 +92,13 @@
     table: &str,
     parts: &[String],
     from: Option<u64>,
-    pace: Duration,
+    rhythm: Rhythm,
     mut tell: impl FnMut(Change),
 ) {
     let mut newest = from.unwrap_or(0);
     let mut listed = from.is_some();
     // What is known already may be old.
-    let mut wait = if listed { Duration::ZERO } else { WAIT };
+    let mut wait = if listed { Duration::ZERO } else { rhythm.wait };
     loop {
         if !listed {
             let page = read(store, table, parts, newest).await;
@@ -80,19 +114,19 @@
                 feed.at = known_at(asked, wait, &feed);
                 // After an answer that took long a short one tells that nothing has changed since.
                 let late = clock::now().saturating_sub(feed.at) > LATE_ANSWER_MS;
-                wait = if late { Duration::ZERO } else { WAIT };
+                wait = if late { Duration::ZERO } else { rhythm.wait };
                 feed.rows.retain(|row| parts.contains(&row.part));
                 let any = !feed.rows.is_empty();
                 tell(Change::Some(feed));
-                if any && !full && !pace.is_zero() {
-                    tokio::time::sleep(pace).await;
+                if any && !full && !rhythm.pause.is_zero() {
+                    tokio::time::sleep(rhythm.pause).await;
                 }
             }
             Err(StoreError::Gone) => listed = false,
             Err(error) => {
                 wait = Duration::ZERO;
                 tell(Change::Failed(error));
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(rhythm.retry).await;
             }
         }
     }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -23,8 +23,8 @@
 /// A configuration that was confirmed longer ago than this share of the time in which a change has to be in force may be
 /// out of date: nothing is accepted by it. The rest is for requests that are in hand then.
 const CURRENT: f64 = 0.88;
-/// The store counts as serving a host if it has done so within this time.
-pub(crate) const SERVED: Ms = 1_500;
+/// The store counts as serving a host if it has done so within this time: each host asks it for changes more often.
+const SERVED: Ms = 2_600;
 
 /// Answers to questions for changes take as long as nothing changes; they say nothing about the store's speed.
 const LONGEST_ANSWER: u64 = 10_000;
@@ -61,6 +61,8 @@
     pub(crate) unowned: Notify,
     /// Rows of the pools' owners.
     pub(crate) owners: Owners,
+    /// The store serves this host again.
+    pub(crate) regained: Notify,
     /// The plan has changed.
     pub(crate) replanned: Notify,
     pub(crate) knows_owner: AtomicBool,
@@ -94,6 +96,7 @@
             plan: ArcSwap::default(),
             unowned: Notify::new(),
             owners: Owners::default(),
+            regained: Notify::new(),
             replanned: Notify::new(),
             knows_owner: AtomicBool::new(false),
         })
@@ -211,6 +214,7 @@
         }
         if answered && before > 0 {
             info!(dependency = "store", ms = clock::now().saturating_sub(before); "regained");
+            self.regained.notify_waiters();
         } else if !answered && before == 0 {
             warn!(dependency = "store"; "lost");
         }
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -20,7 +20,7 @@
 
 use crate::claim::Claim;
 use crate::clock;
-use crate::follow::follow;
+use crate::follow::{Rhythm, follow};
 use crate::helpers::Helper;
 use crate::host::{Host, lock};
 use crate::outside::Page;
@@ -205,7 +205,7 @@
             JOBS,
             &parts,
             Some(version),
-            JOBS_PACE,
+            Rhythm::default().pause(JOBS_PACE),
             |change| {
                 self.jobs_changed(change);
             },
@@ -215,7 +215,7 @@
             &places.workers,
             &common,
             Some(after),
-            WORKERS_PACE,
+            Rhythm::default().pause(WORKERS_PACE),
             |change| {
                 self.workers_changed(change);
             },
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -9,7 +9,6 @@
 use pool::{Mechanism, Ms, WorkerId};
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::Owner;
@@ -237,7 +236,12 @@
             }
             lock(&self.pool).set_askers(alive);
             self.host.hear(beat);
-            drop(timeout(BEAT, self.host.current.changed.notified()).await);
+            tokio::select! {
+                () = tokio::time::sleep(BEAT) => {}
+                () = self.host.current.changed.notified() => {}
+                // Hosts that the store doesn't serve yet have their callers' jobs stored by the owner.
+                () = self.host.regained.notified() => {}
+            }
         }
     }
 
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/seat.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::clock;
-use crate::host::{Host, SERVED, lock};
+use crate::host::{Host, lock};
 use crate::link::Link;
 use crate::owner::Owner;
 use crate::route::Load;
@@ -15,6 +15,8 @@
 
 /// An owner whose last beat is older than four of them may be gone.
 const RECENT: Ms = 1_000;
+/// What an owner said of the store counts for this long.
+const SERVED_NEWS: Ms = 1_500;
 
 /// What this host heard from an owner last.
 #[derive(Clone, Debug, Default)]
@@ -122,7 +124,7 @@
         let served = seats.iter().find(|seat| {
             seat.link.is_some()
                 && seat.heard.beat.served
-                && now.saturating_sub(seat.heard.at) < SERVED
+                && now.saturating_sub(seat.heard.at) < SERVED_NEWS
         });
         served.and_then(|seat| seat.link.clone())
     }
--- a/crates/host/tests/follow.rs
+++ b/crates/host/tests/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use host::follow::{Change, follow, read};
+use host::follow::{Change, Rhythm, follow, read};
 use host::{Feed, Page, Row, Store, StoreError, Transaction};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -73,11 +73,18 @@
     let parts = [String::new()];
     let pace = Duration::from_millis(350);
     let mut most = 0;
-    let following = follow(&store, "workers", &parts, Some(0), pace, |change| {
-        if let Change::Some(feed) = change {
-            most = most.max(feed.rows.len());
-        }
-    });
+    let following = follow(
+        &store,
+        "workers",
+        &parts,
+        Some(0),
+        Rhythm::default().pause(pace),
+        |change| {
+            if let Change::Some(feed) = change {
+                most = most.max(feed.rows.len());
+            }
+        },
+    );
     drop(timeout(Duration::from_secs(20), following).await);
     let behind = store.written() - *store.told.lock().expect("not poisoned");
     assert!(behind < WRITES, "{behind} rows behind");
@@ -255,7 +262,7 @@
         let store = Away { back };
         let parts = [String::new()];
         let mut answered = None;
-        let following = follow(&store, "op", &parts, Some(0), Duration::ZERO, |change| {
+        let following = follow(&store, "op", &parts, Some(0), Rhythm::default(), |change| {
             if let Change::Some(_) = change {
                 answered.get_or_insert(Instant::now());
             }
@@ -317,7 +324,7 @@
         let store = Distant { back, row };
         let parts = [String::new()];
         let mut ages = Vec::new();
-        let following = follow(&store, "op", &parts, Some(0), Duration::ZERO, |change| {
+        let following = follow(&store, "op", &parts, Some(0), Rhythm::default(), |change| {
             if let Change::Some(feed) = change {
                 ages.push(host::clock::now().saturating_sub(feed.at));
             }
@@ -328,3 +335,60 @@
         assert!(ages.iter().all(|age| *age >= least), "{ages:?}");
     }
 }
+
+/// A store that counts questions for changes, and waits or refuses.
+struct Counted {
+    asked: Mutex<u32>,
+    refuses: bool,
+}
+
+#[async_trait]
+impl Store for Counted {
+    async fn commit(&self, _: &Transaction) -> Result<u64, StoreError> {
+        Ok(0)
+    }
+
+    async fn page(&self, _: &str, _: &str, _: &str) -> Result<Page, StoreError> {
+        Ok(Page::default())
+    }
+
+    async fn get(&self, _: &str, _: &str, _: &str) -> Result<Option<Row>, StoreError> {
+        Ok(None)
+    }
+
+    async fn feed(&self, _: &str, after: u64, wait: Duration) -> Result<Feed, StoreError> {
+        *self.asked.lock().expect("not poisoned") += 1;
+        if self.refuses {
+            let why = "down".to_owned();
+            return Err(StoreError::Refused { why });
+        }
+        sleep(wait).await;
+        Ok(Feed {
+            version: after,
+            ..Feed::default()
+        })
+    }
+}
+
+async fn questions(refuses: bool, rhythm: Rhythm) -> u32 {
+    let store = Counted {
+        asked: Mutex::default(),
+        refuses,
+    };
+    let parts = [String::new()];
+    let following = follow(&store, "plan", &parts, Some(0), rhythm, |_| {});
+    drop(timeout(Duration::from_secs(60), following).await);
+    let asked = store.asked.lock().expect("not poisoned");
+    *asked
+}
+
+/// Guards against hundreds of hosts that ask the store for changes of a table that hardly changes, and all the more while it is
+/// down: half of all calls of a quiet day were such questions.
+#[tokio::test(start_paused = true)]
+async fn a_table_that_hardly_changes_is_asked_about_seldom() {
+    let seldom = Rhythm::default()
+        .wait(Duration::from_secs(2))
+        .retry(Duration::from_millis(400));
+    assert!(questions(false, seldom).await <= 32);
+    assert!(questions(true, seldom).await <= 151);
+}
