An owner that the store turns away gives its pool up after 0.2 s, not 0.8 s

Cause: the owner waited 0.8 s, whether the store refused it or did not answer, and demanded that another host had been served for as long; it could not know sooner that others were served, since a host without callers asks the store once a second. Ruled out: the takeover (48 ms until jobs are known). Change: host::unserved. A refusal is an answer: 0.2 s of nothing but refusals are enough if the other host got an answer after they had begun. An owner's beat says that its calls fail; hosts that hear it ask the store 0.1 s later and tell at once.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -16,6 +16,7 @@
 use crate::outside::{Advisor, Decode, Store, Workers};
 use crate::owners::Owners;
 use crate::plan::Plan;
+use crate::rows::{COMMON, PLAN};
 use crate::seat::{Heard, Seat};
 use crate::settings::Settings;
 use crate::wire::Beat;
@@ -32,6 +33,11 @@
 const PATIENCE_LEAST: Duration = Duration::from_millis(160);
 /// Callers wait three seconds, so a third call would come too late.
 const PATIENCE_MOST: Duration = Duration::from_millis(900);
+/// A host waits this long before it asks the store whether it is served: an answer that the store gave before it began to refuse
+/// says nothing, and a store that has just begun to refuse all may have answered this host a moment ago.
+const PROBE_DELAY: Duration = Duration::from_millis(100);
+/// A host asks the store no more often than this whether it is served while an owner isn't.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// A store that has failed all calls for this long doesn't serve this host.
 const FAILING: Ms = 400;
 
@@ -61,8 +67,12 @@
     pub(crate) unowned: Notify,
     /// Rows of the pools' owners.
     pub(crate) owners: Owners,
-    /// The store serves this host again.
-    pub(crate) regained: Notify,
+    /// The store serves this host again, or serves it no more.
+    pub(crate) store_changed: Notify,
+    /// An owner has lost the store: whether it serves this host is to be found out.
+    pub(crate) doubted: Notify,
+    /// That was found out.
+    pub(crate) probed: Notify,
     /// The plan has changed.
     pub(crate) replanned: Notify,
     pub(crate) knows_owner: AtomicBool,
@@ -96,7 +106,9 @@
             plan: ArcSwap::default(),
             unowned: Notify::new(),
             owners: Owners::default(),
-            regained: Notify::new(),
+            store_changed: Notify::new(),
+            doubted: Notify::new(),
+            probed: Notify::new(),
             replanned: Notify::new(),
             knows_owner: AtomicBool::new(false),
         })
@@ -108,9 +120,38 @@
             self.follow_catalog(),
             crate::election::run(self),
             crate::peers::listen(self),
+            self.probe(),
         );
     }
 
+    /// Asks the store when an owner has lost it, and has the answer told to owners at once. A host without callers may not have
+    /// asked for seconds.
+    async fn probe(&self) {
+        loop {
+            tokio::select! {
+                () = self.doubted.notified() => {}
+                () = self.stop.ended() => return,
+            }
+            tokio::time::sleep(PROBE_DELAY).await;
+            // Whether it was answered is noted for all calls alike.
+            drop(self.store.get(PLAN, COMMON, PLAN).await);
+            self.probed.notify_waiters();
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+    }
+
+    /// How long ago the store answered this host last; `None` if it never did.
+    pub(crate) fn answered(&self) -> Option<Ms> {
+        let at = self.served_at.load(Ordering::Relaxed);
+        (at > 0).then(|| clock::now().saturating_sub(at))
+    }
+
+    /// Since when all calls to the store have failed; `None` if the last one was answered.
+    pub(crate) fn failing_since(&self) -> Option<Ms> {
+        let since = self.failing.load(Ordering::Relaxed);
+        (since > 0).then_some(since)
+    }
+
     /// The configuration in force, if it is known to be current.
     #[must_use]
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
@@ -169,6 +210,9 @@
             self.confirm(at, beat.catalog_as_of);
             self.current.told.fetch_max(at, Ordering::Relaxed);
         }
+        if beat.failing && self.owns() == 0 {
+            self.doubted.notify_one();
+        }
         let (pool, catalog, plan) = (beat.pool, beat.catalog, beat.plan);
         self.change(pool, |seat| seat.heard = Heard { at: now, beat });
         if catalog > mine {
@@ -214,9 +258,10 @@
         }
         if answered && before > 0 {
             info!(dependency = "store", ms = clock::now().saturating_sub(before); "regained");
-            self.regained.notify_waiters();
+            self.store_changed.notify_waiters();
         } else if !answered && before == 0 {
             warn!(dependency = "store"; "lost");
+            self.store_changed.notify_waiters();
         }
     }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`sample`]: which jobs are told in full in the log.
 //! * [`turn`]: how long a host leaves a pool to others.
 //! * [`link`]: what a host asks an owner.
+//! * [`unserved`]: when an owner without the store gives its pool up.
 //! * [`verdict`]: whether an owner is lost.
 //! * [`wire`]: what hosts say to each other.
 //! * [`Owner`]: a pool's owner: takes over, holds workers, starts tasks, stores progress.
@@ -44,6 +45,7 @@
 mod timed_reader;
 mod transfer;
 pub mod turn;
+pub mod unserved;
 pub mod verdict;
 pub mod wire;
 mod writer;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -27,6 +27,7 @@
 use crate::owners;
 use crate::rows::{JOBS, job_parts};
 use crate::sample::is_told_in_full;
+use crate::unserved::Unserved;
 use crate::writer;
 use advice::Question;
 use directory::Directory;
@@ -73,8 +74,8 @@
     loaded: AtomicBool,
     /// The transaction up to which they were read then.
     read_to: AtomicU64,
-    /// The store refuses or doesn't answer this owner's writes since then; 0 if it does.
-    pub(crate) unserved: AtomicU64,
+    /// Since when the store refuses or doesn't answer this owner's writes, if it does.
+    pub(crate) unserved: Mutex<Option<Unserved>>,
     sessions: Mutex<FxHashSet<WorkerId>>,
     directory: Mutex<Directory>,
 }
@@ -106,7 +107,7 @@
             helper: Mutex::default(),
             loaded: AtomicBool::new(false),
             read_to: AtomicU64::new(0),
-            unserved: AtomicU64::new(0),
+            unserved: Mutex::default(),
             sessions: Mutex::default(),
             directory: Mutex::default(),
         });
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -19,10 +19,11 @@
 use crate::peers::BEAT;
 use crate::post::Post;
 use crate::rows::Heir;
+use crate::unserved::Candidate;
 use crate::wire::{Beat, FromOwner, ToOwner};
 
-/// An owner that the store has not served for this long gives the pool to a host that it serves.
-const UNSERVED: Ms = 800;
+/// A better placed host gets a pool only if the store has served it for this long.
+const STEADY: Ms = 800;
 /// An owner that works well gives the pool to a better placed host only after this long: hosts come and go at a start.
 const SETTLED: Ms = 5_000;
 /// The same for an owner that has too little for the pool: long enough for the others to join.
@@ -49,6 +50,8 @@
     sent: Ms,
     /// Since when the store serves it, as far as it said; `None` if it doesn't.
     served: Option<Ms>,
+    /// When the store answered it last, as far as it said.
+    answered: Ms,
     pub(super) away: u64,
     /// How many pools it owns.
     owns: u32,
@@ -66,6 +69,13 @@
         since.is_some_and(|time| time >= least) && now.saturating_sub(self.heard) < QUIET
     }
 
+    fn candidate(&self) -> Candidate {
+        Candidate {
+            served: self.served,
+            answered: self.answered,
+        }
+    }
+
     fn post(&self) -> Post {
         Post {
             near: self.away <= NEAR_MS,
@@ -99,11 +109,17 @@
 
     /// Urges the host that should own the pool in place of this one, if there is one; tells which.
     fn next_owner(&self, now: Ms, began: Ms, urged: &FxHashMap<String, Ms>) -> Option<String> {
-        let since = self.unserved.load(Ordering::Relaxed);
-        // A write that was sent just before the store came back is still unanswered when other calls are served again.
-        let unserved = since > 0 && now.saturating_sub(since) > UNSERVED && !self.host.served();
+        let unserved = lock(&self.unserved).filter(|unserved| {
+            // A write that was sent just before the store came back is still unanswered when other calls are served again.
+            let all_fail = if unserved.refused {
+                self.host.failing_since().is_some()
+            } else {
+                !self.host.served()
+            };
+            unserved.gives_up(now) && all_fail
+        });
         let draining = self.host.stop.is_draining();
-        let leaving = unserved || draining;
+        let leaving = unserved.is_some() || draining;
         let workers = self.workers();
         let own = Post {
             near: self.host.away() <= NEAR_MS,
@@ -120,13 +136,15 @@
         if !leaving && !settled {
             return None;
         }
-        // When an outage ends for all, one host notices first. It must not get the pool for that: the owner has as
-        // much time to notice it too.
-        let steady = if draining { 0 } else { UNSERVED };
+        let takes = |member: &Member| match unserved {
+            Some(unserved) if !draining => unserved.takes(now, &member.candidate()),
+            None if !draining => member.is_served(now, STEADY),
+            _ => true,
+        };
         let members = lock(&self.members);
         let (name, member) = members
             .iter()
-            .filter(|(_, member)| member.is_served(now, steady))
+            .filter(|(_, member)| member.is_served(now, 0) && takes(member))
             .filter(|(_, member)| leaving || member.post().better(&own, workers))
             .min_by(|(a, a_is), (b, b_is)| {
                 let urged = |name| urged.get(name).copied().unwrap_or(0);
@@ -135,7 +153,7 @@
                     .then_with(|| rank(b_is).total_cmp(&rank(a_is)))
                     .then_with(|| self.turn(a).cmp(&self.turn(b)))
             })?;
-        info!(pool = self.number, heir = name.as_str(), epoch = self.epoch, unserved = unserved, suits = own.suits(workers); "urges a host to take the pool");
+        info!(pool = self.number, heir = name.as_str(), epoch = self.epoch, unserved = unserved.is_some(), suits = own.suits(workers); "urges a host to take the pool");
         drop(member.to.try_send(FromOwner::Take { epoch: self.epoch }));
         Some(name.clone())
     }
@@ -215,6 +233,7 @@
                 catalog_age: Ms::MAX,
                 heard: 0,
                 served: self.host.served(),
+                failing: self.host.failing_since().is_some(),
                 plan: self.host.plan().version,
                 pending: loaded.then_some(pending),
                 taken: load.taken,
@@ -239,8 +258,9 @@
             tokio::select! {
                 () = tokio::time::sleep(BEAT) => {}
                 () = self.host.current.changed.notified() => {}
-                // Hosts that the store doesn't serve yet have their callers' jobs stored by the owner.
-                () = self.host.regained.notified() => {}
+                // Hosts that the store doesn't serve yet have their callers' jobs stored by the owner; and where it serves the owner
+                // no more, others have to find out whether it serves them.
+                () = self.host.store_changed.notified() => {}
             }
         }
     }
@@ -310,6 +330,7 @@
                 heard: clock::now(),
                 sent: 0,
                 served: None,
+                answered: 0,
                 away: u64::MAX,
                 owns: 0,
                 helps: self.is_helped_by(name),
@@ -345,6 +366,7 @@
                 away,
                 owns,
                 sent,
+                answered,
                 ..
             } => {
                 if let Some(member) = lock(&self.members).get_mut(name)
@@ -352,6 +374,7 @@
                 {
                     member.heard = clock::now();
                     member.served = served.then(|| member.served.unwrap_or(member.heard));
+                    member.answered = answered.map_or(0, |age| member.heard.saturating_sub(age));
                     member.away = away;
                     member.owns = owns;
                     member.sent = sent;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -112,11 +112,15 @@
                 away: host.away(),
                 owns: host.owns(),
                 sent: clock::now(),
+                answered: host.answered(),
             };
             if !link.tell(beat) {
                 return;
             }
-            tokio::time::sleep(BEAT).await;
+            tokio::select! {
+                () = tokio::time::sleep(BEAT) => {}
+                () = host.probed.notified() => {}
+            }
         }
     };
     let reads = async {
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -55,6 +55,9 @@
         /// When this was sent, on its clock.
         #[serde(default)]
         sent: Ms,
+        /// How long ago the store answered it last, in milliseconds; `None` if it never did.
+        #[serde(default)]
+        answered: Option<Ms>,
     },
     /// It has accepted a job: the row is written, and says this.
     Accepted(Box<Job>, Place),
@@ -172,6 +175,9 @@
     pub heard: Ms,
     /// The store serves the owner.
     pub served: bool,
+    /// The owner's last call to the store failed.
+    #[serde(default)]
+    pub failing: bool,
     /// Version of the plan of pools known there.
     pub plan: u64,
     /// Jobs of which nothing has started, per queue; `None` while the owner doesn't know the jobs yet.
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -6,7 +6,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -19,6 +18,7 @@
 use crate::owner::Owner;
 use crate::rows::{CANCEL, JOBS, PROGRESS, RosterRow, job_part, pool_part};
 use crate::transfer::{self, Outcome};
+use crate::unserved::Unserved;
 
 /// Heirs are stored with whatever else changes, or after this: hosts come and go together.
 const HEIRS_PACE: Duration = Duration::from_millis(1_500);
@@ -130,7 +130,7 @@
                 unsure = false;
                 rows_most = (rows_most * 2).clamp(1, ROWS_MOST);
                 old.drain(..deletes);
-                owner.unserved.store(0, Ordering::Relaxed);
+                *lock(&owner.unserved) = None;
                 lock(&owner.pool).saved(&batch);
                 tell_jobs(owner);
                 enroll(owner, &claim);
@@ -169,9 +169,12 @@
             Err(error) => {
                 warn!(error:% = error, rows = batch.rows.len(); "progress is not stored yet");
                 unsure |= matches!(error, StoreError::Lost { .. });
-                if owner.unserved.load(Ordering::Relaxed) == 0 {
-                    owner.unserved.store(asked.max(1), Ordering::Relaxed);
-                }
+                lock(&owner.unserved)
+                    .get_or_insert(Unserved {
+                        since: asked,
+                        refused: true,
+                    })
+                    .refused &= matches!(error, StoreError::Refused { .. });
                 tokio::time::sleep(PAUSE).await;
             }
         }
