Trial: a slow worker is known by its running tasks

Change: the progress of running tasks of two jobs corrects a worker's speed. A task that is stopped and started elsewhere would be late as well: 0.6 s until it is seen, up to 0.9 s for the stop and its own time again, of an objective of 2 s.

--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -59,6 +59,7 @@
         }
         if newest {
             self.compare(now, unix, id, listing);
+            self.gauge(now, id);
         }
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -32,6 +32,7 @@
 mod save;
 pub mod scarce;
 mod settle;
+mod speed;
 mod state;
 mod task;
 mod timeline;
