--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/hear.rs
@@ -59,7 +59,6 @@
         }
         if newest {
             self.compare(now, unix, id, listing);
-            self.gauge(now, id);
         }
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -32,7 +32,6 @@
 mod save;
 pub mod scarce;
 mod settle;
-mod speed;
 mod state;
 mod task;
 mod timeline;
