Holds wait less long while many answers of workers are lost

Cause: a hold that is lost tells of no end until its own wait of 0.6 s is over and its answer overdue; at a share of 0.065 one end in fifteen waits for that. Change: the owner keeps the share of overdue answers among the last hundred holds or so; above 0.03 holds wait 0.25 s in place of 0.6 s. A few workers that are down don't come to that share. Test: host/tests/asking.rs.

--- a/crates/host/src/asking.rs
+++ b/crates/host/src/asking.rs
@@ -13,6 +13,41 @@
 /// Calls whose answers are awaited although they were due.
 const LATE_MOST: usize = 4;
 
+/// Part that one call counts in the share of overdue answers: the last hundred or so decide.
+const NEWEST: f64 = 0.01;
+/// From this share on overdue answers are common. A few workers that are down don't come to it.
+const COMMON: f64 = 0.03;
+
+/// How common overdue answers are among many hosts.
+///
+/// ```
+/// use host::asking::Overdue;
+///
+/// let mut overdue = Overdue::default();
+/// (0..400).for_each(|call| overdue.note(call % 100 == 0));
+/// assert!(!overdue.is_common());
+/// (0..400).for_each(|call| overdue.note(call % 15 == 0));
+/// assert!(overdue.is_common());
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Overdue {
+    share: f64,
+}
+
+impl Overdue {
+    /// A call was answered, in time or not.
+    pub fn note(&mut self, overdue: bool) {
+        let call = if overdue { 1.0 } else { 0.0 };
+        self.share += NEWEST * (call - self.share);
+    }
+
+    /// Whether so many are that a call should not wait long for news: each of them may be the one without an answer.
+    #[must_use]
+    pub fn is_common(&self) -> bool {
+        self.share > COMMON
+    }
+}
+
 /// An answer, and whether it is to the call at hand.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Turn {
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::asking::Overdue;
 use crate::claim::Claim;
 use crate::clock;
 use crate::follow::{Rhythm, follow};
@@ -76,6 +77,8 @@
     read_to: AtomicU64,
     /// Since when the store refuses or doesn't answer this owner's writes, if it does.
     pub(crate) unserved: Mutex<Option<Unserved>>,
+    /// How common overdue answers of workers are.
+    pub(crate) overdue: Mutex<Overdue>,
     sessions: Mutex<FxHashSet<WorkerId>>,
     directory: Mutex<Directory>,
 }
@@ -108,6 +111,7 @@
             loaded: AtomicBool::new(false),
             read_to: AtomicU64::new(0),
             unserved: Mutex::default(),
+            overdue: Mutex::default(),
             sessions: Mutex::default(),
             directory: Mutex::default(),
         });
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -5,7 +5,7 @@
 //! one is known, the task would run again.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
 use log::{info, warn};
@@ -20,6 +20,8 @@
 
 /// A hold waits this long for an end. A worker counts as silent after 1.6 s, so one lost hold is borne.
 const WAIT: Duration = Duration::from_millis(600);
+/// The same while many answers are overdue: what a worker has to tell waits for as long as a hold that is lost.
+const WAIT_LOSSY: Duration = Duration::from_millis(250);
 /// An answer is due this long after the hold's own wait: the way there and back, and a connection to be made.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(650);
 /// An owner without a majority renews no lease, and holds a worker that it has heard for this long, so that the lease is
@@ -87,6 +89,7 @@
         };
         let all_noted = ends.1 <= ends.2;
         let wait = match lease {
+            Some(_) if all_noted && lock(&owner.overdue).is_common() => WAIT_LOSSY,
             Some(_) if all_noted => WAIT,
             None if all_noted && heard => UNPROVED,
             _ => Duration::ZERO,
@@ -209,7 +212,9 @@
         (Err(failure), Turn::Present) => Err(failure),
     };
     let due = wait + ANSWER_TIMEOUT;
+    let began = Instant::now();
     let answered = holds.ask(first, again, wait + overdue, due, take).await?;
+    lock(&owner.overdue).note(began.elapsed() > wait + overdue);
     let heard = || {
         let pool = lock(&owner.pool);
         pool.worker(id)
--- a/crates/host/tests/asking.rs
+++ b/crates/host/tests/asking.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
-use host::asking::{Asking, Turn};
+use host::asking::{Asking, Overdue, Turn};
 use tokio::time::{Instant, sleep};
 
 const OVERDUE: Duration = Duration::from_millis(700);
@@ -101,3 +101,17 @@
     assert!(answered.expect("nothing fails"));
     assert_eq!(began.elapsed().as_millis(), 640);
 }
+
+/// Guards against holds that wait long while every fifteenth is lost, and against more looks at workers than usual where a few
+/// of them are down or a few answers come late.
+#[test]
+fn lost_answers_are_common_only_while_many_are_lost() {
+    let mut overdue = Overdue::default();
+    let mut play = |every: usize| {
+        (1..=600).for_each(|call| overdue.note(call % every == 0));
+        overdue.is_common()
+    };
+    assert!(!play(70), "eight of 540 workers are down");
+    assert!(play(15));
+    assert!(!play(1_000), "it is over");
+}
