--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -155,20 +155,20 @@
 
     /// A job's row is written: tells the owner of the pool that it names.
     pub(crate) fn tell_accepted(&self, place: Place, job: Job) {
-        let seat = self.seat(place.pool);
-        if let Some(owner) = seat.owner {
+        let state = self.pool_state(place.pool);
+        if let Some(owner) = state.owner {
             owner.accepted(job, place);
-        } else if let Some(link) = seat.link {
+        } else if let Some(link) = state.link {
             link.tell(ToOwner::Accepted(Box::new(job), place));
         }
     }
 
     async fn ask_owner(&self, pool: u32, call: Call, time: Duration) -> Option<Reply> {
-        let seat = self.seat(pool);
-        if let Some(owner) = seat.owner {
+        let state = self.pool_state(pool);
+        if let Some(owner) = state.owner {
             return Some(owner.answer(call).await);
         }
-        seat.link?.call(call, time).await
+        state.link?.call(call, time).await
     }
 
     /// The state of a job.
--- a/crates/host/src/asking.rs
+++ b/crates/host/src/hedge.rs
@@ -21,7 +21,7 @@
 /// How common overdue answers are among many hosts.
 ///
 /// ```
-/// use host::asking::Overdue;
+/// use host::hedge::Overdue;
 ///
 /// let mut overdue = Overdue::default();
 /// (0..400).for_each(|call| overdue.note(call % 100 == 0));
@@ -50,7 +50,7 @@
 
 /// An answer, and whether it is to the call at hand.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Turn {
+pub enum Call {
     /// To the call that was sent last.
     Present,
     /// To an earlier one.
@@ -58,11 +58,11 @@
 }
 
 /// Calls of one kind to one host, and those of them that were not answered in time.
-pub struct Asking<T> {
+pub struct Hedge<T> {
     late: FuturesUnordered<BoxFuture<'static, T>>,
 }
 
-impl<T> Default for Asking<T> {
+impl<T> Default for Hedge<T> {
     fn default() -> Self {
         Self {
             late: FuturesUnordered::new(),
@@ -70,7 +70,7 @@
     }
 }
 
-impl<T> Asking<T> {
+impl<T> Hedge<T> {
     /// Makes a call and takes its answer; calls once more if that is not there after `overdue`, and waits until `due` in all.
     /// `false` if no answer to either came.
     ///
@@ -82,7 +82,7 @@
         again: impl FnOnce() -> BoxFuture<'static, T>,
         overdue: Duration,
         due: Duration,
-        mut take: impl FnMut(T, Turn) -> Result<(), E>,
+        mut take: impl FnMut(T, Call) -> Result<(), E>,
     ) -> Result<bool, E> {
         Ok(self.answer(first, overdue, &mut take).await?
             || self
@@ -95,17 +95,17 @@
         &mut self,
         mut call: BoxFuture<'static, T>,
         due: Duration,
-        take: &mut impl FnMut(T, Turn) -> Result<(), E>,
+        take: &mut impl FnMut(T, Call) -> Result<(), E>,
     ) -> Result<bool, E> {
         let due = tokio::time::sleep(due);
         tokio::pin!(due);
         loop {
             tokio::select! {
                 answer = &mut call => {
-                    take(answer, Turn::Present)?;
+                    take(answer, Call::Present)?;
                     return Ok(true);
                 }
-                Some(answer) = self.late.next(), if !self.late.is_empty() => take(answer, Turn::Earlier)?,
+                Some(answer) = self.late.next(), if !self.late.is_empty() => take(answer, Call::Earlier)?,
                 () = &mut due => {
                     if self.late.len() < LATE_MOST {
                         self.late.push(call);
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -16,8 +16,8 @@
 use crate::outside::{Advisor, Decode, Store, Workers};
 use crate::owners::Owners;
 use crate::plan::Plan;
+use crate::pool_state::{Heard, PoolState};
 use crate::rows::{COMMON, PLAN};
-use crate::seat::{Heard, Seat};
 use crate::settings::Settings;
 use crate::wire::Beat;
 
@@ -61,7 +61,7 @@
     /// Time in which the store has answered lately, in milliseconds.
     usual: AtomicU64,
     /// What is known of each pool's owner, by the pool's number.
-    pub(crate) seats: Mutex<Vec<Seat>>,
+    pub(crate) pool_states: Mutex<Vec<PoolState>>,
     pub(crate) plan: ArcSwap<Plan>,
     /// A pool's owner may not be known any more.
     pub(crate) unowned: Notify,
@@ -102,7 +102,7 @@
             failing: AtomicU64::new(0),
             away: AtomicU64::new(u64::MAX),
             usual: AtomicU64::new(0),
-            seats: Mutex::default(),
+            pool_states: Mutex::default(),
             plan: ArcSwap::default(),
             unowned: Notify::new(),
             owners: Owners::default(),
@@ -214,7 +214,7 @@
             self.doubted.notify_one();
         }
         let (pool, catalog, plan) = (beat.pool, beat.catalog, beat.plan);
-        self.change(pool, |seat| seat.heard = Heard { at: now, beat });
+        self.change(pool, |state| state.heard = Heard { at: now, beat });
         if catalog > mine {
             self.current.newer.notify_one();
         }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,7 +1,7 @@
 //! One process of the system: callers' jobs are taken on every host, each pool of workers is owned by one.
 //!
 //! * [`Store`], [`Workers`], [`Advisor`], [`Decode`]: what a host needs from outside, as traits.
-//! * [`asking`]: calls whose answers are overdue or late.
+//! * [`hedge`]: calls whose answers are overdue or late.
 //! * [`Catalog`]: queues in force; [`follow`]: how a table is followed.
 //! * [`helpers`]: which host asks the advisor.
 //! * [`Host`]: what callers ask ([`Host::submit`], [`Host::state`], [`Host::cancel`], [`Host::pending`]).
@@ -17,7 +17,6 @@
 //! * [`wire`]: what hosts say to each other.
 //! * [`Owner`]: a pool's owner: takes over, holds workers, starts tasks, stores progress.
 
-pub mod asking;
 pub mod catalog;
 mod claim;
 pub mod clock;
@@ -25,6 +24,7 @@
 mod election;
 pub mod follow;
 mod front;
+pub mod hedge;
 pub mod helpers;
 mod host;
 pub mod insert;
@@ -35,11 +35,11 @@
 pub mod packed;
 mod peers;
 pub mod plan;
+mod pool_state;
 pub mod post;
 pub mod route;
 mod rows;
 pub mod sample;
-mod seat;
 mod session;
 mod settings;
 mod timed_reader;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -18,10 +18,10 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::asking::Overdue;
 use crate::claim::Claim;
 use crate::clock;
 use crate::follow::{Rhythm, follow};
+use crate::hedge::Overdue;
 use crate::helpers::Helper;
 use crate::host::{Host, lock};
 use crate::outside::Page;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -264,9 +264,9 @@
                 }
             },
             Ok(Some(ToOwner::Hears(pool))) => {
-                let seat = host.seat(pool);
-                let recent = clock::now().saturating_sub(seat.heard.at) < 900;
-                let hears = seat.owner.is_some() || recent && seat.link.is_some();
+                let state = host.pool_state(pool);
+                let recent = clock::now().saturating_sub(state.heard.at) < 900;
+                let hears = state.owner.is_some() || recent && state.link.is_some();
                 drop(to.send(FromOwner::Hears(hears)).await);
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 return;
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/pool_state.rs
@@ -27,7 +27,7 @@
 
 /// One pool, as a host that may own it sees it.
 #[derive(Clone, Default)]
-pub(crate) struct Seat {
+pub(crate) struct PoolState {
     /// The owner, if it is this host.
     pub owner: Option<Arc<Owner>>,
     /// The way to the owner, if it is another host and there is one.
@@ -38,40 +38,40 @@
 
 impl Host {
     /// What is known of a pool's owner.
-    pub(crate) fn seat(&self, pool: u32) -> Seat {
-        let seats = lock(&self.seats);
-        seats.get(pool as usize).cloned().unwrap_or_default()
+    pub(crate) fn pool_state(&self, pool: u32) -> PoolState {
+        let pool_states = lock(&self.pool_states);
+        pool_states.get(pool as usize).cloned().unwrap_or_default()
     }
 
-    pub(crate) fn change(&self, pool: u32, change: impl FnOnce(&mut Seat)) {
-        let mut seats = lock(&self.seats);
+    pub(crate) fn change(&self, pool: u32, change: impl FnOnce(&mut PoolState)) {
+        let mut pool_states = lock(&self.pool_states);
         let at = pool as usize;
-        if seats.len() <= at {
-            seats.resize_with(at + 1, Seat::default);
+        if pool_states.len() <= at {
+            pool_states.resize_with(at + 1, PoolState::default);
         }
-        if let Some(seat) = seats.get_mut(at) {
-            change(seat);
+        if let Some(state) = pool_states.get_mut(at) {
+            change(state);
         }
     }
 
     /// The owner of a pool, if it is this host.
     #[must_use]
     pub fn owner(&self, pool: u32) -> Option<Arc<Owner>> {
-        self.seat(pool).owner
+        self.pool_state(pool).owner
     }
 
     pub(crate) fn set_owner(&self, pool: u32, owner: Option<Arc<Owner>>) {
         let known = owner.is_some();
-        self.change_holder(pool, known, |seat| seat.owner = owner);
+        self.change_holder(pool, known, |state| state.owner = owner);
     }
 
     pub(crate) fn set_link(&self, pool: u32, link: Option<Arc<Link>>) {
         let known = link.is_some();
-        self.change_holder(pool, known, |seat| seat.link = link);
+        self.change_holder(pool, known, |state| state.link = link);
     }
 
     /// Changes by what a pool's owner is reached; `known` if there is a way to it.
-    fn change_holder(&self, pool: u32, known: bool, change: impl FnOnce(&mut Seat)) {
+    fn change_holder(&self, pool: u32, known: bool, change: impl FnOnce(&mut PoolState)) {
         if known {
             self.knows_owner.store(true, Ordering::Relaxed);
         }
@@ -82,37 +82,40 @@
     /// Whether there is a pool whose owner this host doesn't know.
     pub(crate) fn misses_owner(&self) -> bool {
         let pools = self.plan.load().pools() as usize;
-        let seats = lock(&self.seats);
-        let known = seats.iter().take(pools);
+        let pool_states = lock(&self.pool_states);
+        let known = pool_states.iter().take(pools);
         known
-            .filter(|seat| seat.owner.is_some() || seat.link.is_some())
+            .filter(|state| state.owner.is_some() || state.link.is_some())
             .count()
             < pools
     }
 
     /// How many pools this host owns.
     pub(crate) fn owns(&self) -> u32 {
-        let seats = lock(&self.seats);
-        seats.iter().filter(|seat| seat.owner.is_some()).count() as u32
+        let pool_states = lock(&self.pool_states);
+        pool_states
+            .iter()
+            .filter(|state| state.owner.is_some())
+            .count() as u32
     }
 
     /// How many of the pools up to this one, itself included, this host owns.
     pub(crate) fn owns_up_to(&self, pool: u32) -> u32 {
-        let seats = lock(&self.seats);
-        let up_to = seats.iter().take(pool as usize + 1);
-        up_to.filter(|seat| seat.owner.is_some()).count() as u32
+        let pool_states = lock(&self.pool_states);
+        let up_to = pool_states.iter().take(pool as usize + 1);
+        up_to.filter(|state| state.owner.is_some()).count() as u32
     }
 
     pub(crate) fn link(&self, pool: u32) -> Option<Arc<Link>> {
-        self.seat(pool).link
+        self.pool_state(pool).link
     }
 
     /// Epoch of a pool's owner, if this host is linked to it or is it; 0 if not.
     pub(crate) fn epoch(&self, pool: u32) -> u64 {
-        let seat = self.seat(pool);
-        match (seat.owner, seat.link) {
+        let state = self.pool_state(pool);
+        match (state.owner, state.link) {
             (Some(owner), _) => owner.epoch(),
-            (None, Some(_)) => seat.heard.beat.epoch,
+            (None, Some(_)) => state.heard.beat.epoch,
             (None, None) => 0,
         }
     }
@@ -120,31 +123,31 @@
     /// The way to an owner that the store serves, as far as this host knows.
     pub(crate) fn served_link(&self) -> Option<Arc<Link>> {
         let now = clock::now();
-        let seats = lock(&self.seats);
-        let served = seats.iter().find(|seat| {
-            seat.link.is_some()
-                && seat.heard.beat.served
-                && now.saturating_sub(seat.heard.at) < SERVED_NEWS
+        let pool_states = lock(&self.pool_states);
+        let served = pool_states.iter().find(|state| {
+            state.link.is_some()
+                && state.heard.beat.served
+                && now.saturating_sub(state.heard.at) < SERVED_NEWS
         });
-        served.and_then(|seat| seat.link.clone())
+        served.and_then(|state| state.link.clone())
     }
 
     pub(crate) fn heard(&self, pool: u32) -> Heard {
-        let seats = lock(&self.seats);
-        seats
+        let pool_states = lock(&self.pool_states);
+        pool_states
             .get(pool as usize)
-            .map_or_else(Heard::default, |seat| seat.heard.clone())
+            .map_or_else(Heard::default, |state| state.heard.clone())
     }
 
     /// Sums up what owners said within the last `age` milliseconds; `None` if one of them wasn't heard or didn't know.
     pub(crate) fn sum(&self, age: Ms, part: impl Fn(&Beat) -> Option<u64>) -> Option<u64> {
         let now = clock::now();
         let pools = self.plan.load().pools() as usize;
-        let seats = lock(&self.seats);
+        let pool_states = lock(&self.pool_states);
         let told = (0..pools).map(|pool| {
-            let seat = seats.get(pool)?;
-            let recent = now.saturating_sub(seat.heard.at) < age;
-            recent.then(|| part(&seat.heard.beat)).flatten()
+            let state = pool_states.get(pool)?;
+            let recent = now.saturating_sub(state.heard.at) < age;
+            recent.then(|| part(&state.heard.beat)).flatten()
         });
         told.sum()
     }
@@ -152,13 +155,13 @@
     /// How loaded the pools are, as far as this host knows.
     pub(crate) fn loads(&self) -> FxHashMap<u32, Load> {
         let now = clock::now();
-        let seats = lock(&self.seats);
-        let loads = seats.iter().enumerate().map(|(pool, seat)| {
+        let pool_states = lock(&self.pool_states);
+        let loads = pool_states.iter().enumerate().map(|(pool, state)| {
             let load = Load {
-                heard: now.saturating_sub(seat.heard.at) < RECENT
-                    && seat.heard.beat.pending.is_some(),
-                taken: seat.heard.beat.taken,
-                labels: seat.heard.beat.labels.clone(),
+                heard: now.saturating_sub(state.heard.at) < RECENT
+                    && state.heard.beat.pending.is_some(),
+                taken: state.heard.beat.taken,
+                labels: state.heard.beat.labels.clone(),
             };
             (pool as u32, load)
         });
@@ -168,12 +171,12 @@
     /// The way to an owner that was heard lately and knows something newer.
     pub(crate) fn ahead(&self, newer: impl Fn(&Beat) -> bool) -> Option<Arc<Link>> {
         let now = clock::now();
-        let seats = lock(&self.seats);
-        let ahead = seats.iter().find(|seat| {
-            now.saturating_sub(seat.heard.at) < RECENT
-                && newer(&seat.heard.beat)
-                && seat.link.is_some()
+        let pool_states = lock(&self.pool_states);
+        let ahead = pool_states.iter().find(|state| {
+            now.saturating_sub(state.heard.at) < RECENT
+                && newer(&state.heard.beat)
+                && state.link.is_some()
         });
-        ahead.and_then(|seat| seat.link.clone())
+        ahead.and_then(|state| state.link.clone())
     }
 }
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -11,8 +11,8 @@
 use log::{info, warn};
 use pool::{How, Listing, Mechanism, Ms, WorkerId};
 
-use crate::asking::{Asking, Turn};
 use crate::clock;
+use crate::hedge::{Call, Hedge};
 use crate::host::lock;
 use crate::outside::HoldFailure;
 use crate::owner::Owner;
@@ -35,7 +35,7 @@
 /// has no time for; news of ends and the lease come soon enough at a third of that.
 const PAUSE_MOST: Duration = Duration::from_millis(400);
 /// Pause after a hold that failed at once.
-const AGAIN: Duration = Duration::from_millis(150);
+const HOLD_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Holds a worker as long as it is known and the owner owns.
 pub(crate) async fn run(owner: &Arc<Owner>, id: &WorkerId) {
@@ -57,7 +57,7 @@
 async fn hold(owner: &Arc<Owner>, id: &WorkerId) {
     let mut lost = false;
     let mut pause = PAUSE;
-    let mut holds = Asking::default();
+    let mut holds = Hedge::default();
     loop {
         let (address, mut ends) = {
             let pool = lock(&owner.pool);
@@ -135,7 +135,7 @@
                     warn!(dependency = "worker", worker = &**id, failure:? = failure; "lost");
                     lost = true;
                 }
-                tokio::time::sleep(AGAIN).await;
+                tokio::time::sleep(HOLD_RETRY_DELAY).await;
             }
         }
     }
@@ -186,7 +186,7 @@
     question: &Question,
     asked: Ms,
     wait: Duration,
-    holds: &mut Asking<Held>,
+    holds: &mut Hedge<Held>,
 ) -> Result<(), HoldFailure> {
     let overdue = lock(&owner.pool)
         .worker(id)
@@ -208,8 +208,8 @@
             Ok(())
         }
         (Err(HoldFailure::Fenced), _) => Err(HoldFailure::Fenced),
-        (Err(_), Turn::Earlier) => Ok(()),
-        (Err(failure), Turn::Present) => Err(failure),
+        (Err(_), Call::Earlier) => Ok(()),
+        (Err(failure), Call::Present) => Err(failure),
     };
     let due = wait + ANSWER_TIMEOUT;
     let began = Instant::now();
--- a/crates/host/tests/asking.rs
+++ b/crates/host/tests/hedge.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
-use host::asking::{Asking, Overdue, Turn};
+use host::hedge::{Call, Hedge, Overdue};
 use tokio::time::{Instant, sleep};
 
 const OVERDUE: Duration = Duration::from_millis(700);
@@ -24,16 +24,16 @@
 }
 
 /// What was taken, and when, in milliseconds.
-type Taken = Vec<(u128, &'static str, Turn)>;
+type Taken = Vec<(u128, &'static str, Call)>;
 
 async fn ask(
-    asking: &mut Asking<&'static str>,
+    holds: &mut Hedge<&'static str>,
     first: BoxFuture<'static, &'static str>,
     again: BoxFuture<'static, &'static str>,
 ) -> (bool, Taken) {
     let began = Instant::now();
     let mut taken = Taken::new();
-    let answered = asking
+    let answered = holds
         .ask(
             first,
             || again,
@@ -52,33 +52,33 @@
 /// has, and one worker in fifteen lost one.
 #[tokio::test(start_paused = true)]
 async fn an_overdue_answer_is_asked_for_again() {
-    let mut asking = Asking::default();
-    let (answered, taken) = ask(&mut asking, call("first", None), call("again", Some(45))).await;
+    let mut holds = Hedge::default();
+    let (answered, taken) = ask(&mut holds, call("first", None), call("again", Some(45))).await;
     assert!(answered);
-    assert_eq!(taken, [(745, "again", Turn::Present)]);
+    assert_eq!(taken, [(745, "again", Call::Present)]);
 }
 
 /// Guards against an answer that is dropped because another one was asked for: it may tell of ends.
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_comes_late_is_taken() {
-    let mut asking = Asking::default();
+    let mut holds = Hedge::default();
     let (_, taken) = ask(
-        &mut asking,
+        &mut holds,
         call("first", Some(720)),
         call("again", Some(100)),
     )
     .await;
-    let both = [(720, "first", Turn::Earlier), (800, "again", Turn::Present)];
+    let both = [(720, "first", Call::Earlier), (800, "again", Call::Present)];
     assert_eq!(taken, both);
 }
 
 /// Guards against a worker that never answers and is not told from one that does, and against calls that pile up there.
 #[tokio::test(start_paused = true)]
 async fn two_lost_answers_in_a_row_are_told() {
-    let mut asking = Asking::default();
+    let mut holds = Hedge::default();
     for _ in 0..10 {
         let began = Instant::now();
-        let (answered, taken) = ask(&mut asking, call("first", None), call("again", None)).await;
+        let (answered, taken) = ask(&mut holds, call("first", None), call("again", None)).await;
         assert!(!answered && taken.is_empty());
         assert_eq!(began.elapsed(), DUE);
     }
@@ -87,9 +87,9 @@
 /// An answer in time costs no second call.
 #[tokio::test(start_paused = true)]
 async fn an_answer_in_time_is_asked_for_once() {
-    let mut asking = Asking::default();
+    let mut holds = Hedge::default();
     let began = Instant::now();
-    let answered = asking
+    let answered = holds
         .ask(
             call("first", Some(640)),
             || panic!("it is asked again"),
