Repeated calls have a budget, and late answers are told from lost ones

Cause, in part: on a full line answers are late, not lost. The usual time of a worker was learned from unrepeated orders alone, so it stayed short while all were repeated; overdue holds were asked again without bound; and late holds counted as lost, so that holds were made shorter: more calls on a full line. That class is overload that keeps itself up by repeats.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use log::{info, warn};
+use pool::repeat::Budget;
 use pool::{Mechanism, Ms, Order, Pool, StepTimes, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
@@ -21,7 +22,7 @@
 use crate::claim::Claim;
 use crate::clock;
 use crate::follow::{Rhythm, follow};
-use crate::hedge::Overdue;
+use crate::hedge::Lost;
 use crate::helpers::Helper;
 use crate::host::{Host, lock};
 use crate::outside::Page;
@@ -77,8 +78,10 @@
     read_to: AtomicU64,
     /// Since when the store refuses or doesn't answer this owner's writes, if it does.
     pub(crate) unserved: Mutex<Option<Unserved>>,
-    /// How common overdue answers of workers are.
-    pub(crate) overdue: Mutex<Overdue>,
+    /// How common lost answers of workers are.
+    pub(crate) lost_answers: Mutex<Lost>,
+    /// Holds that may be asked for again.
+    pub(crate) copies: Mutex<Budget>,
     sessions: Mutex<FxHashSet<WorkerId>>,
     directory: Mutex<Directory>,
 }
@@ -111,7 +114,8 @@
             loaded: AtomicBool::new(false),
             read_to: AtomicU64::new(0),
             unserved: Mutex::default(),
-            overdue: Mutex::default(),
+            lost_answers: Mutex::default(),
+            copies: Mutex::default(),
             sessions: Mutex::default(),
             directory: Mutex::default(),
         });
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -5,14 +5,14 @@
 //! one is known, the task would run again.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::future::BoxFuture;
 use log::{info, warn};
 use pool::{How, Listing, Mechanism, Ms, WorkerId};
 
 use crate::clock;
-use crate::hedge::{Call, Hedge};
+use crate::hedge::{Call, Hedge, Outcome};
 use crate::host::lock;
 use crate::outside::HoldFailure;
 use crate::owner::Owner;
@@ -20,7 +20,7 @@
 
 /// A hold waits this long for an end. A worker counts as silent after 1.6 s, so one lost hold is borne.
 const WAIT: Duration = Duration::from_millis(600);
-/// The same while many answers are overdue: what a worker has to tell waits for as long as a hold that is lost.
+/// The same while many answers are lost: what a worker has to tell waits for as long as a hold that is lost.
 const WAIT_LOSSY: Duration = Duration::from_millis(250);
 /// An answer is due this long after the hold's own wait: the way there and back, and a connection to be made.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(650);
@@ -89,7 +89,7 @@
         };
         let all_noted = ends.1 <= ends.2;
         let wait = match lease {
-            Some(_) if all_noted && lock(&owner.overdue).is_common() => WAIT_LOSSY,
+            Some(_) if all_noted && lock(&owner.lost_answers).is_common() => WAIT_LOSSY,
             Some(_) if all_noted => WAIT,
             None if all_noted && heard => UNPROVED,
             _ => Duration::ZERO,
@@ -194,13 +194,17 @@
             Duration::from_millis(worker.overdue_after())
         });
     let first = question.ask(owner, id, asked, wait);
+    lock(&owner.copies).earn();
     let again = || {
+        if !lock(&owner.copies).spend() {
+            return None;
+        }
         // It may be in a new life by now.
         let question = Question {
             noted: 0,
             ..question.clone()
         };
-        question.ask(owner, id, clock::now(), Duration::ZERO)
+        Some(question.ask(owner, id, clock::now(), Duration::ZERO))
     };
     let take = |held: Held, turn| match (held.outcome, turn) {
         (Ok(listing), _) => {
@@ -212,15 +216,14 @@
         (Err(failure), Call::Present) => Err(failure),
     };
     let due = wait + ANSWER_TIMEOUT;
-    let began = Instant::now();
-    let answered = holds.ask(first, again, wait + overdue, due, take).await?;
-    lock(&owner.overdue).note(began.elapsed() > wait + overdue);
+    let outcome = holds.ask(first, again, wait + overdue, due, take).await?;
+    lock(&owner.lost_answers).note(outcome == Outcome::Lost);
     let heard = || {
         let pool = lock(&owner.pool);
         pool.worker(id)
             .is_some_and(|worker| worker.heard_since(asked))
     };
-    if answered || heard() {
+    if matches!(outcome, Outcome::InTime | Outcome::Lost) || heard() {
         Ok(())
     } else {
         Err(HoldFailure::Lost)
--- a/crates/host/tests/hedge.rs
+++ b/crates/host/tests/hedge.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
-use host::hedge::{Call, Hedge, Overdue};
+use host::hedge::{Call, Hedge, Lost, Outcome};
 use tokio::time::{Instant, sleep};
 
 const OVERDUE: Duration = Duration::from_millis(700);
@@ -30,13 +30,13 @@
     holds: &mut Hedge<&'static str>,
     first: BoxFuture<'static, &'static str>,
     again: BoxFuture<'static, &'static str>,
-) -> (bool, Taken) {
+) -> (Outcome, Taken) {
     let began = Instant::now();
     let mut taken = Taken::new();
     let answered = holds
         .ask(
             first,
-            || again,
+            || Some(again),
             OVERDUE,
             DUE,
             |name, turn| {
@@ -53,8 +53,8 @@
 #[tokio::test(start_paused = true)]
 async fn an_overdue_answer_is_asked_for_again() {
     let mut holds = Hedge::default();
-    let (answered, taken) = ask(&mut holds, call("first", None), call("again", Some(45))).await;
-    assert!(answered);
+    let (outcome, taken) = ask(&mut holds, call("first", None), call("again", Some(45))).await;
+    assert_eq!(outcome, Outcome::Lost);
     assert_eq!(taken, [(745, "again", Call::Present)]);
 }
 
@@ -62,7 +62,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_comes_late_is_taken() {
     let mut holds = Hedge::default();
-    let (_, taken) = ask(
+    let (outcome, taken) = ask(
         &mut holds,
         call("first", Some(720)),
         call("again", Some(100)),
@@ -70,6 +70,30 @@
     .await;
     let both = [(720, "first", Call::Earlier), (800, "again", Call::Present)];
     assert_eq!(taken, both);
+    assert_eq!(outcome, Outcome::Late, "it is not lost");
+}
+
+/// Guards against a full line on which each late answer is asked for again: where no copies are left, the answer is awaited.
+#[tokio::test(start_paused = true)]
+async fn without_copies_the_first_answer_is_awaited() {
+    let mut holds = Hedge::default();
+    let began = Instant::now();
+    let mut taken = Vec::new();
+    let outcome = holds
+        .ask(
+            call("first", Some(1_000)),
+            || None,
+            OVERDUE,
+            DUE,
+            |name, call| {
+                taken.push((name, call));
+                Ok::<_, Infallible>(())
+            },
+        )
+        .await;
+    assert_eq!(outcome, Ok(Outcome::Late));
+    assert_eq!(taken, [("first", Call::Earlier)]);
+    assert_eq!(began.elapsed().as_millis(), 1_000);
 }
 
 /// Guards against a worker that never answers and is not told from one that does, and against calls that pile up there.
@@ -78,8 +102,9 @@
     let mut holds = Hedge::default();
     for _ in 0..10 {
         let began = Instant::now();
-        let (answered, taken) = ask(&mut holds, call("first", None), call("again", None)).await;
-        assert!(!answered && taken.is_empty());
+        let (outcome, taken) = ask(&mut holds, call("first", None), call("again", None)).await;
+        assert_eq!(outcome, Outcome::Unanswered);
+        assert!(taken.is_empty());
         assert_eq!(began.elapsed(), DUE);
     }
 }
@@ -98,7 +123,7 @@
             |_, _| Ok::<_, Infallible>(()),
         )
         .await;
-    assert!(answered.expect("nothing fails"));
+    assert_eq!(answered, Ok(Outcome::InTime));
     assert_eq!(began.elapsed().as_millis(), 640);
 }
 
@@ -106,10 +131,10 @@
 /// of them are down or a few answers come late.
 #[test]
 fn lost_answers_are_common_only_while_many_are_lost() {
-    let mut overdue = Overdue::default();
+    let mut lost = Lost::default();
     let mut play = |every: usize| {
-        (1..=600).for_each(|call| overdue.note(call % every == 0));
-        overdue.is_common()
+        (1..=600).for_each(|call| lost.note(call % every == 0));
+        lost.is_common()
     };
     assert!(!play(70), "eight of 540 workers are down");
     assert!(play(15));
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -28,7 +28,7 @@
 mod pool;
 mod progress;
 pub mod rank;
-mod repeat;
+pub mod repeat;
 mod replies;
 mod save;
 pub mod scarce;
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -307,6 +307,7 @@
         task.run = Some(Run::new(number, Arc::clone(worker), now, latest));
         self.attach(key, worker, number);
         self.loose.insert(key.clone());
+        self.copies.earn();
         if let Some(stage) = self.stage_mut(&key.stage) {
             stage.timeline.started(now);
         }
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -140,7 +140,8 @@
                 Phase::Ordered | Phase::Unsure
                     if repeats
                         && now.saturating_sub(run.sent) >= repeat::delay(answers, run.copies)
-                        && clock(&run.worker) + REPEAT_SLACK < run.latest =>
+                        && clock(&run.worker) + REPEAT_SLACK < run.latest
+                        && self.copies.spend() =>
                 {
                     Some(Order::Start(Start {
                         task: key.clone(),
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::pace::Tempo;
 use crate::progress::Progress;
 use crate::rank::Learned;
+use crate::repeat::Budget;
 use crate::state::State;
 use crate::task::{JobId, Ms, Phase, StageKey, TaskKey, WorkerId};
 use crate::timeline::{JobTimes, StepTimes};
@@ -73,6 +74,8 @@
     pub(crate) awaiting: BTreeMap<WorkerId, Vec<JobId>>,
     /// Runs whose orders are not answered or that are to be stopped.
     pub(crate) loose: FxHashSet<TaskKey>,
+    /// Copies of orders that may be sent.
+    pub(crate) copies: Budget,
     /// Jobs with occurrences still to come.
     pub(crate) timed: BTreeSet<JobId>,
     /// Jobs whose progress is to be stored.
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -28,8 +28,9 @@
             return;
         }
         let waiting = matches!(run.phase, Phase::Ordered | Phase::Unsure);
-        let took = (run.copies == 1).then(|| now.saturating_sub(run.ordered));
-        if let (Some(took), Some(worker)) = (took, self.workers.get_mut(&start.worker))
+        // If it was repeated, this is the most that the answer can have taken.
+        let took = now.saturating_sub(run.ordered);
+        if let Some(worker) = self.workers.get_mut(&start.worker)
             && answer != Answer::Lost
         {
             worker.answers = repeat::usual(worker.answers, took);
