An owner that has no time for its pool gives it to another host

Cause: the owner is replaced at 3 s, and the machine of the new one turns slow. It went on owning for five seconds and planned once a second: `load` tells 3 plans in 2.4 s where 190 are usual, 20 ms each in place of 0.4, `an answer came too late` from 12 hosts; the hosts still heard its beats, so nobody took the pool. Change: host::lag. Timers that are 0.12 s late on average for 0.4 s say that the host has no time; 1.5 s after it took the pool at the earliest it urges a host that suits the pool. Where none does, it stays.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`post`]: which hosts have what a pool needs.
 //! * [`sample`]: which jobs are told in full in the log.
 //! * [`turn`]: how long a host leaves a pool to others.
+//! * [`lag`]: whether a host has time for what it does.
 //! * [`link`]: what a host asks an owner.
 //! * [`unserved`]: when an owner without the store gives its pool up.
 //! * [`verdict`]: whether an owner is lost.
@@ -28,6 +29,7 @@
 pub mod helpers;
 mod host;
 pub mod insert;
+pub mod lag;
 pub mod link;
 mod outside;
 mod owner;
--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -16,6 +16,7 @@
 use crate::election::NEAR_MS;
 use crate::helpers::Helper;
 use crate::host::lock;
+use crate::lag::Lag;
 use crate::peers::BEAT;
 use crate::post::Post;
 use crate::rows::Heir;
@@ -28,6 +29,10 @@
 const SETTLED: Ms = 5_000;
 /// The same for an owner that has too little for the pool: long enough for the others to join.
 const SETTLED_WEAK: Ms = 600;
+/// An owner that has no time for its pool gives it to another host after this long.
+const SETTLED_OVERLOADED: Ms = 1_500;
+/// Time between two looks whether another host should have the pool.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(50);
 /// A host that was urged to take the pool has this long to do so before another is urged.
 const URGE: Ms = 1_000;
 /// How many heirs an owner names: enough that some are left when a data centre is lost with the owner.
@@ -94,21 +99,30 @@
     pub(super) async fn hand_over(self: Arc<Self>) {
         let began = clock::now();
         let mut urged: FxHashMap<String, Ms> = FxHashMap::default();
+        let mut lag = Lag::default();
         loop {
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            let due = clock::now() + HAND_OVER_INTERVAL.as_millis() as Ms;
+            tokio::time::sleep(HAND_OVER_INTERVAL).await;
             let now = clock::now();
+            lag.note(now, now.saturating_sub(due));
             let recent = urged.values().any(|&at| now.saturating_sub(at) < URGE);
             if recent {
                 continue;
             }
-            if let Some(name) = self.next_owner(now, began, &urged) {
+            if let Some(name) = self.next_owner(now, began, lag.is_overloaded(now), &urged) {
                 urged.insert(name, now);
             }
         }
     }
 
     /// Urges the host that should own the pool in place of this one, if there is one; tells which.
-    fn next_owner(&self, now: Ms, began: Ms, urged: &FxHashMap<String, Ms>) -> Option<String> {
+    fn next_owner(
+        &self,
+        now: Ms,
+        began: Ms,
+        overloaded: bool,
+        urged: &FxHashMap<String, Ms>,
+    ) -> Option<String> {
         let unserved = lock(&self.unserved).filter(|unserved| {
             // A write that was sent just before the store came back is still unanswered when other calls are served again.
             let all_fail = if unserved.refused {
@@ -119,7 +133,9 @@
             unserved.gives_up(now) && all_fail
         });
         let draining = self.host.stop.is_draining();
-        let leaving = unserved.is_some() || draining;
+        // A new owner has much to do at first, and a pool that no host has time for must not go round.
+        let overloaded = overloaded && now.saturating_sub(began) > SETTLED_OVERLOADED;
+        let leaving = unserved.is_some() || draining || overloaded;
         let workers = self.workers();
         let own = Post {
             near: self.host.away() <= NEAR_MS,
@@ -145,6 +161,7 @@
         let (name, member) = members
             .iter()
             .filter(|(_, member)| member.is_served(now, 0) && takes(member))
+            .filter(|(_, member)| !overloaded || draining || member.post().suits(workers))
             .filter(|(_, member)| leaving || member.post().better(&own, workers))
             .min_by(|(a, a_is), (b, b_is)| {
                 let urged = |name| urged.get(name).copied().unwrap_or(0);
@@ -153,7 +170,7 @@
                     .then_with(|| rank(b_is).total_cmp(&rank(a_is)))
                     .then_with(|| self.turn(a).cmp(&self.turn(b)))
             })?;
-        info!(pool = self.number, heir = name.as_str(), epoch = self.epoch, unserved = unserved.is_some(), suits = own.suits(workers); "urges a host to take the pool");
+        info!(pool = self.number, heir = name.as_str(), epoch = self.epoch, unserved = unserved.is_some(), overloaded = overloaded, suits = own.suits(workers); "urges a host to take the pool");
         drop(member.to.try_send(FromOwner::Take { epoch: self.epoch }));
         Some(name.clone())
     }
