Owners whose writes go unanswered stay for 3 s, and news of the store is bounded

Cause: after a restart all lines of 2 Mbit/s are full, so the new owner's writes go unanswered; it urged the next host, which reads everything anew over a line like it. And each answer or failure of the store was told to all hosts at once. Change: an owner that is refused gives up as before; one that gets no answers stays for 3 s after it took the pool, since it could write its row then. Beats are 0.12 s apart at least.

--- a/crates/host/src/owner/members.rs
+++ b/crates/host/src/owner/members.rs
@@ -29,6 +29,10 @@
 const SETTLED: Ms = 5_000;
 /// The same for an owner that has too little for the pool: long enough for the others to join.
 const SETTLED_WEAK: Ms = 600;
+/// An owner whose writes go unanswered gives the pool up only after this long.
+const SETTLED_UNANSWERED: Ms = 3_000;
+/// Shortest time between two beats: a store that answers every other call must not fill the line with news of it.
+const BEAT_LEAST: Duration = Duration::from_millis(120);
 /// An owner that has no time for its pool gives it to another host after this long.
 const SETTLED_OVERLOADED: Ms = 1_500;
 /// Time between two looks whether another host should have the pool.
@@ -130,7 +134,10 @@
             } else {
                 !self.host.served()
             };
-            unserved.gives_up(now) && all_fail
+            // It could write its row when it took the pool. That answers don't come now is a matter of a full line: the next owner
+            // would read everything over one like it.
+            let settled = unserved.refused || now.saturating_sub(began) > SETTLED_UNANSWERED;
+            unserved.gives_up(now) && all_fail && settled
         });
         let draining = self.host.stop.is_draining();
         // A new owner has much to do at first, and a pool that no host has time for must not go round.
@@ -272,12 +279,15 @@
             }
             lock(&self.pool).set_askers(alive);
             self.host.hear(beat);
+            let changed = self.host.current.changed.notified();
+            let store_changed = self.host.store_changed.notified();
+            tokio::time::sleep(BEAT_LEAST).await;
             tokio::select! {
-                () = tokio::time::sleep(BEAT) => {}
-                () = self.host.current.changed.notified() => {}
+                () = tokio::time::sleep(BEAT - BEAT_LEAST) => {}
+                () = changed => {}
                 // Hosts that the store doesn't serve yet have their callers' jobs stored by the owner; and where it serves the owner
                 // no more, others have to find out whether it serves them.
-                () = self.host.store_changed.notified() => {}
+                () = store_changed => {}
             }
         }
     }
