A connection to the store that was not made is no refusal

Cause: a connection that can't be made within 0.4 s is told like a refusal, since nothing was done; on a full line that says nothing of the store. Change: only a failure within 0.15 s counts as a refusal; one that took longer counts as no answer, which gives up later and not within 3 s of taking the pool. Test, without network: a_connection_that_was_not_made_is_no_refusal.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -152,6 +152,12 @@
         &self.host
     }
 
+    /// The store did not take a write that was sent then; `refused` if it was surely not done.
+    pub(crate) fn note_unserved(&self, asked: Ms, refused: bool) {
+        let mut unserved = lock(&self.unserved);
+        *unserved = Some(Unserved::note(*unserved, asked, clock::now(), refused));
+    }
+
     pub(crate) fn is_over(&self) -> bool {
         self.over.is_cancelled()
     }
--- a/crates/host/src/unserved.rs
+++ b/crates/host/src/unserved.rs
@@ -11,6 +11,8 @@
 const UNANSWERED: Ms = 800;
 /// An owner that has got nothing but refusals for this long gives the pool up.
 const REFUSED: Ms = 200;
+/// A refusal comes within this time. One that took longer is a connection that could not be made: no answer.
+const REFUSAL_MOST: Ms = 150;
 /// An answer of the store to another host says something of the outage if it came this much after it began.
 const AFTER: Ms = 50;
 
@@ -33,6 +35,19 @@
 }
 
 impl Unserved {
+    /// A call that was made then has failed; `refused` if it was surely not done.
+    pub fn note(before: Option<Self>, asked: Ms, now: Ms, refused: bool) -> Self {
+        let refused = refused && now.saturating_sub(asked) <= REFUSAL_MOST;
+        let before = before.unwrap_or(Self {
+            since: asked,
+            refused: true,
+        });
+        Self {
+            refused: before.refused && refused,
+            ..before
+        }
+    }
+
     /// Whether the pool is to go to another host.
     #[must_use]
     pub fn gives_up(&self, now: Ms) -> bool {
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -18,7 +18,6 @@
 use crate::owner::Owner;
 use crate::rows::{CANCEL, JOBS, PROGRESS, RosterRow, job_part, pool_part};
 use crate::transfer::{self, Outcome};
-use crate::unserved::Unserved;
 
 /// Heirs are stored with whatever else changes, or after this: hosts come and go together.
 const HEIRS_PACE: Duration = Duration::from_millis(1_500);
@@ -169,12 +168,8 @@
             Err(error) => {
                 warn!(error:% = error, rows = batch.rows.len(); "progress is not stored yet");
                 unsure |= matches!(error, StoreError::Lost { .. });
-                lock(&owner.unserved)
-                    .get_or_insert(Unserved {
-                        since: asked,
-                        refused: true,
-                    })
-                    .refused &= matches!(error, StoreError::Refused { .. });
+                let refused = matches!(error, StoreError::Refused { .. });
+                owner.note_unserved(asked, refused);
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/crates/host/tests/unserved.rs
+++ b/crates/host/tests/unserved.rs
@@ -52,3 +52,16 @@
     assert!(silent.gives_up(10_900));
     assert!(silent.takes(10_900, &served(9_500)));
 }
+
+/// Guards against a full line that is taken for a refusal: a connection that can't be made has done nothing either, and the next
+/// owner's line is no better.
+#[test]
+fn a_connection_that_was_not_made_is_no_refusal() {
+    let refused = Unserved::note(None, 10_000, 10_020, true);
+    assert_eq!(refused, REFUSED);
+    let again = Unserved::note(Some(refused), 10_100, 10_130, true);
+    assert_eq!(again, REFUSED, "it counts from the first one");
+    let slow = Unserved::note(Some(refused), 10_100, 10_500, true);
+    assert!(!slow.refused);
+    assert!(!Unserved::note(Some(slow), 10_600, 10_610, true).refused);
+}
