An answer to an older hold is not taken for the one that is awaited

Seen in reading: where no copies are left, the first answer to any earlier hold ended the wait, and the worker counted as lost before its answer was due; and a late answer to the first hold did not end the wait for the second one. Change: holds that are awaited have numbers. Their answers are all taken; the wait ends with the answer to one of the two calls at hand. Test: an_answer_to_an_older_call_ends_no_wait.

--- a/crates/host/src/hedge.rs
+++ b/crates/host/src/hedge.rs
@@ -6,9 +6,9 @@
 
 use std::time::Duration;
 
-use futures::StreamExt as _;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
+use futures::{FutureExt as _, StreamExt as _};
 
 /// Calls whose answers are awaited although they were due.
 const LATE_MOST: usize = 4;
@@ -72,18 +72,22 @@
 
 /// Calls of one kind to one host, and those of them that were not answered in time.
 pub struct Hedge<T> {
-    late: FuturesUnordered<BoxFuture<'static, T>>,
+    /// With their numbers.
+    late: FuturesUnordered<BoxFuture<'static, (u64, T)>>,
+    /// How many calls were made.
+    calls: u64,
 }
 
 impl<T> Default for Hedge<T> {
     fn default() -> Self {
         Self {
             late: FuturesUnordered::new(),
+            calls: 0,
         }
     }
 }
 
-impl<T> Hedge<T> {
+impl<T: Send + 'static> Hedge<T> {
     /// Makes a call and takes its answer; calls once more if that is not there after `overdue` and `again` gives a call, and waits
     /// until `due` in all.
     ///
@@ -97,64 +101,86 @@
         due: Duration,
         mut take: impl FnMut(T, Call) -> Result<(), E>,
     ) -> Result<Outcome, E> {
-        if self.answer(first, overdue, &mut take).await? {
+        if self.answer(first, overdue, None, &mut take).await? == Some(Call::Present) {
             return Ok(Outcome::InTime);
         }
+        let first = Some(self.calls);
         let left = due.saturating_sub(overdue);
-        let mut late = false;
-        let mut take = |answer, call| {
-            late |= call == Call::Earlier;
-            take(answer, call)
-        };
         let answered = match again() {
-            Some(again) => self.answer(again, left, &mut take).await?,
-            None => self.first_late(left, &mut take).await?,
+            Some(again) => self.answer(again, left, first, &mut take).await?,
+            None => self.late_answer(left, first, &mut take).await?,
         };
-        Ok(match (answered, late) {
-            (_, true) => Outcome::Late,
-            (true, false) => Outcome::Lost,
-            (false, false) => Outcome::Unanswered,
+        Ok(match answered {
+            Some(Call::Earlier) => Outcome::Late,
+            Some(Call::Present) => Outcome::Lost,
+            None => Outcome::Unanswered,
         })
     }
 
-    /// Waits this long for an answer to one of the earlier calls, and takes it. It is none to a second call.
-    async fn first_late<E>(
+    /// Waits this long for the answer to a call or to the one with the number `first`, whichever comes first, and takes answers to
+    /// earlier ones meanwhile; tells to which of the two it came.
+    async fn answer<E>(
         &mut self,
+        call: BoxFuture<'static, T>,
         due: Duration,
+        first: Option<u64>,
         take: &mut impl FnMut(T, Call) -> Result<(), E>,
-    ) -> Result<bool, E> {
-        let next = self.late.next();
-        if let Ok(Some(answer)) = tokio::time::timeout(due, next).await {
-            take(answer, Call::Earlier)?;
+    ) -> Result<Option<Call>, E> {
+        self.calls += 1;
+        let number = self.calls;
+        let mut call = call.map(move |answer| (number, answer)).boxed();
+        let due = tokio::time::sleep(due);
+        tokio::pin!(due);
+        loop {
+            tokio::select! {
+                // An answer that is there counts, however late this host looks.
+                biased;
+                (_, answer) = &mut call => {
+                    take(answer, Call::Present)?;
+                    return Ok(Some(Call::Present));
+                }
+                Some((number, answer)) = self.late.next(), if !self.late.is_empty() => {
+                    take(answer, Call::Earlier)?;
+                    if first == Some(number) {
+                        self.keep(call);
+                        return Ok(Some(Call::Earlier));
+                    }
+                }
+                () = &mut due => {
+                    self.keep(call);
+                    return Ok(None);
+                }
+            }
         }
-        Ok(false)
     }
 
-    /// Waits this long for the answer to a call, and takes those to earlier ones meanwhile.
-    async fn answer<E>(
+    /// Waits this long for the answer to the call with the number `first`, and takes those to earlier ones meanwhile.
+    async fn late_answer<E>(
         &mut self,
-        mut call: BoxFuture<'static, T>,
         due: Duration,
+        first: Option<u64>,
         take: &mut impl FnMut(T, Call) -> Result<(), E>,
-    ) -> Result<bool, E> {
+    ) -> Result<Option<Call>, E> {
         let due = tokio::time::sleep(due);
         tokio::pin!(due);
         loop {
             tokio::select! {
-                // An answer that is there counts, however late this host looks.
                 biased;
-                answer = &mut call => {
-                    take(answer, Call::Present)?;
-                    return Ok(true);
-                }
-                Some(answer) = self.late.next(), if !self.late.is_empty() => take(answer, Call::Earlier)?,
-                () = &mut due => {
-                    if self.late.len() < LATE_MOST {
-                        self.late.push(call);
+                Some((number, answer)) = self.late.next(), if !self.late.is_empty() => {
+                    take(answer, Call::Earlier)?;
+                    if first == Some(number) {
+                        return Ok(Some(Call::Earlier));
                     }
-                    return Ok(false);
                 }
+                () = &mut due => return Ok(None),
             }
         }
     }
+
+    /// A call's answer is awaited beside those to come.
+    fn keep(&mut self, call: BoxFuture<'static, (u64, T)>) {
+        if self.late.len() < LATE_MOST {
+            self.late.push(call);
+        }
+    }
 }
