--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -82,16 +82,19 @@
             }
         }
         let asked = clock::now();
-        let (lease, heard) = {
+        let (lease, responsive) = {
             let mut pool = lock(&owner.pool);
             let lease = pool.holding(asked, id);
-            (lease, pool.worker(id).is_some_and(pool::Worker::is_heard))
+            (
+                lease,
+                pool.worker(id).is_some_and(pool::Worker::is_responsive),
+            )
         };
         let all_noted = ends.1 <= ends.2;
         let wait = match lease {
             Some(_) if all_noted && lock(&owner.lost_answers).is_common() => WAIT_LOSSY,
             Some(_) if all_noted => WAIT,
-            None if all_noted && heard => UNPROVED,
+            None if all_noted && responsive => UNPROVED,
             _ => Duration::ZERO,
         };
         // A worker that did not answer may be in a new life, whose numbers begin anew: it must not forget ends by those of the
@@ -103,18 +106,18 @@
             lease,
             noted,
         };
-        match hear(owner, id, &question, asked, wait, &mut holds).await {
+        match hold_once(owner, id, &question, asked, wait, &mut holds).await {
             Ok(()) => {
                 if lost {
                     info!(dependency = "worker", worker = &**id; "regained");
                     lost = false;
                 }
-                let strange = {
+                let unknown_ends = {
                     let pool = lock(&owner.pool);
                     pool.worker(id)
-                        .is_some_and(pool::Worker::lists_strange_ends)
+                        .is_some_and(pool::Worker::lists_unknown_ends)
                 };
-                if all_noted && !strange {
+                if all_noted && !unknown_ends {
                     pause = PAUSE;
                 } else {
                     tokio::time::sleep(pause).await;
@@ -129,7 +132,7 @@
                 return;
             }
             Err(failure) => {
-                lock(&owner.pool).unheard(id);
+                lock(&owner.pool).mark_unresponsive(id);
                 owner.dirty.notify_one();
                 if !lost {
                     warn!(dependency = "worker", worker = &**id, failure:? = failure; "lost");
@@ -180,7 +183,7 @@
 }
 
 /// Holds a worker once and takes what it lists.
-async fn hear(
+async fn hold_once(
     owner: &Owner,
     id: &WorkerId,
     question: &Question,
@@ -218,12 +221,12 @@
     let due = wait + ANSWER_TIMEOUT;
     let outcome = holds.ask(first, again, wait + overdue, due, take).await?;
     lock(&owner.lost_answers).note(outcome == Outcome::Lost);
-    let heard = || {
+    let answered = || {
         let pool = lock(&owner.pool);
         pool.worker(id)
-            .is_some_and(|worker| worker.heard_since(asked))
+            .is_some_and(|worker| worker.answered_since(asked))
     };
-    if matches!(outcome, Outcome::InTime | Outcome::Lost) || heard() {
+    if matches!(outcome, Outcome::InTime | Outcome::Lost) || answered() {
         Ok(())
     } else {
         Err(HoldFailure::Lost)
@@ -248,7 +251,7 @@
     let (now, unix) = (clock::now(), clock::unix());
     let news = {
         let mut pool = lock(&owner.pool);
-        pool.heard(now, unix, id, &listing);
+        pool.apply_listing(now, unix, id, &listing);
         pool.unsaved()
     };
     owner.wake.notify_one();
--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -127,7 +127,7 @@
                     self.close(unix, &id, State::Failed);
                 }
             }
-            _ => self.settle(now, unix, &key.stage),
+            _ => self.complete_or_advance(now, unix, &key.stage),
         }
     }
 
@@ -181,7 +181,7 @@
         if stage.complete() {
             self.open.remove(key);
             self.note_times(now, key);
-            self.settle(now, unix, key);
+            self.complete_or_advance(now, unix, key);
         }
     }
 
@@ -220,11 +220,11 @@
     }
 
     /// Completes the job if its last run is over, and lets steps begin.
-    pub(crate) fn settle(&mut self, now: Ms, unix: u64, key: &StageKey) {
+    pub(crate) fn complete_or_advance(&mut self, now: Ms, unix: u64, key: &StageKey) {
         let Some(live) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        if live.settle() && !live.state.is_final() {
+        if live.close_occurrences() && !live.state.is_final() {
             live.state = State::Completed;
             live.closed = unix;
             self.timed.remove(&key.job);
--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -45,10 +45,10 @@
     pub(crate) fn hold_back(&mut self, now: Ms, job: &JobId) {
         let mut runs = Vec::new();
         for silent in &self.silent {
-            let heard = self.workers.get(&silent.worker).is_none_or(|it| it.fenced);
+            let answered = self.workers.get(&silent.worker).is_none_or(|it| it.fenced);
             let of = silent.runs.iter().filter(|(key, _)| key.stage.job == *job);
             runs.extend(
-                of.filter(|_| !heard)
+                of.filter(|_| !answered)
                     .map(|(key, number)| (key.clone(), *number, Arc::clone(&silent.worker))),
             );
         }
@@ -80,8 +80,8 @@
             for stray in worker.strays.values_mut() {
                 stray.since = now;
             }
-            if let Some(strange) = &mut worker.strange {
-                strange.since = now;
+            if let Some(unknown) = &mut worker.unknown_ends {
+                unknown.since = now;
             }
         }
     }
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -285,7 +285,7 @@
     }
 
     /// Closes occurrences that are over; `true` if the job is completed with that.
-    pub(crate) fn settle(&mut self) -> bool {
+    pub(crate) fn close_occurrences(&mut self) -> bool {
         let over: Vec<u32> = self
             .open
             .iter()
--- a/crates/pool/src/misfit.rs
+++ b/crates/pool/src/misfit.rs
@@ -56,7 +56,7 @@
         let need = if together { step.count } else { 1 };
         let mut room = 0;
         for worker in self.workers.values() {
-            let there = worker.listed || worker.fenced && !worker.unheard;
+            let there = worker.listed || worker.fenced && !worker.unresponsive;
             if there && worker.leaves.is_none() && fit::allowed(worker, &job.service, step) {
                 room += takes(worker, step);
                 if room >= need {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -165,7 +165,7 @@
         self.jobs.insert(Arc::clone(&id), live);
         self.advance(&id, now, unix);
         self.hold_back(now, &id);
-        self.recognise(now, &id);
+        self.adopt_observed_runs(now, &id);
         if self.cancels.remove(&id) {
             self.cancel(unix, &id);
         }
@@ -369,14 +369,14 @@
     #[must_use]
     pub fn proved(&self, now: Ms) -> bool {
         let mut known = 0;
-        let mut heard = 0;
+        let mut answered = 0;
         for worker in self.workers.values().filter(|worker| worker.listed) {
             known += 1;
-            if worker.fenced && now.saturating_sub(worker.heard) <= self.options.proof {
-                heard += 1;
+            if worker.fenced && now.saturating_sub(worker.last_hold) <= self.options.proof {
+                answered += 1;
             }
         }
-        heard * 2 > known
+        answered * 2 > known
     }
 
     /// What a task of this step takes on a worker.
--- a/crates/pool/src/hear.rs
+++ b/crates/pool/src/reconcile.rs
@@ -1,24 +1,24 @@
-//! What follows from a worker's listing.
+//! Reconciles the pool's state with what workers list.
 
 use std::sync::Arc;
 
 use crate::listing::{Listing, Running};
 use crate::pool::Pool;
 use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
-use crate::worker::{Strange, Stray};
+use crate::worker::{Stray, UnknownEnds};
 
 /// A run of a job that nobody knows is stopped after this time. The row of a job may reach this owner later than the
 /// task does (a few milliseconds as a rule, seconds while the store is in trouble).
-const STRANGE: Ms = 3_000;
+const UNKNOWN_JOB_TIMEOUT: Ms = 3_000;
 /// A run that should be there and is neither listed nor ended for this long is taken as over. Ends come in order and
 /// all of them, so this happens only if the worker contradicts itself.
-const VANISHED: Ms = 4_000;
+const MISSING_RUN_TIMEOUT: Ms = 4_000;
 /// Time that covers ways, timers and rounding when a lease of a worker is reckoned on our clock.
 const LEASE_SLACK: Ms = 400;
 
 impl Pool {
-    /// A worker answered a hold.
-    pub fn heard(&mut self, now: Ms, unix: u64, id: &WorkerId, listing: &Listing) {
+    /// Applies a worker's answer to a hold.
+    pub fn apply_listing(&mut self, now: Ms, unix: u64, id: &WorkerId, listing: &Listing) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -26,7 +26,7 @@
             return;
         }
         if worker.fenced && listing.born != worker.born {
-            self.reborn(now, unix, id);
+            self.worker_restarted(now, unix, id);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -36,9 +36,9 @@
             worker.lapses = 0;
         }
         worker.fenced = true;
-        worker.unheard = false;
+        worker.unresponsive = false;
         worker.born = listing.born;
-        worker.heard = worker.heard.max(listing.asked);
+        worker.last_hold = worker.last_hold.max(listing.asked);
         if listing.clock > worker.clock.0 {
             worker.clock = (listing.clock, now);
         }
@@ -69,13 +69,13 @@
             return;
         };
         let applied = worker.applied;
-        let before = worker.strange.take();
+        let before = worker.unknown_ends.take();
         let mut beyond = std::mem::take(&mut worker.beyond);
-        let mut strange: Option<Strange> = None;
+        let mut unknown: Option<UnknownEnds> = None;
         for end in listing.ended.iter().filter(|end| end.number > applied) {
             let job = &end.task.stage.job;
             if !self.jobs.contains_key(job) {
-                let found = strange.get_or_insert_with(|| Strange {
+                let found = unknown.get_or_insert_with(|| UnknownEnds {
                     first: end.number,
                     since: before
                         .as_ref()
@@ -83,16 +83,16 @@
                         .map_or(now, |before| before.since),
                     jobs: Vec::new(),
                 });
-                if self.partial || now.saturating_sub(found.since) < STRANGE {
+                if self.partial || now.saturating_sub(found.since) < UNKNOWN_JOB_TIMEOUT {
                     found.jobs.push(Arc::clone(job));
                     continue;
                 }
-                strange = None;
+                unknown = None;
             }
             if !beyond.remove(&end.number) {
                 self.apply_end(now, unix, id, end);
             }
-            if strange.is_some() {
+            if unknown.is_some() {
                 beyond.insert(end.number);
             } else if let Some(worker) = self.workers.get_mut(id) {
                 worker.applied = end.number;
@@ -100,7 +100,7 @@
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.beyond = beyond;
-            worker.strange = strange;
+            worker.unknown_ends = unknown;
         }
     }
 
@@ -109,7 +109,7 @@
     ///
     /// The former owner may have started it just before it was fenced, while its row reached this owner after the
     /// workers' listings. Without this it was started a second time beside the first.
-    pub(crate) fn recognise(&mut self, now: Ms, job: &JobId) {
+    pub(crate) fn adopt_observed_runs(&mut self, now: Ms, job: &JobId) {
         let mut runs = Vec::new();
         let mut waits = Vec::new();
         for worker in self.workers.values() {
@@ -119,9 +119,9 @@
                 runs.push((Arc::clone(&worker.id), key.clone(), run));
             }
             if worker
-                .strange
+                .unknown_ends
                 .as_ref()
-                .is_some_and(|strange| strange.jobs.contains(job))
+                .is_some_and(|unknown| unknown.jobs.contains(job))
             {
                 waits.push(Arc::clone(&worker.id));
             }
@@ -134,7 +134,7 @@
                 percent: 0,
                 load: 0,
             };
-            self.see(now, &worker, &row);
+            self.observe_run(now, &worker, &row);
         }
         if let Some(live) = self.jobs.get_mut(job) {
             live.awaits = waits.len();
@@ -160,7 +160,7 @@
         }
         let worker = self.workers.get_mut(id)?;
         let clock = worker.clock(now);
-        if worker.unheard || clock == 0 {
+        if worker.unresponsive || clock == 0 {
             return None;
         }
         worker.lapses = worker.lapses.max(now + most + most / 33 + LEASE_SLACK);
@@ -169,20 +169,20 @@
 
     /// A hold got no answer. Until one does, nothing is started there: the order would be in doubt, and if the owner were
     /// lost as well, the next one would have to wait for that worker before it could start anything it inherits.
-    pub fn unheard(&mut self, id: &WorkerId) {
+    pub fn mark_unresponsive(&mut self, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.unheard = true;
+            worker.unresponsive = true;
         }
     }
 
-    /// The worker lost its former life: nothing of it runs any more.
-    fn reborn(&mut self, now: Ms, unix: u64, id: &WorkerId) {
+    /// The worker has restarted: nothing of its former life runs any more.
+    fn worker_restarted(&mut self, now: Ms, unix: u64, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.applied = 0;
         worker.beyond.clear();
-        worker.strange = None;
+        worker.unknown_ends = None;
         worker.noted = 0;
         worker.clock = (0, 0);
         worker.lapses = 0;
@@ -218,7 +218,7 @@
             } else {
                 let stage = key.stage.clone();
                 self.run_over(now, &key, 0);
-                self.settle(now, unix, &stage);
+                self.complete_or_advance(now, unix, &stage);
             }
         }
     }
@@ -226,7 +226,7 @@
     /// Compares what runs on a worker with what should.
     fn compare(&mut self, now: Ms, unix: u64, id: &WorkerId, listing: &Listing) {
         for row in &listing.running {
-            self.see(now, id, row);
+            self.observe_run(now, id, row);
         }
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -261,7 +261,9 @@
                 Phase::Ordered | Phase::Unsure => listing.clock > run.latest,
                 // An answer that was long on its way says nothing of a run that was ordered meanwhile.
                 Phase::Running => {
-                    !full && listing.asked.saturating_sub(run.moved.max(run.ordered)) > VANISHED
+                    !full
+                        && listing.asked.saturating_sub(run.moved.max(run.ordered))
+                            > MISSING_RUN_TIMEOUT
                 }
                 Phase::Stopping => {
                     !full
@@ -271,7 +273,7 @@
             };
             if over {
                 self.run_over(now, &key, 0);
-                self.settle(now, unix, &key.stage);
+                self.complete_or_advance(now, unix, &key.stage);
             }
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -286,8 +288,8 @@
         }
     }
 
-    /// A worker lists a run.
-    fn see(&mut self, now: Ms, id: &WorkerId, row: &Running) {
+    /// Takes note of a run that a worker lists.
+    fn observe_run(&mut self, now: Ms, id: &WorkerId, row: &Running) {
         let key = &row.task;
         let closed = self
             .jobs
@@ -368,8 +370,8 @@
         let partial = self.partial;
         for worker in self.workers.values_mut() {
             for (key, stray) in &mut worker.strays {
-                let strange = !partial && now.saturating_sub(stray.since) > STRANGE;
-                let due = stray.size.is_some() || strange;
+                let unknown = !partial && now.saturating_sub(stray.since) > UNKNOWN_JOB_TIMEOUT;
+                let due = stray.size.is_some() || unknown;
                 if due && (stray.stop_sent == 0 || now.saturating_sub(stray.stop_sent) > 400) {
                     stray.stop_sent = now.max(1);
                     self.orders.push(crate::Order::Stop(crate::Stop {
--- a/crates/pool/src/watch.rs
+++ b/crates/pool/src/watch.rs
@@ -111,7 +111,7 @@
         let mut still = Vec::new();
         let mut paces = Vec::new();
         for worker in self.workers.values() {
-            if now.saturating_sub(worker.heard) > 1_500 {
+            if now.saturating_sub(worker.last_hold) > 1_500 {
                 continue;
             }
             let mut worst = 0.0_f64;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -55,9 +55,9 @@
     pub stop_sent: Ms,
 }
 
-/// Ends of jobs that nobody knows.
+/// Listed ends of jobs that aren't known.
 #[derive(Clone, Debug)]
-pub(crate) struct Strange {
+pub(crate) struct UnknownEnds {
     /// Number of the first one.
     pub first: u64,
     /// Since when it is the first one.
@@ -78,7 +78,7 @@
     /// The next owner would know of it: it is in the stored roster.
     pub(crate) enrolled: bool,
     /// Ends that it lists of jobs that nobody knows.
-    pub(crate) strange: Option<Strange>,
+    pub(crate) unknown_ends: Option<UnknownEnds>,
     /// It has answered a hold of this epoch.
     pub(crate) fenced: bool,
     /// Start of the life that answered last, in Unix milliseconds.
@@ -86,11 +86,11 @@
     /// Its clock as it was last told, and ours when that was received.
     pub(crate) clock: (Ms, Ms),
     /// Its last hold got no answer.
-    pub(crate) unheard: bool,
+    pub(crate) unresponsive: bool,
     /// Usual time until an order is answered; 0 if none was.
     pub(crate) answers: Ms,
     /// When the last hold that it answered was sent.
-    pub(crate) heard: Ms,
+    pub(crate) last_hold: Ms,
     /// By then its lease has surely lapsed, unless it is renewed.
     pub(crate) lapses: Ms,
     /// It leaves at about this time, if it drains.
@@ -120,21 +120,21 @@
     #[must_use]
     pub fn silent(&self, now: Ms) -> bool {
         self.fenced
-            && (self.unheard
+            && (self.unresponsive
                 || self.leaves.is_some()
-                || now.saturating_sub(self.heard) >= Self::SILENCE)
+                || now.saturating_sub(self.last_hold) >= Self::SILENCE)
     }
 
     /// Whether it has answered the last hold in its present life.
     #[must_use]
-    pub fn is_heard(&self) -> bool {
-        !self.unheard && self.clock != (0, 0)
+    pub fn is_responsive(&self) -> bool {
+        !self.unresponsive && self.clock != (0, 0)
     }
 
     /// Whether it lists ends of jobs that aren't known: it lists them again and again, at once.
     #[must_use]
-    pub fn lists_strange_ends(&self) -> bool {
-        self.strange.is_some()
+    pub fn lists_unknown_ends(&self) -> bool {
+        self.unknown_ends.is_some()
     }
 
     /// Time after which an answer of this worker that is due is overdue, in milliseconds.
@@ -145,8 +145,8 @@
 
     /// Whether it has answered a hold that was sent at this time or later.
     #[must_use]
-    pub fn heard_since(&self, asked: Ms) -> bool {
-        self.heard >= asked
+    pub fn answered_since(&self, asked: Ms) -> bool {
+        self.last_hold >= asked
     }
 
     /// Its clock now, as far as we can tell; 0 if it has never been told.
@@ -172,12 +172,12 @@
     /// Whether something may be started there now.
     #[must_use]
     pub fn takes(&self, now: Ms) -> bool {
-        let strange = self.strays.values().any(|stray| stray.size.is_none());
+        let unknown_strays = self.strays.values().any(|stray| stray.size.is_none());
         self.listed
             && self.enrolled
             && self.fenced
             && self.rest <= now
-            && !strange
+            && !unknown_strays
             && !self.silent(now)
     }
 
--- a/crates/pool/tests/case/mod.rs
+++ b/crates/pool/tests/case/mod.rs
@@ -51,7 +51,7 @@
         running,
         ended,
     };
-    pool.heard(now, UNIX + now, id, &listing);
+    pool.apply_listing(now, UNIX + now, id, &listing);
 }
 
 pub(crate) fn hold_all(pool: &mut Pool, now: u64, runs: &[Start]) {
--- a/crates/pool/tests/late_holds.rs
+++ b/crates/pool/tests/late_holds.rs
@@ -34,7 +34,7 @@
         running: vec![],
         ended: vec![],
     };
-    pool.heard(now, UNIX + now, &started[0].worker, &late);
+    pool.apply_listing(now, UNIX + now, &started[0].worker, &late);
     assert_eq!(run(&mut pool, now + 1).len(), 0, "it runs already");
 }
 
@@ -55,7 +55,7 @@
         how: pool::How::Done,
         saved: String::new(),
     };
-    let reborn = Listing {
+    let restarted = Listing {
         clock: 500,
         born: 2,
         lease: 6_500,
@@ -63,6 +63,6 @@
         running: vec![],
         ended: vec![end],
     };
-    pool.heard(1_510, UNIX + 1_510, &first.worker, &reborn);
+    pool.apply_listing(1_510, UNIX + 1_510, &first.worker, &restarted);
     assert_eq!(run(&mut pool, 1_520).len(), 0, "it is done");
 }
--- a/crates/pool/tests/misfits.rs
+++ b/crates/pool/tests/misfits.rs
@@ -26,7 +26,7 @@
         false,
     );
     pool.unlisted("w03");
-    pool.unheard(&"w03".into());
+    pool.mark_unresponsive(&"w03".into());
     assert!(pool.misfits(1_100).is_empty(), "it may come back");
     let mut leave = Vec::new();
     for now in (1_200..5_000).step_by(100) {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -288,7 +288,9 @@
                 }
                 Message::Listing(owner, id, listing) => {
                     let unix = self.unix();
-                    self.owners[owner].pool.heard(now, unix, &id, &listing);
+                    self.owners[owner]
+                        .pool
+                        .apply_listing(now, unix, &id, &listing);
                 }
             }
         }
--- a/crates/pool/tests/world/workers.rs
+++ b/crates/pool/tests/world/workers.rs
@@ -199,7 +199,7 @@
                     ended: machine.ended.clone(),
                 };
                 if self.mute.contains(id) {
-                    self.owners[owner].pool.unheard(id);
+                    self.owners[owner].pool.mark_unresponsive(id);
                 } else {
                     self.post(STEP, Message::Listing(owner, id.clone(), listing));
                 }
