Runs that are over without an end are logged and counted

Nothing told that a worker had lost a run: a restart, a lapsed lease and a run that is listed no more looked alike, and how long it had run and what was lost with it could not be known.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -140,6 +140,14 @@
             of("why")
         ),
         "end" => format!("{} ended on {}: {}", task(), of("worker"), of("how")),
+        "run lost" => format!(
+            "{} lost by {} without an end: {}, answered for at least {} ms since the order, {} runs there",
+            task(),
+            of("worker"),
+            of("loss"),
+            of("survived"),
+            of("runs")
+        ),
         "pace" => format!(
             "{} paced to {} percent on {}",
             task(),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -101,3 +101,16 @@
         "Its tasks are not told one by one: it is not in the sample."
     );
 }
+
+#[test]
+fn a_lost_run_is_told_with_how_it_was_lost() {
+    let lost = line(
+        "01.000",
+        "run lost",
+        r#""job":"j1","step":"1","task":"0","run":"6","worker":"w2","loss":"lapsed","confirmed":"false","survived":"0","runs":"9""#,
+    );
+    let told = explain("j1", [lost.as_str()].into_iter()).expect("it is there");
+    assert!(told.contains(
+        "task 1.0 run 6 lost by w2 without an end: lapsed, answered for at least 0 ms since the order, 9 runs there"
+    ));
+}
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -13,7 +13,7 @@
 
 use log::{info, warn};
 use pool::repeat::Budget;
-use pool::{Mechanism, Ms, Order, Pool, StepTimes, WorkerId};
+use pool::{LostRun, Mechanism, Ms, Order, Pool, StepTimes, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -261,7 +261,7 @@
                 () = tokio::time::sleep(TICK) => {}
             }
             let began = Instant::now();
-            let (orders, unsaved, deposed, steps) = {
+            let (orders, unsaved, deposed, steps, lost) = {
                 let mut pool = lock(&self.pool);
                 let orders = pool.plan(clock::now(), clock::unix());
                 (
@@ -269,6 +269,7 @@
                     pool.unsaved(),
                     pool.deposed(),
                     pool.take_steps_done(),
+                    pool.take_lost_runs(),
                 )
             };
             let took = began.elapsed();
@@ -291,6 +292,7 @@
                 self.dirty.notify_one();
             }
             steps.iter().for_each(tell_step);
+            lost.iter().for_each(log_lost_run);
             self.expire_questions();
             tokio::time::sleep(GAP).await;
         }
@@ -408,3 +410,15 @@
         "step"
     );
 }
+
+/// Logs and counts a run that is over without an end.
+fn log_lost_run(lost: &LostRun) {
+    metrics::counter!("lentilyoke_runs_lost_total", "loss" => lost.loss.name()).increment(1);
+    let key = &lost.task;
+    info!(
+        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
+        task = key.index, run = lost.run, worker = &*lost.worker, loss = lost.loss.name(),
+        confirmed = lost.confirmed, survived = lost.survived, runs = lost.runs;
+        "run lost"
+    );
+}
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::live::Live;
+use crate::loss::Loss;
 use crate::mechanism::Mechanism;
 use crate::order::{Order, Start, Stop};
 use crate::pool::Pool;
@@ -71,6 +72,9 @@
                     live.awaits = live.awaits.saturating_sub(1);
                 }
             }
+            for key in &keys {
+                self.note_loss(key, Loss::Lapsed);
+            }
             for key in keys {
                 self.run_over(now, &key, 0);
                 self.complete_or_advance(now, unix, &key.stage);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::job::Job;
 use crate::live::Live;
+use crate::loss::LostRun;
 use crate::mechanism::{Mechanism, Switches};
 use crate::order::Order;
 use crate::pace::Tempo;
@@ -112,6 +113,8 @@
     pub(crate) steps_done: Vec<StepTimes>,
     /// Courses of jobs whose final states were stored, for the log.
     pub(crate) jobs_done: Vec<JobTimes>,
+    /// Runs that workers have lost, for the log.
+    pub(crate) lost_runs: Vec<LostRun>,
     /// Orders that came out of news, for the next plan.
     pub(crate) orders: Vec<Order>,
     /// Another owner has a higher epoch.
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::listing::{Listing, Running};
+use crate::loss::Loss;
 use crate::pool::Pool;
 use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
 use crate::worker::{Stray, UnknownEnds};
@@ -198,6 +199,9 @@
                 .unwrap_or_default();
         }
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+        for key in &keys {
+            self.note_loss(key, Loss::Restarted);
+        }
         for key in keys {
             let doubtful = self
                 .task_mut(&key)
@@ -272,6 +276,9 @@
                 }
             };
             if over {
+                if run.phase == Phase::Running {
+                    self.note_loss(&key, Loss::Missing);
+                }
                 self.run_over(now, &key, 0);
                 self.complete_or_advance(now, unix, &key.stage);
             }
