--- /dev/null
+++ b/crates/pool/tests/crashes.rs
@@ -0,0 +1,165 @@
+//! Tasks that crash the workers which start them: given up after a few crashes, while work beside them goes on.
+
+#[allow(dead_code, reason = "the other test files use the rest")]
+mod world;
+
+use pool::{State, WorkerId};
+use rand::Rng as _;
+use resource::Size;
+use world::{World, job};
+
+/// The job whose first task crashes its workers.
+const CRASHER: &str = "00000000000000ff";
+
+fn id(at: usize) -> WorkerId {
+    format!("w{at:02}").into()
+}
+
+/// A cell with this many workers, one of whose jobs crashes each worker that starts it.
+fn cell(seed: u64, workers: usize, replaces: bool) -> World {
+    let mut world = World::new(seed, workers);
+    world.replaces = replaces;
+    world.take();
+    world.pass(500);
+    world.make_crasher(CRASHER, 1, 0);
+    world.accept(job(CRASHER, &[(2, 500, 300), (3, 800, 600)]));
+    world
+}
+
+/// Hands in a job of two steps every 300 ms for this many jobs.
+fn hand_in(world: &mut World, jobs: usize) {
+    for at in 0..jobs {
+        world.accept(job(
+            &format!("{at:016}"),
+            &[(3, 800, 700), (2, 1_000, 2_500)],
+        ));
+        world.pass(300);
+    }
+}
+
+/// All jobs but the one that crashes its workers are completed.
+fn assert_others_completed(world: &World) {
+    let others: Vec<&String> = world.jobs.keys().filter(|id| *id != CRASHER).collect();
+    let open: Vec<_> = others
+        .into_iter()
+        .filter(|id| world.stored(id) != Some(State::Completed))
+        .collect();
+    assert!(open.is_empty(), "{open:?}");
+}
+
+/// Guards against a task that crashes its workers being started without end: a crash leaves no end that counts as an attempt.
+#[test]
+fn a_task_that_crashes_restarting_workers_is_given_up() {
+    for seed in 0..10 {
+        let mut world = cell(seed, 8, false);
+        hand_in(&mut world, 60);
+        world.pass(60_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.stored(CRASHER), Some(State::Failed), "seed {seed}");
+        assert_others_completed(&world);
+    }
+}
+
+/// Guards against the same where a crashed worker never comes back under its id: only its lease tells that it is gone.
+#[test]
+fn a_task_that_crashes_replaced_workers_is_given_up() {
+    for seed in 20..30 {
+        let mut world = cell(seed, 8, true);
+        hand_in(&mut world, 60);
+        world.pass(60_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.stored(CRASHER), Some(State::Failed), "seed {seed}");
+        assert_others_completed(&world);
+    }
+}
+
+/// Guards against a count of crashes that is lost with the owner that made it, also while the store takes no writes.
+#[test]
+fn crashes_are_known_to_the_next_owner() {
+    for seed in 40..60 {
+        let mut world = cell(seed, 8, seed % 2 == 0);
+        for at in 0..80 {
+            world.accept(job(
+                &format!("{at:016}"),
+                &[(3, 800, 700), (2, 1_000, 2_500)],
+            ));
+            let time = world.rng.random_range(300..900);
+            world.pass(time);
+            world.weather.store = world.rng.random_bool(0.8);
+            if world.rng.random_bool(0.1) {
+                let last = world.owners.len() - 1;
+                world.owners[last].over = true;
+                world.take();
+            }
+        }
+        world.weather.store = true;
+        world.pass(80_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.stored(CRASHER), Some(State::Failed), "seed {seed}");
+        assert_others_completed(&world);
+    }
+}
+
+/// Guards against tasks being given up for crashes that they didn't cause: racks lose power, workers are cut off.
+#[test]
+fn tasks_on_workers_that_crash_by_themselves_are_not_given_up() {
+    for seed in 80..90 {
+        let mut world = World::new(seed, 12);
+        world.take();
+        world.pass(500);
+        for at in 0..80 {
+            world.accept(job(
+                &format!("{at:016}"),
+                &[(3, 800, 700), (2, 1_000, 6_000)],
+            ));
+            let time = world.rng.random_range(100..500);
+            world.pass(time);
+            if world.rng.random_bool(0.06) {
+                let first = world.rng.random_range(0..3) * 4;
+                for victim in first..first + 4 {
+                    let back = world.rng.random_range(200..4_000);
+                    world.crash(&id(victim), back);
+                }
+            }
+        }
+        world.pass(120_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_others_completed(&world);
+    }
+}
+
+/// Guards against starts on a worker whose room has shrunk below what it runs.
+#[test]
+fn a_worker_whose_room_has_shrunk_gets_nothing_beyond_it() {
+    for seed in 120..130 {
+        let mut world = World::new(seed, 8);
+        world.weather.late = 0.02;
+        world.take();
+        world.pass(500);
+        for at in 0..80 {
+            world.accept(job(
+                &format!("{at:016}"),
+                &[(4, 900, 700), (2, 1_000, 5_000)],
+            ));
+            let time = world.rng.random_range(50..400);
+            world.pass(time);
+            if world.rng.random_bool(0.3) {
+                let victim = id(world.rng.random_range(0..8));
+                let room = [1_000, 2_500, 4_000][world.rng.random_range(0..3)];
+                world.resize(&victim, Size::new(room, 10_000, 0));
+            }
+            if world.rng.random_bool(0.05) {
+                let last = world.owners.len() - 1;
+                world.owners[last].over = true;
+                world.take();
+            }
+        }
+        for victim in 0..8 {
+            world.resize(&id(victim), Size::new(4_000, 10_000, 0));
+        }
+        world.weather.late = 0.0;
+        world.pass(120_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_others_completed(&world);
+    }
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -3,6 +3,7 @@
 //! Each test file uses a part of it. Everything happens on a clock of 5 ms steps, in an order that the seed decides. The workers check what must never
 //! happen the moment it would happen.
 
+mod crashes;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -45,6 +46,8 @@
     pub(crate) cut: BTreeSet<u64>,
     /// It is down until then.
     pub(crate) down: Ms,
+    /// Its room, and since when, if that isn't the world's.
+    room: Option<(Size, Ms)>,
 }
 
 /// What is on its way.
@@ -55,6 +58,10 @@
     Stop(usize, Stop),
     Stopped(usize, Stop, StopAnswer),
     Listing(usize, WorkerId, Listing),
+    /// The task that was started takes the life of its worker.
+    Crash(WorkerId, u64, TaskKey),
+    /// The owners read the directory's row of a worker.
+    Row(WorkerId),
 }
 
 /// An owner.
@@ -99,6 +106,10 @@
     /// How often they did.
     pub(crate) failures: usize,
     room: Size,
+    /// Tasks that crash each worker that starts them, with what came of it.
+    pub(crate) crashers: BTreeMap<TaskKey, crashes::Crashes>,
+    /// Workers that crash under a task come back under another id.
+    pub(crate) replaces: bool,
 }
 
 /// A job with these steps: number of tasks, millicores, milliseconds.
@@ -163,6 +174,8 @@
             bad: BTreeSet::new(),
             failures: 0,
             room,
+            crashers: BTreeMap::new(),
+            replaces: false,
         }
     }
 
@@ -182,21 +195,15 @@
             epoch,
             ..Options::default()
         });
-        for (id, machine) in &self.machines {
-            let news = News {
-                address: id.to_string(),
-                service: "s".into(),
-                room: self.room,
-                born: machine.born,
-                ..News::default()
-            };
-            pool.listed(self.now, id, news);
+        for (id, machine) in self.machines.iter().filter(|(_, it)| it.down < Ms::MAX) {
+            pool.listed(self.now, id, self.news(id, machine));
         }
         for job in self.jobs.values() {
             let progress = self.stored.get(&*job.id);
             pool.adopt(self.now, self.unix(), Arc::clone(job), progress, true);
         }
-        let mut roster: Vec<WorkerId> = self.machines.keys().cloned().collect();
+        let there = self.machines.iter().filter(|(_, it)| it.down < Ms::MAX);
+        let mut roster: Vec<WorkerId> = there.map(|(id, _)| Arc::clone(id)).collect();
         roster.extend(self.roster.iter().cloned());
         roster.sort();
         roster.dedup();
@@ -247,11 +254,23 @@
                 born: machine.born + 1,
                 down,
                 cut: machine.cut.clone(),
+                room: machine.room,
                 ..Machine::default()
             };
         }
     }
 
+    /// What the directory says of a worker.
+    fn news(&self, id: &WorkerId, machine: &Machine) -> News {
+        News {
+            address: id.to_string(),
+            service: "s".into(),
+            room: machine.room.map_or(self.room, |(room, _)| room),
+            born: machine.born,
+            ..News::default()
+        }
+    }
+
     fn post(&mut self, delay: Ms, message: Message) {
         let at = self.now + delay + self.rng.random_range(0..2) * STEP;
         self.mail.push((at, message));
@@ -292,6 +311,8 @@
                         .pool
                         .apply_listing(now, unix, &id, &listing);
                 }
+                Message::Crash(id, born, task) => self.crash_under(&id, born, &task),
+                Message::Row(id) => self.tell_row(&id),
             }
         }
     }
--- a/crates/pool/tests/world/workers.rs
+++ b/crates/pool/tests/world/workers.rs
@@ -49,7 +49,14 @@
                 .runs
                 .values()
                 .fold(Size::ZERO, |sum, run| sum.plus(run.size));
-            if !used.plus(size).fits(self.room) {
+            // A smaller room counts once the directory and a hold can have told of it.
+            let room = match machine.room {
+                Some((room, since)) if now.saturating_sub(since) > super::crashes::ROOM_TOLD => {
+                    room
+                }
+                _ => self.room,
+            };
+            if !used.plus(size).fits(room) {
                 self.broken
                     .push(format!("{now}: over the room of {}", start.worker));
             }
@@ -71,6 +78,11 @@
             };
             machine.runs.insert(start.task.clone(), run);
             self.starts += 1;
+            let born = machine.born;
+            if self.note_start(&start.task) {
+                let crash = Message::Crash(start.worker.clone(), born, start.task.clone());
+                self.post(2 * STEP, crash);
+            }
             Answer::Running
         };
         if answers {
