A silent worker that restarts before the next owner comes has crashed

What callers saw, or would have: one start more of a task that crashes its workers for each owner that is lost between a crash and its note. Cause: the roster tells the next owner what may run on a silent worker, not in which of its lives. A worker that answered in a new life first was taken for one that had ended the run, and no crash was noted. Evidence: the test, failing before (nothing was stored). Change: the roster tells the life as well; a later life loses the runs like a restart under one owner. Rows without it are read as before.

--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -33,6 +33,7 @@
             worker.id = Arc::clone(&silent.worker);
             worker.slowness = 1.0;
             worker.lapses = Ms::MAX;
+            worker.born = silent.born;
         }
         self.silent = silent.to_vec();
         let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -338,6 +338,7 @@
                 Silent {
                     worker: Arc::clone(&worker.id),
                     runs,
+                    born: worker.born,
                 }
             })
             .collect();
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -26,7 +26,7 @@
         if worker.fenced && listing.born < worker.born {
             return;
         }
-        if worker.fenced && listing.born != worker.born {
+        if listing.born > worker.born && (worker.fenced || worker.born > 0) {
             self.worker_restarted(now, unix, id);
         }
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -40,6 +40,9 @@
     pub worker: WorkerId,
     /// Its runs, as far as they may be there.
     pub runs: Vec<(TaskKey, u32)>,
+    /// Start of the life that they are in, in Unix milliseconds; 0 if it isn't known.
+    #[serde(default)]
+    pub born: u64,
 }
 
 /// A run that no task calls its own.
--- a/crates/pool/tests/suspects.rs
+++ b/crates/pool/tests/suspects.rs
@@ -248,3 +248,29 @@
     let noted = store(&mut pool).expect("it is stable");
     assert!(noted.open[0].steps[0].crashed.is_empty());
 }
+
+/// Guards against a crash that no owner notes: the worker falls silent under one and has restarted before the next one
+/// reaches it.
+#[test]
+fn a_silent_worker_that_restarts_before_the_next_owner_comes_has_crashed() {
+    let mut former = pool(4);
+    adopt(&mut former, 1_000, job("00000000000000a1", &[(1, 900, 5_000)]));
+    let first = run(&mut former, 1_000).remove(0);
+    former.mark_unresponsive(&first.worker);
+    let silent = former.silent(1_100);
+    assert_eq!(silent.len(), 1);
+    let mut next = Pool::new(Options::default());
+    let again = Arc::new(job("00000000000000a1", &[(1, 900, 5_000)]));
+    next.adopt(1_200, UNIX + 1_200, again, None, true);
+    next.inherit(1_200, former.roster(1_100), &silent);
+    for worker in former.workers() {
+        next.listed(1_200, &worker.id, worker.news.clone());
+        if worker.id != first.worker {
+            hold(&mut next, 1_250, &worker.id, vec![], vec![]);
+        }
+    }
+    restart(&mut next, 1_300, &first, 1);
+    drop(next.plan(1_400, UNIX + 1_400));
+    let stored = store(&mut next).expect("there is something to store");
+    assert_eq!(stored.open[0].steps[0].crashed, vec![(0, vec![1])]);
+}
