A task is given up only if two workers surely crashed under it

What callers would have seen: a job shown as failed although only one worker had crashed under its task. Cause: an order to a worker that is gone, and not known to be, is not answered; the loss of that worker was held against the task.

Change: a note is sure if the worker lived when the order came to it: it answered, lists the run, or its connection ended instead of an answer (`Cut`, told from an answer that doesn't come in time), or the start was made alone, on a worker that has answered since the last crash. Three notes give a task up, two of them sure; stored ones count as sure. A task whose crashes leave no trace but time-outs is given up after four, one further start.

--- a/crates/pool/src/answer.rs
+++ b/crates/pool/src/answer.rs
@@ -23,8 +23,10 @@
     Unwell,
     /// The worker is not there; nothing was done.
     Away,
-    /// No answer: it may run or begin yet.
+    /// No answer in time: it may run or begin yet.
     Lost,
+    /// No answer, since the connection has ended: it may run, or the worker may have crashed under it.
+    Cut,
 }
 
 impl Answer {
@@ -42,6 +44,7 @@
             Self::Unwell => "unwell",
             Self::Away => "away",
             Self::Lost => "lost",
+            Self::Cut => "cut",
         }
     }
 }
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -23,12 +23,23 @@
 /// A task that has crashed this many workers starts alone: nothing else is started there until it has outlived
 /// [`CRASH_WINDOW`].
 pub(crate) const CRASHES_ALONE: usize = 2;
-/// A task that has crashed this many workers is given up.
+/// A task that has crashed this many workers is given up, if it is sure of [`CRASHES_SURE`] that they had its runs.
 const CRASHES_MOST: usize = 3;
+/// See [`CRASHES_MOST`].
+const CRASHES_SURE: usize = 2;
 
 /// Workers with a suspect that may yet crash them, with the most crashes of any such suspect.
 pub(crate) type Trials = FxHashMap<WorkerId, usize>;
 
+/// A run that may have crashed its worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crash {
+    /// The run.
+    pub run: u32,
+    /// The worker surely lived when it was ordered. Otherwise the order may have met a worker that was gone already.
+    pub sure: bool,
+}
+
 /// What is held against a task.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Suspicion {
@@ -57,16 +68,32 @@
 impl Task {
     /// Takes up the stored notes of a former owner.
     pub(crate) fn restore_crashes(&mut self, runs: &[u32]) {
-        self.crashed = runs.to_vec();
+        self.crashed = runs.iter().map(|&run| Crash { run, sure: true }).collect();
         self.crashes_stored = runs.len();
         self.top = self.top.max(runs.iter().max().copied().unwrap_or(0));
     }
 
     /// How many workers it has crashed, its present run and one that is only announced left aside.
     pub(crate) fn crashes(&self) -> usize {
+        self.past_crashes().count()
+    }
+
+    fn past_crashes(&self) -> impl Iterator<Item = &Crash> {
         let present = self.run.as_ref().map(|run| run.number);
-        let over = |number: &&u32| Some(**number) != present && Some(**number) != self.announced;
-        self.crashed.iter().filter(over).count()
+        self.crashed
+            .iter()
+            .filter(move |it| Some(it.run) != present && Some(it.run) != self.announced)
+    }
+
+    /// Whether it has crashed so many workers that it isn't started again.
+    fn is_crash_loop(&self) -> bool {
+        let sure = self.past_crashes().filter(|crash| crash.sure).count();
+        self.crashes() >= CRASHES_MOST && sure >= CRASHES_SURE
+    }
+
+    /// The runs that are noted, as they are stored.
+    pub(crate) fn crashed_runs(&self) -> Vec<u32> {
+        self.crashed.iter().map(|crash| crash.run).collect()
     }
 
     /// What is held against it.
@@ -80,7 +107,7 @@
     /// Drops the note against a run, since the worker lives on after it; tells whether there was one.
     pub(crate) fn clear_crash(&mut self, number: u32) -> bool {
         let before = self.crashed.len();
-        self.crashed.retain(|&run| run != number);
+        self.crashed.retain(|crash| crash.run != number);
         before != self.crashed.len()
     }
 
@@ -102,7 +129,10 @@
         if self.crashed.is_empty() {
             return false;
         }
-        self.crashed.push(number);
+        self.crashed.push(Crash {
+            run: number,
+            sure: true,
+        });
         true
     }
 
@@ -126,6 +156,10 @@
         if loss == Loss::Missing || planned || !run.is_on_trial(worker.last_hold) {
             return;
         }
+        let crash = Crash {
+            run: run.number,
+            sure: run.proven,
+        };
         let Some(task) = self.task_mut(key) else {
             return;
         };
@@ -133,9 +167,8 @@
         if let Some(run) = &mut task.run {
             run.crashed = true;
         }
-        if !task.crashed.contains(&run.number) {
-            task.crashed.push(run.number);
-        }
+        task.clear_crash(run.number);
+        task.crashed.push(crash);
         self.suspects.insert(key.clone());
         self.mark(&key.stage.job);
     }
@@ -185,8 +218,8 @@
             if task.done || task.run.is_some() || held_back {
                 continue;
             }
-            if task.crashes() >= CRASHES_MOST {
-                let crashed = task.crashed.clone();
+            if task.is_crash_loop() {
+                let crashed = task.crashed_runs();
                 self.suspects.remove(&key);
                 self.close(unix, &key.stage.job, State::Failed);
                 self.given_up.push(GivenUp { task: key, crashed });
@@ -196,7 +229,10 @@
             {
                 let next = task.top + 1;
                 task.announced = Some(next);
-                task.crashed.push(next);
+                task.crashed.push(Crash {
+                    run: next,
+                    sure: true,
+                });
                 self.mark(&key.stage.job);
             }
         }
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -94,7 +94,7 @@
                 .collect(),
             crashed: rows()
                 .filter(|(_, task)| !task.crashed.is_empty())
-                .map(|(at, task)| (at as u32, task.crashed.clone()))
+                .map(|(at, task)| (at as u32, task.crashed_runs()))
                 .collect(),
             saved: rows()
                 .filter(|(_, task)| !task.saved.is_empty())
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -5,7 +5,7 @@
 use resource::Size;
 use rustc_hash::FxHashMap;
 
-use crate::crash::Suspicion;
+use crate::crash::{CRASHES_ALONE, Suspicion};
 use crate::fit::{self, Context};
 use crate::job::{Job, Step};
 use crate::live::Live;
@@ -314,7 +314,11 @@
         let saved = task.saved.clone();
         let crashes = task.crashes();
         let suspect = task.note_trial(number);
-        task.run = Some(Run::new(number, Arc::clone(worker), now, latest));
+        task.run = Some(Run {
+            // Such a task starts only on a worker that has answered since the last crash.
+            proven: crashes >= CRASHES_ALONE,
+            ..Run::new(number, Arc::clone(worker), now, latest)
+        });
         self.attach(key, worker, number);
         if suspect {
             self.mark(&key.stage.job);
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -319,6 +319,7 @@
             && run.number == row.run
             && run.worker == *id
         {
+            run.proven = true;
             if matches!(run.phase, Phase::Ordered | Phase::Unsure) {
                 run.phase = Phase::Running;
                 self.loose.remove(key);
@@ -344,6 +345,7 @@
             phase: Phase::Running,
             percent: row.percent,
             load: row.load,
+            proven: true,
             ..Run::new(row.run, Arc::clone(id), now, 0)
         });
         if let Some(worker) = self.workers.get_mut(id)
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -31,7 +31,7 @@
         // If it was repeated, this is the most that the answer can have taken.
         let took = now.saturating_sub(run.ordered);
         if let Some(worker) = self.workers.get_mut(&start.worker)
-            && answer != Answer::Lost
+            && !matches!(answer, Answer::Lost | Answer::Cut)
         {
             worker.answers = repeat::usual(worker.answers, took);
         }
@@ -43,6 +43,7 @@
         };
         match answer {
             Answer::Running => {
+                run.proven = true;
                 if waiting {
                     run.phase = Phase::Running;
                     run.moved = now;
@@ -51,7 +52,8 @@
                 self.started(&start.task.stage.job);
                 return;
             }
-            Answer::Lost => {
+            Answer::Lost | Answer::Cut => {
+                run.proven |= answer == Answer::Cut;
                 if run.phase == Phase::Ordered {
                     run.phase = Phase::Unsure;
                 }
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crash::Crash;
 use crate::listing::How;
 
 /// A job's id, chosen by its caller.
@@ -86,6 +87,8 @@
     pub load: u32,
     /// The share in percent at which it is paced.
     pub pace: u32,
+    /// The worker lived when the order came to it: it answered, it lists the run, or its connection ended only then.
+    pub proven: bool,
     /// Its worker was lost, and it may be the cause.
     pub crashed: bool,
 }
@@ -107,6 +110,7 @@
             moved: now,
             load: 0,
             pace: 100,
+            proven: false,
             crashed: false,
         }
     }
@@ -121,7 +125,7 @@
     pub failed: Vec<u32>,
     /// Numbers of the runs that may have crashed their workers since it was stable last. The present run of a suspect is among
     /// them until its worker is known to live on.
-    pub crashed: Vec<u32>,
+    pub crashed: Vec<Crash>,
     /// When the last of them was noted.
     pub crashed_at: Ms,
     /// How many of them are stored.
--- a/crates/pool/tests/suspects.rs
+++ b/crates/pool/tests/suspects.rs
@@ -8,7 +8,10 @@
 use std::sync::Arc;
 
 use case::{adopt, end, hold, hold_all, list_workers, pool, run, starts};
-use pool::{Answer, End, How, Job, Listing, Ms, Options, Pool, Progress, Start, State, WorkerId};
+use pool::{
+    Answer, End, How, Job, Listing, Ms, Options, Order, Pool, Progress, Start, State, StopAnswer,
+    WorkerId,
+};
 use world::{UNIX, job};
 
 /// Stores all that is to be stored; tells the progress of the last job in it.
@@ -254,7 +257,11 @@
 #[test]
 fn a_silent_worker_that_restarts_before_the_next_owner_comes_has_crashed() {
     let mut former = pool(4);
-    adopt(&mut former, 1_000, job("00000000000000a1", &[(1, 900, 5_000)]));
+    adopt(
+        &mut former,
+        1_000,
+        job("00000000000000a1", &[(1, 900, 5_000)]),
+    );
     let first = run(&mut former, 1_000).remove(0);
     former.mark_unresponsive(&first.worker);
     let silent = former.silent(1_100);
@@ -274,3 +281,61 @@
     let stored = store(&mut next).expect("there is something to store");
     assert_eq!(stored.open[0].steps[0].crashed, vec![(0, vec![1])]);
 }
+
+/// How many workers a task crashes before it is given up, if its orders are answered like this.
+fn crashes_with_answer(answer: Answer) -> usize {
+    let mut pool = pool(8);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000a1", &[(1, 900, 5_000)]),
+    );
+    let mut now = 1_000;
+    for crashes in 0..8 {
+        let mut begun = starts(pool.plan(now, UNIX + now));
+        drop(store(&mut pool));
+        now += 10;
+        begun.extend(starts(pool.plan(now, UNIX + now)));
+        let lost = pool
+            .workers()
+            .find(|worker| worker.free().millicores < 4_000);
+        let Some(worker) = lost.map(|worker| Arc::clone(&worker.id)) else {
+            return crashes;
+        };
+        for start in &begun {
+            pool.answered(now + 10, start, answer);
+        }
+        let life = pool.worker(&worker).map_or(0, |worker| worker.ends().0);
+        now += 1_000;
+        for (clock, born) in [(10, life + 1), (2_000, life + 1)] {
+            let listing = Listing {
+                clock,
+                born,
+                lease: 1_000_000,
+                asked: now,
+                ..Listing::default()
+            };
+            for stop in pool.plan(now, UNIX + now) {
+                if let Order::Stop(stop) = stop {
+                    pool.stopped(now, &stop, StopAnswer::Stopped(20));
+                }
+            }
+            pool.apply_listing(now, UNIX + now, &worker, &listing);
+            now += 20;
+        }
+        let ids: Vec<_> = pool.workers().map(|it| Arc::clone(&it.id)).collect();
+        for id in ids.iter().filter(|id| **id != worker) {
+            self::answer(&mut pool, now, id, vec![]);
+        }
+    }
+    8
+}
+
+/// Guards against tasks being given up for orders that met workers which were gone already: only the third start is made on
+/// one that surely lives.
+#[test]
+fn orders_that_time_out_prove_no_crash() {
+    assert_eq!(crashes_with_answer(Answer::Running), 3);
+    assert_eq!(crashes_with_answer(Answer::Cut), 3, "it lived until then");
+    assert_eq!(crashes_with_answer(Answer::Lost), 4);
+}
