A run that is listed outweighs an old list of silent workers

What callers would have seen: a booking made twice (TWICE). A worker falls silent and the roster names its runs; the store takes no writes any more; the worker is back in a new life, and its tasks start elsewhere; then the owner is lost. The next one held the tasks back by the old roster, took their present runs for strays, and, when the first worker answered, started them once more beside these.

Cause: a held-back run counted as the task's present one, whatever else was listed. Ruled out: starts before all workers had answered (the owner waited for them).

Change: a held-back run that only the roster tells of gives way to a listed run with a higher number: the former owner starts a task again only once it takes the earlier run for over. Why it works: run numbers rise, and only one owner numbers them at a time.

--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -63,6 +63,7 @@
             task.top = task.top.max(number);
             task.run = Some(Run {
                 phase: Phase::Unsure,
+                inherited: true,
                 ..Run::new(number, Arc::clone(&worker), now, 0)
             });
             self.attach(&key, &worker, number);
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -337,10 +337,21 @@
             }
             return;
         }
-        if task.run.is_some() || task.done || closed {
+        // A later start proves that the former owner took an earlier run, of which only its roster tells, for over.
+        let outdated = task
+            .run
+            .as_ref()
+            .is_some_and(|run| run.inherited && run.number < row.run);
+        if task.done || closed || task.run.is_some() && !outdated {
             self.stray(now, id, row, size);
             return;
         }
+        if outdated {
+            self.run_over(now, key, 0);
+        }
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
         task.run = Some(Run {
             phase: Phase::Running,
             percent: row.percent,
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -87,6 +87,8 @@
     pub load: u32,
     /// The share in percent at which it is paced.
     pub pace: u32,
+    /// Only the former owner's roster tells of it.
+    pub inherited: bool,
     /// The worker lived when the order came to it: it answered, it lists the run, or its connection ended only then.
     pub proven: bool,
     /// Its worker was lost, and it may be the cause.
@@ -110,6 +112,7 @@
             moved: now,
             load: 0,
             pace: 100,
+            inherited: false,
             proven: false,
             crashed: false,
         }
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -357,3 +357,34 @@
     assert_eq!(world.unfinished(), 0);
     assert_eq!(world.starts, 32, "nothing was started a second time");
 }
+
+/// Guards against tasks that run twice after the owner is lost while the store takes no writes: the stored roster still names
+/// a silent worker for runs that were lost and started elsewhere since.
+#[test]
+fn runs_elsewhere_outweigh_an_old_list_of_silent_workers() {
+    let mut world = World::new(12, 5);
+    world.take();
+    world.pass(500);
+    world.accept(job("00000000000000ee", &[(2, 1_000, 9_000)]));
+    world.pass(200);
+    let lost = (0..5)
+        .map(id)
+        .find(|id| {
+            let pool = &world.owners[0].pool;
+            let worker = pool.worker(id).expect("it is there");
+            worker.free().millicores < 4_000
+        })
+        .expect("something runs");
+    world.crash(&lost, 2_500);
+    world.pass(2_000);
+    world.weather.store = false;
+    world.pass(2_000);
+    assert_eq!(world.starts, 4, "both run elsewhere");
+    world.owners[0].over = true;
+    world.take();
+    world.weather.store = true;
+    world.pass(20_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.starts, 4);
+    assert_eq!(world.unfinished(), 0);
+}
