Starts of inherited jobs are noted until their workers are known to live on

What callers would have seen: a task that crashes its workers started without end while owners are lost one after the other, each between a crash and its note. Cause: the first crash under each owner left no trace, since only starts of suspects are stored.

Change: a new owner notes each start of an inherited job with the job's progress, and drops the note when the worker is known to live on; without a crash such a task is no suspect. So at most the first crash of all is lost.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -120,13 +120,13 @@
         before != self.crashed.len()
     }
 
-    /// Notes a start of a suspect as one that crashes its worker, until the worker is known to live on. Tells whether it is a
-    /// suspect.
-    pub(crate) fn note_trial(&mut self, number: u32) -> bool {
+    /// Notes a start of a suspect as one that crashes its worker, until the worker is known to live on. So is that of a task
+    /// which a former owner may have started: it may have been lost with a worker that crashed. Tells whether it is noted.
+    pub(crate) fn note_trial(&mut self, number: u32, inherited: bool) -> bool {
         if let Some(announced) = self.announced.take() {
             self.clear_crash(announced);
         }
-        if self.crashed.is_empty() {
+        if self.crashed.is_empty() && !inherited {
             return false;
         }
         self.crashed.push(Crash {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -293,6 +293,8 @@
         saved: Option<&str>,
     ) {
         let life = self.options.order_life;
+        let live = self.jobs.get(&key.stage.job);
+        let inherited = live.is_some_and(|live| live.inherited);
         let Some(host) = self.workers.get_mut(worker) else {
             return;
         };
@@ -313,14 +315,15 @@
         }
         let saved = task.saved.clone();
         let crashes = task.crashes();
-        let suspect = task.note_trial(number);
+        let noted = task.note_trial(number, inherited);
         task.run = Some(Run {
             // Such a task starts only on a worker that has answered since the last crash.
             proven: crashes >= CRASHES_ALONE,
             ..Run::new(number, Arc::clone(worker), now, latest)
         });
         self.attach(key, worker, number);
-        if suspect {
+        if noted {
+            self.suspects.insert(key.clone());
             self.mark(&key.stage.job);
             let trial = self.trials.entry(Arc::clone(worker)).or_default();
             *trial = (*trial).max(crashes);
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -144,7 +144,7 @@
                 }
                 Phase::Ordered | Phase::Unsure
                     if repeats
-                        && task.crashed.is_empty()
+                        && task.crashes() == 0
                         && now.saturating_sub(run.sent) >= repeat::delay(answers, run.copies)
                         && clock(&run.worker) + REPEAT_SLACK < run.latest
                         && self.copies.spend() =>
--- a/crates/pool/tests/crashes.rs
+++ b/crates/pool/tests/crashes.rs
@@ -100,6 +100,28 @@
     }
 }
 
+/// Guards against owners that are lost one after the other, each between a crash and its note.
+#[test]
+fn crashes_are_known_though_each_owner_is_lost_soon_after_one() {
+    for seed in 150..160 {
+        let mut world = cell(seed, 8, seed % 2 == 0);
+        let mut crashes = 0;
+        for _ in 0..60_000 {
+            world.pass(5);
+            let seen: u32 = world.crashers.values().map(|it| it.crashes).sum();
+            if seen > crashes {
+                crashes = seen;
+                world.pass(300);
+                let last = world.owners.len() - 1;
+                world.owners[last].over = true;
+                world.take();
+            }
+        }
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.stored(CRASHER), Some(State::Failed), "seed {seed}");
+    }
+}
+
 /// Jobs that have failed.
 fn failed(world: &World) -> Vec<&String> {
     let jobs = world.jobs.keys();
