--- /dev/null
+++ b/crates/cell/tests/losses.rs
@@ -0,0 +1,55 @@
+//! What becomes of tasks whose attempts are lost.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on panics")]
+
+use cell::{Desk, Digests, Plan};
+use config::Builder;
+use resource::Size;
+use wire::{Digest, Event, Fate, Job, Phase, Shape};
+
+/// Starts that a task may take if each of them crashes its worker: three, and two more.
+const STARTS_MOST: usize = 5;
+
+/// Guards against a task that crashes its workers being started without end: a lost attempt doesn't count as one that failed.
+#[test]
+fn a_batch_task_whose_workers_crash_is_given_up() {
+    let cell = Builder::new("test")
+        .rack("north", "north-1", "r1")
+        .team("planners", "north", 64.0, 1_000_000)
+        .build()
+        .unwrap();
+    let mut desk = Desk::new("r1".to_owned(), 1);
+    desk.submit(Job {
+        id: "crasher".to_owned(),
+        team: "planners".to_owned(),
+        shape: Shape::Batch,
+        tasks: 1,
+        size: Size::new(1_000, 1_024, 0),
+        urgent: false,
+        run_ms: 1_000,
+    });
+    let mut starts = 0;
+    for _ in 0..20 {
+        let mut digests = Digests::new(Size::new(16_000, 65_536, 0));
+        digests.learn(&Digest {
+            rack: "r1".to_owned(),
+            epoch: 1,
+            free: vec![Size::new(16_000, 65_536, 0)],
+            lent: vec![Size::ZERO],
+            yielding: vec![Size::ZERO],
+        });
+        for plan in desk.plan(&cell, &mut digests) {
+            let Plan::Start(order) = plan else { continue };
+            for task in order.tasks {
+                starts += 1;
+                desk.event(&Event {
+                    task: task.id,
+                    fate: Fate::Lost,
+                });
+            }
+        }
+    }
+    let state = desk.state("planners", "crasher").unwrap();
+    assert_eq!(state.phase, Phase::Failed, "after {starts} starts");
+    assert!(starts <= STARTS_MOST, "{starts} starts");
+}
