--- a/crates/pool/tests/suspects.rs
+++ b/crates/pool/tests/suspects.rs
@@ -339,3 +339,80 @@
     assert_eq!(crashes_with_answer(Answer::Cut), 3, "it lived until then");
     assert_eq!(crashes_with_answer(Answer::Lost), 4);
 }
+
+/// The stored crash notes of the only task of a job.
+fn notes(pool: &mut Pool) -> Vec<(u32, Vec<u32>)> {
+    store(pool).map_or_else(Vec::new, |progress| {
+        progress.open[0].steps[0].crashed.clone()
+    })
+}
+
+/// Guards against notes for runs that had outlived their start long before their worker crashed.
+#[test]
+fn a_task_that_had_run_for_long_is_not_held_responsible() {
+    let mut pool = pool(4);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000a1", &[(1, 900, 60_000)]),
+    );
+    let first = run(&mut pool, 1_000);
+    hold_all(&mut pool, 3_500, &first);
+    restart(&mut pool, 4_000, &first[0], 1);
+    assert!(notes(&mut pool).is_empty());
+}
+
+/// Guards against notes for runs on workers that said they would leave.
+#[test]
+fn a_worker_that_leaves_has_not_crashed() {
+    let mut pool = pool(4);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000a1", &[(1, 900, 60_000)]),
+    );
+    let first = run(&mut pool, 1_000).remove(0);
+    let mut news = pool
+        .worker(&first.worker)
+        .expect("it is there")
+        .news
+        .clone();
+    news.draining = Some(2_000);
+    pool.listed(1_100, &first.worker, news);
+    for now in (1_500..10_000).step_by(500) {
+        others_answer(&mut pool, now, &first);
+        drop(pool.plan(now, UNIX + now));
+    }
+    assert_eq!(pool.take_lost_runs().len(), 1);
+    assert!(notes(&mut pool).is_empty());
+}
+
+/// Guards against a third start on a worker that was lost in the same event as the one before.
+#[test]
+fn the_third_start_is_made_on_a_worker_that_surely_lives() {
+    let mut pool = pool(4);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000a1", &[(1, 900, 5_000)]),
+    );
+    let first = run(&mut pool, 1_000).remove(0);
+    restart(&mut pool, 2_000, &first, 1);
+    others_answer(&mut pool, 2_100, &first);
+    let second = run(&mut pool, 2_200).remove(0);
+    restart(&mut pool, 3_000, &second, 2);
+    drop(run(&mut pool, 3_010));
+    drop(store(&mut pool));
+    assert!(
+        run(&mut pool, 3_020).is_empty(),
+        "no other has answered since"
+    );
+    let alive = pool
+        .workers()
+        .map(|worker| Arc::clone(&worker.id))
+        .find(|id| *id != first.worker && *id != second.worker);
+    let alive = alive.expect("there are four");
+    answer(&mut pool, 3_100, &alive, vec![]);
+    let third = run(&mut pool, 3_110);
+    assert_eq!(third[0].worker, alive);
+}
