A job whose tasks are all done is completed by the next owner

Its task had lapsed on a worker that was gone and was done elsewhere; the store was down meanwhile. The next owner held the task back by the old roster, stored that it was done, waited for the held-back run, and was lost. The one after it read a job that runs, with nothing left to do.

Cause: a job is completed where one of its runs is over; a new owner whose rows tell that all tasks are done has no such run.

Change: a job is looked at once when it is taken up. Why it works: its rows and what workers list are all that can be known of it.

--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -5,7 +5,7 @@
 use crate::listing::{End, How};
 use crate::pool::Pool;
 use crate::state::State;
-use crate::task::{Ms, Phase, StageKey, TaskKey, WorkerId};
+use crate::task::{JobId, Ms, Phase, StageKey, TaskKey, WorkerId};
 use crate::timeline::StepTimes;
 
 /// A task that failed waits this long, so that a worker which fails at once doesn't use up all attempts in one place
@@ -130,7 +130,7 @@
                     self.close(unix, &id, State::Failed);
                 }
             }
-            _ => self.complete_or_advance(now, unix, &key.stage),
+            _ => self.complete_or_advance(now, unix, &key.stage.job),
         }
     }
 
@@ -184,7 +184,7 @@
         if stage.complete() {
             self.open.remove(key);
             self.note_times(now, key);
-            self.complete_or_advance(now, unix, key);
+            self.complete_or_advance(now, unix, &key.job);
         }
     }
 
@@ -222,18 +222,18 @@
         std::mem::take(&mut self.steps_done)
     }
 
-    /// Completes the job if its last run is over, and lets steps begin.
-    pub(crate) fn complete_or_advance(&mut self, now: Ms, unix: u64, key: &StageKey) {
-        let Some(live) = self.jobs.get_mut(&key.job) else {
+    /// Completes a job if its last run is over, and lets steps begin.
+    pub(crate) fn complete_or_advance(&mut self, now: Ms, unix: u64, id: &JobId) {
+        let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
         if live.close_occurrences() && !live.state.is_final() {
             live.state = State::Completed;
             live.closed = unix;
-            self.timed.remove(&key.job);
-            self.mark(&key.job);
+            self.timed.remove(id);
+            self.mark(id);
         }
-        self.advance(&key.job, now, unix);
+        self.advance(id, now, unix);
     }
 
     /// Marks a task's run as one to be stopped.
--- a/crates/pool/src/plan.rs
+++ b/crates/pool/src/plan.rs
@@ -78,7 +78,7 @@
             }
             for key in keys {
                 self.run_over(now, &key, 0);
-                self.complete_or_advance(now, unix, &key.stage);
+                self.complete_or_advance(now, unix, &key.stage.job);
             }
         }
         for worker in self.workers.values_mut() {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -177,6 +177,8 @@
         self.advance(&id, now, unix);
         self.hold_back(now, &id);
         self.adopt_observed_runs(now, &id);
+        // A former owner may have stored the last end and not the state that follows from it.
+        self.complete_or_advance(now, unix, &id);
         if self.cancels.remove(&id) {
             self.cancel(unix, &id);
         }
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -223,9 +223,9 @@
             if doubtful {
                 self.loose.insert(key);
             } else {
-                let stage = key.stage.clone();
+                let job = Arc::clone(&key.stage.job);
                 self.run_over(now, &key, 0);
-                self.complete_or_advance(now, unix, &stage);
+                self.complete_or_advance(now, unix, &job);
             }
         }
     }
@@ -283,7 +283,7 @@
                     self.note_loss(now, &key, Loss::Missing);
                 }
                 self.run_over(now, &key, 0);
-                self.complete_or_advance(now, unix, &key.stage);
+                self.complete_or_advance(now, unix, &key.stage.job);
             }
         }
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -388,3 +388,38 @@
     assert_eq!(world.starts, 4);
     assert_eq!(world.unfinished(), 0);
 }
+
+/// Guards against a job that is never over: its owner stores that all tasks are done, still waits for a run on a worker that is
+/// gone, and is lost.
+#[test]
+fn a_job_whose_tasks_are_all_done_is_completed_by_the_next_owner() {
+    let mut world = World::new(13, 4);
+    world.take();
+    world.pass(500);
+    world.accept(job("00000000000000ee", &[(1, 1_000, 3_000)]));
+    world.pass(200);
+    let lost = (0..4)
+        .map(id)
+        .find(|id| {
+            let pool = &world.owners[0].pool;
+            let worker = pool.worker(id).expect("it is there");
+            worker.free().millicores < 4_000
+        })
+        .expect("something runs");
+    for epoch in 1..10 {
+        world.cut(&lost, epoch);
+    }
+    world.pass(2_500);
+    world.weather.store = false;
+    world.pass(9_500);
+    world.owners[0].over = true;
+    world.take();
+    world.weather.store = true;
+    world.pass(300);
+    assert_eq!(world.starts, 2, "it was started elsewhere, and is done");
+    world.owners[1].over = true;
+    world.take();
+    world.pass(20_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.stored("00000000000000ee"), Some(State::Completed));
+}
