--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -1,9 +1,9 @@
 //! Tasks that crash the workers which start them.
 //!
-//! A worker that crashes tells neither the end of a run nor which of its runs was the cause. So every run that it had just
-//! begun is noted as crashed. A task with such a run is started where no other suspect is, which tells guilty tasks from
-//! their neighbours: these are stable elsewhere, and their notes are dropped. A task whose runs have crashed
-//! [`CRASHES_MOST`] workers in a row is given up, and its job fails.
+//! A worker that crashes tells neither the end of a run nor which of its runs was the cause. So a note is made against each
+//! task of which it had just begun a run. Such a task, a suspect, is started where no other suspect is: this tells the cause
+//! of a crash from its neighbours, which are stable elsewhere and lose their notes. A task with [`CRASHES_MOST`] notes is
+//! given up, and its job fails.
 //!
 //! The notes are stored with the job's progress, so that the next owner goes on from them.
 
@@ -23,12 +23,12 @@
 /// A task that has crashed this many workers starts alone: nothing else is started there until it has outlived
 /// [`CRASH_WINDOW`].
 pub(crate) const CRASHES_ALONE: usize = 2;
-/// A task that has crashed this many workers is given up, if it is sure of [`CRASHES_SURE`] that they had its runs.
+/// A task with this many notes is given up, if at least [`CRASHES_SURE`] of them are sure.
 const CRASHES_MOST: usize = 3;
-/// See [`CRASHES_MOST`].
+/// Least number of sure notes among them.
 const CRASHES_SURE: usize = 2;
 
-/// Workers with a suspect that may yet crash them, with the most crashes of any such suspect.
+/// Workers that a suspect may yet crash, with the most crashes of any such suspect.
 pub(crate) type Trials = FxHashMap<WorkerId, usize>;
 
 /// A run that may have crashed its worker.
