Tests of crashes and of changes of owner share their set-up

Two pairs of tests began with the same lines (two crashes under one task; the worker on which something runs).

--- a/crates/pool/tests/schedules.rs
+++ b/crates/pool/tests/schedules.rs
@@ -11,6 +11,13 @@
     format!("w{at:02}").into()
 }
 
+/// A worker on which something runs, as the first owner knows it.
+fn busy_worker(world: &World) -> WorkerId {
+    let mut workers = world.owners[0].pool.workers();
+    let busy = workers.find(|worker| worker.free().millicores < 4_000);
+    busy.expect("something runs").id.clone()
+}
+
 /// A new owner's first listing renews no lease. It took the leases of all workers for long over, let go what ran, and
 /// started it anew: callers would have seen their bookings made twice, workers more than they hold.
 #[test]
@@ -367,14 +374,7 @@
     world.pass(500);
     world.accept(job("00000000000000ee", &[(2, 1_000, 9_000)]));
     world.pass(200);
-    let lost = (0..5)
-        .map(id)
-        .find(|id| {
-            let pool = &world.owners[0].pool;
-            let worker = pool.worker(id).expect("it is there");
-            worker.free().millicores < 4_000
-        })
-        .expect("something runs");
+    let lost = busy_worker(&world);
     world.crash(&lost, 2_500);
     world.pass(2_000);
     world.weather.store = false;
@@ -398,14 +398,7 @@
     world.pass(500);
     world.accept(job("00000000000000ee", &[(1, 1_000, 3_000)]));
     world.pass(200);
-    let lost = (0..4)
-        .map(id)
-        .find(|id| {
-            let pool = &world.owners[0].pool;
-            let worker = pool.worker(id).expect("it is there");
-            worker.free().millicores < 4_000
-        })
-        .expect("something runs");
+    let lost = busy_worker(&world);
     for epoch in 1..10 {
         world.cut(&lost, epoch);
     }
--- a/crates/pool/tests/suspects.rs
+++ b/crates/pool/tests/suspects.rs
@@ -119,8 +119,8 @@
     assert_eq!(places.len(), 4);
 }
 
-/// A task that has crashed two workers is started; then another job comes.
-fn third_start(pool: &mut Pool) -> (Start, Start) {
+/// Hands in a job of one task and lets two workers crash under it; tells when.
+fn crash_twice(pool: &mut Pool) -> Ms {
     adopt(pool, 1_000, job("00000000000000a1", &[(1, 900, 5_000)]));
     let mut now = 1_000;
     for life in 1..3 {
@@ -129,6 +129,12 @@
         others_answer(pool, now + 1_100, &start);
         now += 1_200;
     }
+    now
+}
+
+/// A task that has crashed two workers is started; then another job comes.
+fn third_start(pool: &mut Pool) -> (Start, Start) {
+    let now = crash_twice(pool);
     assert!(run(pool, now).is_empty(), "it isn't stored yet");
     drop(store(pool));
     let third = run(pool, now + 10).remove(0);
@@ -149,18 +155,7 @@
 #[test]
 fn the_third_start_is_stored_before_it_is_ordered() {
     let mut pool = pool(4);
-    adopt(
-        &mut pool,
-        1_000,
-        job("00000000000000a1", &[(1, 900, 5_000)]),
-    );
-    let mut now = 1_000;
-    for life in 1..3 {
-        let start = run(&mut pool, now).remove(0);
-        restart(&mut pool, now + 1_000, &start, life);
-        others_answer(&mut pool, now + 1_100, &start);
-        now += 1_200;
-    }
+    let now = crash_twice(&mut pool);
     for wait in 0..20 {
         assert!(
             run(&mut pool, now + wait * 50).is_empty(),
