Customers, keys and limits as types of the configuration

Nothing uses them yet, so nothing changes for callers.

Ruled out: a second copy of crates/policy::quota, which is about borrowing between teams of the stand-alone build; keys as text in the catalog, which travels between hosts and is logged.

--- a/crates/host/src/catalog.rs
+++ b/crates/host/src/catalog.rs
@@ -1,8 +1,10 @@
 //! The configuration in force, as far as hosts need it.
 
-use pool::Policy;
+use pool::{CustomerPolicy, Policy};
 use serde::{Deserialize, Serialize};
 
+use crate::key::KeyDigest;
+
 /// A queue that callers send jobs to.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
@@ -17,9 +19,24 @@
     pub service: String,
     /// Policy for its jobs.
     pub policy: Policy,
+    /// Whether calls need no key.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub open_to_all: bool,
+}
+
+/// A customer, whose callers identify themselves by one of its keys.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Customer {
+    /// Name of the customer.
+    pub name: String,
+    /// What the customer is entitled to.
+    pub policy: CustomerPolicy,
+    /// Digests of its keys.
+    pub keys: Vec<KeyDigest>,
 }
 
-/// The queues in force, with the limits of their requests.
+/// The queues and customers in force, with the limits of requests.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct Catalog {
@@ -27,6 +44,9 @@
     pub version: u64,
     /// The queues.
     pub queues: Vec<Queue>,
+    /// The customers.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub customers: Vec<Customer>,
     /// Maximum size of the body of a request in bytes; 0 for no limit.
     #[serde(rename = "body_most")]
     pub max_body_bytes: usize,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -27,6 +27,7 @@
 mod host;
 pub mod insert;
 mod interfaces;
+mod key;
 pub mod lag;
 pub mod link;
 pub mod log_sampling;
@@ -50,11 +51,12 @@
 pub mod wire;
 mod writer;
 
-pub use catalog::{Catalog, Queue};
+pub use catalog::{Catalog, Customer, Queue};
 pub use host::Host;
 pub use interfaces::{
     Advisor, Decode, Feed, Page, PollFailure, Row, Store, StoreError, Tickets, Transaction, Workers,
 };
+pub use key::KeyDigest;
 pub use owner::Owner;
 pub use pool_map::PoolMap;
 pub use requests::{JobStatus, Submitted};
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -5,6 +5,7 @@
 use resource::Size;
 use serde::{Deserialize, Serialize};
 
+use crate::customer::CustomerId;
 use crate::task::{JobId, Ms};
 
 /// A step of a job: a number of tasks of one kind.
@@ -105,6 +106,9 @@
     pub queue: String,
     /// Service whose workers run the job.
     pub service: String,
+    /// Customer that the job belongs to; empty for none.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub customer: CustomerId,
     /// Opaque text from the caller, passed unchanged to each task.
     pub payload: String,
     /// The job's steps; a step may depend only on earlier ones.
