Limits and shares of customers in a pool

What callers see: a customer's jobs used whatever was free, far above its limit, and a customer that sent seven times its usual took the capacity of all others.

Cause: the pool had no notion of a customer. Now every run that was ordered and isn't known to have ended counts against its customer's limit: orders without an answer, runs that are being stopped, orphaned runs, all members of a gang at once. A new owner counts, for workers that haven't reported, the most that the inherited tasks of a customer may take there. Waiting steps of a customer at its limit are passed over with one look; a gang that has waited for the limit is reserved what the customer's other tasks release (mechanism gang-quota). Steps log what they waited for: capacity, quota, share or advice. The owner passes entitlements on when the configuration or the pool map changes; nothing of a customer starts before they are known.

Ruled out: summing the runs of all workers in each pass (15,000 tasks at the target size); counting a worker that hasn't reported as nothing (the simulation exceeds the limit after a takeover); stopping runs when a limit falls.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod calls;
 mod connected_hosts;
+mod customers;
 mod directory;
 mod scheduling_stats;
 mod store_changes;
@@ -13,7 +14,7 @@
 
 use log::{info, warn};
 use pool::repeat::Budget;
-use pool::{AbandonedTask, Command, LostRun, Mechanism, Ms, Pool, StepTimes, WorkerId};
+use pool::{AbandonedTask, Command, LostRun, Mechanism, Ms, Pool, StepTimes, WaitReason, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -33,6 +34,7 @@
 use crate::writer;
 use advice::PendingQuery;
 use connected_hosts::ConnectedHost;
+use customers::AppliedEntitlements;
 use directory::Directory;
 use scheduling_stats::SchedulingStats;
 use store_changes::ProgressById;
@@ -267,11 +269,13 @@
     async fn run_scheduler(self: &Arc<Self>) {
         let mut logged_at = clock::now();
         let mut stats = SchedulingStats::default();
+        let mut entitlements = AppliedEntitlements::default();
         loop {
             tokio::select! {
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep(MAX_PASS_INTERVAL) => {}
             }
+            self.apply_entitlements(&mut entitlements);
             let began = Instant::now();
             let (commands, unstored, deposed, steps, lost, abandoned) = {
                 let mut pool = lock(&self.pool);
@@ -292,6 +296,7 @@
                 logged_at = clock::now();
                 self.log_unconfirmed_workers();
                 self.log_load(std::mem::take(&mut stats));
+                self.log_customers();
             }
             if deposed {
                 warn!(epoch = self.epoch; "worker follows an owner with a newer epoch");
@@ -421,12 +426,16 @@
 fn log_step(step: &StepTimes) {
     let key = &step.stage;
     let time = |time: Option<Ms>| time.map_or(-1, |time| time as i64);
+    let waited = |reason: WaitReason| step.waited[reason as usize];
     info!(
         job = &*key.job, occurrence = key.occurrence, step = key.step, queue = step.queue.as_str(),
         tasks = step.tasks, estimate = step.estimate, age = step.age,
         asked = time(step.first_query), advised = time(step.first_answer),
         first_start = time(step.first_start), last_start = time(step.last_start),
-        done = step.done, questions = step.queries, starts = step.starts;
+        done = step.done, questions = step.queries, starts = step.starts,
+        customer = &*step.customer, owed = step.owed, waited_capacity = waited(WaitReason::Capacity),
+        waited_quota = waited(WaitReason::Quota), waited_share = waited(WaitReason::Share),
+        waited_advice = waited(WaitReason::Advice);
         "step"
     );
 }
--- a/crates/host/src/pool_map.rs
+++ b/crates/host/src/pool_map.rs
@@ -65,6 +65,16 @@
         self.sizes.get(pool as usize).copied().unwrap_or(0)
     }
 
+    /// A pool's share of all workers: its size, and the sum of all sizes. A map without workers gives the whole to pool 0.
+    #[must_use]
+    pub fn share(&self, pool: u32) -> (u32, u32) {
+        let all: u32 = self.sizes.iter().sum();
+        if all == 0 {
+            return (u32::from(pool == 0), 1);
+        }
+        (self.size(pool), all)
+    }
+
     /// The pool of a rack; `None` until it is assigned to one.
     #[must_use]
     pub fn pool_of(&self, rack: &str) -> Option<u32> {
--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -15,30 +15,6 @@
 const LONG_RUNNING_RETRY_DELAY: Ms = 200;
 
 impl Pool {
-    /// Releases the capacity of a task's run.
-    pub(crate) fn release_capacity(&mut self, key: &TaskKey, worker: &WorkerId) {
-        let Some(size) = self.size(&key.stage) else {
-            return;
-        };
-        if let Some(worker) = self.workers.get_mut(worker)
-            && worker.runs.remove(key).is_some()
-        {
-            worker.used = worker.used.minus(size).unwrap_or_default();
-        }
-    }
-
-    /// Reserves capacity for a task's run.
-    pub(crate) fn reserve_capacity(&mut self, key: &TaskKey, worker: &WorkerId, number: u32) {
-        let Some(size) = self.size(&key.stage) else {
-            return;
-        };
-        if let Some(worker) = self.workers.get_mut(worker)
-            && worker.runs.insert(key.clone(), number).is_none()
-        {
-            worker.used = worker.used.plus(size);
-        }
-    }
-
     /// Clears the current run of a task, however it ended. The task is not started again within `retry` milliseconds.
     pub(crate) fn end_run(&mut self, now: Ms, key: &TaskKey, retry: Ms) {
         let Some(task) = self.task_mut(key) else {
@@ -64,17 +40,12 @@
     /// Applies the end of a run as reported by its worker.
     pub(crate) fn apply_end(&mut self, now: Ms, unix: u64, worker: &WorkerId, end: &RunEnd) {
         let key = &end.task;
-        if let Some(reporter) = self.workers.get_mut(worker)
-            && reporter
-                .orphaned_runs
-                .get(key)
-                .is_some_and(|orphan| orphan.run == end.run)
-            && let Some(orphan) = reporter.orphaned_runs.remove(key)
-        {
-            reporter.used = reporter
-                .used
-                .minus(orphan.size.unwrap_or_default())
-                .unwrap_or_default();
+        let is_orphan = self.workers.get(worker).is_some_and(|reporter| {
+            let orphan = reporter.orphaned_runs.get(key);
+            orphan.is_some_and(|orphan| orphan.run == end.run)
+        });
+        if is_orphan {
+            self.remove_orphan(worker, key);
         }
         let id = Arc::clone(&key.stage.job);
         let Some(live) = self.jobs.get_mut(&id) else {
@@ -218,6 +189,9 @@
             done: now.saturating_sub(opened),
             queries: times.queries,
             starts: times.starts,
+            customer: Arc::clone(&live.job.customer),
+            owed: live.is_owed,
+            waited: times.waited(now),
         };
         self.steps_done.push(times);
     }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -222,4 +222,11 @@
             self.size
         }
     }
+
+    /// Resources that a task counts with against its customer's limit. Best-effort tasks count in full: the limit is on what the
+    /// customer may run, whatever is reserved for it.
+    #[must_use]
+    pub const fn charge(&self) -> Size {
+        self.size
+    }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`rank`]: the order in which steps are started; [`fit`]: the choice of a worker; [`service_capacity`]: the scarcity of
 //!   resources; [`advice`]: the choice of workers to ask the advisor about; [`pace`]: when best-effort tasks are slowed down.
 
+mod accounts;
 pub mod advice;
 mod answer;
 mod batch;
@@ -28,6 +29,7 @@
 mod pool;
 mod progress;
 mod query;
+mod quota;
 pub mod rank;
 mod reconcile;
 pub mod repeat;
@@ -45,15 +47,16 @@
 pub use batch::Batch;
 pub use command::{AdvisorQuery, Command, Pace, Start, Stop};
 pub use crash::{AbandonedTask, Suspicion};
-pub use customer::{CustomerId, CustomerPolicy};
+pub use customer::{CustomerId, CustomerPolicy, Entitlement, Limit};
 pub use job::{AdvisorPolicy, InvalidJob, Job, Policy, Schedule, Step};
 pub use load::Load;
 pub use loss::{Loss, LostRun};
 pub use mechanism::{Mechanism, Switches, UnknownMechanism};
 pub use pool::{Options, Pool};
 pub use progress::{OccurrenceProgress, Progress, StepProgress};
+pub use quota::QuotaDemand;
 pub use report::{RunEnd, RunOutcome, RunStatus, WorkerReport};
 pub use state::State;
 pub use task::{JobId, Ms, StageKey, TaskKey, WorkerId};
-pub use timeline::{JobTimes, StepTimes};
+pub use timeline::{JobTimes, StepTimes, WaitReason};
 pub use worker::{UnavailableWorker, Worker, WorkerInfo};
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -118,6 +118,12 @@
             .unwrap_or(0)
     }
 
+    /// Number of tasks that are neither done nor have a run.
+    pub(crate) fn waiting_count(&self) -> usize {
+        let waiting = |task: &&Task| !task.done && task.run.is_none();
+        self.tasks.iter().filter(waiting).count()
+    }
+
     /// Number of tasks with a run on each worker.
     pub(crate) fn runs_per_worker(&self) -> FxHashMap<WorkerId, u32> {
         let mut spread = FxHashMap::default();
@@ -209,6 +215,8 @@
     pub transferring: bool,
     /// When the job was accepted, on this process's clock.
     pub accepted_at: Ms,
+    /// Whether its customer is owed it; otherwise the customer has sent more jobs a second than its weight.
+    pub is_owed: bool,
     /// Whether the progress has changed since it was last stored.
     pub dirty: bool,
     /// Longest chain of estimated work from each step to the end, in milliseconds.
@@ -233,6 +241,7 @@
             unservable_since: None,
             transferring: false,
             accepted_at: now.saturating_sub(unix.saturating_sub(job.accepted)),
+            is_owed: true,
             dirty: false,
             chains: (0..job.steps.len())
                 .map(|step| job.chain_from(step))
--- a/crates/pool/src/load.rs
+++ b/crates/pool/src/load.rs
@@ -53,10 +53,6 @@
         let (Some(stage), Some(size)) = (self.stage(key), self.size(key)) else {
             return 0;
         };
-        let tasks = stage
-            .tasks
-            .iter()
-            .filter(|task| !task.done && task.run.is_none());
-        tasks.count() as u64 * size.millicores
+        stage.waiting_count() as u64 * size.millicores
     }
 }
--- a/crates/pool/src/mechanism.rs
+++ b/crates/pool/src/mechanism.rs
@@ -19,6 +19,12 @@
     OrderLate,
     /// Less remaining work goes before more.
     OrderWork,
+    /// Jobs that a customer sends beyond its weight go after those that are owed.
+    ShareOwed,
+    /// Of work with the same priority, that of the customer with the lowest use relative to its weight goes first.
+    ShareUse,
+    /// A gang that waits for its customer's limit is reserved what the customer's other tasks release.
+    GangQuota,
     /// A task starts on the worker with the lowest cost; disabled: on the first by id that has capacity.
     BestFit,
     /// Work and free capacity are measured in the scarce dimensions; disabled: in processors.
@@ -60,19 +66,23 @@
 }
 
 use Mechanism::{
-    AdviceAhead, AdviceCheap, AdviceShare, BestFit, Doubt, EarlyRefusal, Evacuation, GatherEnds,
-    Heirs, HoldPause, JobEpochs, JointInserts, Order, OrderHopeless, OrderLate, OrderPriority,
-    OrderWork, Pace, PartialJobs, RepeatOrders, Restart, Scarcity, Standstill, Witnesses,
+    AdviceAhead, AdviceCheap, AdviceShare, BestFit, Doubt, EarlyRefusal, Evacuation, GangQuota,
+    GatherEnds, Heirs, HoldPause, JobEpochs, JointInserts, Order, OrderHopeless, OrderLate,
+    OrderPriority, OrderWork, Pace, PartialJobs, RepeatOrders, Restart, Scarcity, ShareOwed,
+    ShareUse, Standstill, Witnesses,
 };
 
 impl Mechanism {
     /// All mechanisms, with the names that operators use.
-    pub const ALL: [(Self, &str); 24] = [
+    pub const ALL: [(Self, &str); 27] = [
         (Order, "order"),
         (OrderHopeless, "order-hopeless"),
         (OrderPriority, "order-priority"),
         (OrderLate, "order-late"),
         (OrderWork, "order-work"),
+        (ShareOwed, "share-owed"),
+        (ShareUse, "share-use"),
+        (GangQuota, "gang-quota"),
         (BestFit, "best-fit"),
         (Scarcity, "scarcity"),
         (AdviceShare, "advice-share"),
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -12,9 +12,11 @@
 use crate::live::LiveJob;
 use crate::mechanism::Mechanism;
 use crate::pool::Pool;
+use crate::quota::QuotaPass;
 use crate::rank::{Rank, RankInput, rank};
 use crate::service_capacity::ServiceCapacity;
 use crate::task::{Ms, Run, StageKey, TaskKey, WorkerId};
+use crate::timeline::WaitReason;
 
 /// Maximum number of starts in one scheduling pass. With more, answers would wait while the starts are written.
 const MAX_STARTS: usize = 64;
@@ -54,7 +56,8 @@
             }
         }
         ranked.sort();
-        self.query_overdue(now, &ranked);
+        let quota = self.begin_quota_pass(now, ranked.iter().map(|(_, key)| key));
+        self.query_overdue(now, &ranked, &quota);
         let mut mix: Option<TaskMix> = None;
         let mut starts = 0;
         for (_, key) in &ranked {
@@ -74,14 +77,16 @@
             let empty = TaskMix::default();
             let capacity = capacities.get(&job.service).copied().unwrap_or_default();
             let mix = mix.as_ref().unwrap_or(&empty);
-            starts += self.place_stage(now, key, &job, step, mix, &capacity);
+            starts += self.place_stage(now, key, &job, step, mix, &capacity, &quota);
         }
         for (_, key) in &ranked {
             let Some(live) = self.jobs.get(&key.job) else {
                 continue;
             };
             let job = Arc::clone(&live.job);
-            if let Some(step) = job.steps.get(usize::from(key.step)) {
+            if let Some(step) = job.steps.get(usize::from(key.step))
+                && self.startable_within_quota(&quota, key, &job, step) > 0
+            {
                 self.query_ahead(now, key, &job, step);
             }
         }
@@ -122,10 +127,24 @@
             chain: scaled(live.chains.get(usize::from(key.step)).copied().unwrap_or(0)),
             work: (work * WORK_UNIT) as u64,
             long_running: job.is_long_running(),
+            beyond_share: !live.is_owed,
+            excess: self.excess(&job.customer, capacity),
         });
         rank.without(&self.options.switches)
     }
 
+    /// What a customer uses relative to its weight, in steps of its share; 0 if that is less than its share.
+    fn excess(&self, customer: &str, capacity: &ServiceCapacity) -> u32 {
+        let Some(account) = self.accounts.get(customer) else {
+            return 0;
+        };
+        let Some(weight) = account.weight() else {
+            return 0;
+        };
+        let share = weight / self.accounts.total_weight();
+        (capacity.dominant_share(account.used) / share) as u32
+    }
+
     /// Time in which a job should be completed, with its estimates corrected by the observed durations of its queue.
     pub(crate) fn objective(&self, live: &LiveJob) -> Ms {
         let policy = &live.job.policy;
@@ -156,7 +175,8 @@
         mix
     }
 
-    /// Starts the waiting tasks of a step as far as there is free capacity, and returns how many.
+    /// Starts the waiting tasks of a step as far as the customer's limit and free capacity allow, and returns how many.
+    #[expect(clippy::too_many_arguments, reason = "one call, all of it read only")]
     fn place_stage(
         &mut self,
         now: Ms,
@@ -165,7 +185,13 @@
         step: &Step,
         mix: &TaskMix,
         capacity: &ServiceCapacity,
+        quota: &QuotaPass,
     ) -> usize {
+        let allowed = self.startable_within_quota(quota, key, job, step);
+        if allowed == 0 {
+            self.record_wait(now, key, WaitReason::Quota);
+            return 0;
+        }
         let Some(stage) = self.stage(key) else {
             return 0;
         };
@@ -179,11 +205,19 @@
         // Suspects last: a worker that gets a suspect which has to run alone takes no other task.
         let suspicion = |index: &u32| stage.tasks[*index as usize].suspicion();
         waiting.sort_by_key(|index| suspicion(index).crashes);
-        let suspicions: Vec<Suspicion> = waiting.iter().map(suspicion).collect();
         if step.gang && waiting.len() != stage.tasks.len() {
             // The members start together, so all of them have to be waiting.
             return 0;
         }
+        let total = waiting.len();
+        if total > allowed as usize {
+            if step.gang {
+                self.record_wait(now, key, WaitReason::Quota);
+                return 0;
+            }
+            waiting.truncate(allowed as usize);
+        }
+        let suspicions: Vec<Suspicion> = waiting.iter().map(suspicion).collect();
         let same_step = stage.runs_per_worker();
         let assigned =
             self.find_workers(now, key, job, step, &suspicions, &same_step, mix, capacity);
@@ -220,9 +254,37 @@
         if left > 0 && job.policy.advice.is_some() {
             self.query_advisor(now, key, job, step, left);
         }
+        if left > 0 {
+            self.record_wait(now, key, self.wait_reason(key, job));
+        } else if started < total {
+            self.record_wait(now, key, WaitReason::Quota);
+        } else if let Some(stage) = self.stage_mut(key) {
+            stage.timeline.end_wait(now);
+        }
         started
     }
 
+    fn record_wait(&mut self, now: Ms, key: &StageKey, reason: WaitReason) {
+        if let Some(stage) = self.stage_mut(key) {
+            stage.timeline.record_wait(now, reason);
+        }
+    }
+
+    /// What tasks wait for that are within their customer's limit.
+    fn wait_reason(&self, key: &StageKey, job: &Job) -> WaitReason {
+        let advised = self.stage(key).map(|stage| &stage.advised);
+        let unadvised = advised.is_some_and(|it| it.query_since.is_some() || it.allowed.is_empty());
+        if job.policy.advice.is_some() && unadvised {
+            return WaitReason::Advice;
+        }
+        let is_owed = self.jobs.get(&key.job).is_none_or(|live| live.is_owed);
+        if is_owed {
+            WaitReason::Capacity
+        } else {
+            WaitReason::Share
+        }
+    }
+
     /// The checkpoint from which all members of a gang resume.
     fn gang_checkpoint(&self, key: &StageKey) -> Option<String> {
         let stage = self.stage(key)?;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -6,6 +6,7 @@
 use resource::Size;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::accounts::Accounts;
 use crate::command::Command;
 use crate::crash::{AbandonedTask, SuspectsByWorker};
 use crate::job::Job;
@@ -70,6 +71,8 @@
     pub(crate) options: Options,
     pub(crate) jobs: FxHashMap<JobId, LiveJob>,
     pub(crate) workers: FxHashMap<WorkerId, Worker>,
+    /// What each customer uses and is entitled to.
+    pub(crate) accounts: Accounts,
     /// Steps whose dependencies are complete and that are not complete themselves.
     pub(crate) open_steps: BTreeSet<StageKey>,
     /// Jobs blocked until the worker's next report: it reported ends of their runs before the jobs were known here.
@@ -169,6 +172,9 @@
         }
         let accepted_for_us = job.epoch == self.options.epoch && job.epoch > 0;
         let mut live = LiveJob::new(job, progress, now, unix);
+        live.is_owed = self
+            .accounts
+            .count_job(&live.job.customer, live.job.accepted);
         // The former owner may have received, and started, a job that this owner learns of only now.
         let former_may_act = self.former_commands_end().is_none_or(|end| now < end);
         live.inherited = !accepted_for_us
--- a/crates/pool/src/query.rs
+++ b/crates/pool/src/query.rs
@@ -12,6 +12,7 @@
 use crate::mechanism::Mechanism;
 use crate::place::TICKET_MARGIN;
 use crate::pool::Pool;
+use crate::quota::QuotaPass;
 use crate::rank::Rank;
 use crate::task::{Ms, StageKey, WorkerId};
 
@@ -31,7 +32,12 @@
     ///
     /// Highly ranked work can take all of the advisor's time while most of the capacity is free. If queries followed the
     /// ranks alone, other work would wait for as long as that lasts.
-    pub(crate) fn query_overdue(&mut self, now: Ms, ranked: &[(Rank, StageKey)]) {
+    pub(crate) fn query_overdue(
+        &mut self,
+        now: Ms,
+        ranked: &[(Rank, StageKey)],
+        quota: &QuotaPass,
+    ) {
         if !self.may_query_overdue() {
             return;
         }
@@ -69,7 +75,11 @@
                 .iter()
                 .filter(|task| task.is_startable(now))
                 .count();
-            self.query_advisor(now, key, &job, step, waiting as u32);
+            let allowed = self.startable_within_quota(quota, key, &job, step);
+            if allowed == 0 {
+                continue;
+            }
+            self.query_advisor(now, key, &job, step, allowed.min(waiting as u32));
             if self.open_queries.contains(key) {
                 self.overdue_queries.insert(key.clone());
             }
--- /dev/null
+++ b/crates/pool/src/quota.rs
@@ -0,0 +1,342 @@
+//! Limits of customers: every run that was ordered and is not known to have ended counts, wherever it is.
+//!
+//! A run counts from its start command until its end is reported, its worker's lease has expired, or the worker has restarted. A
+//! new owner doesn't know the runs of workers that haven't reported to it; it counts the most that may run there.
+
+use std::sync::Arc;
+
+use resource::Size;
+use rustc_hash::FxHashMap;
+
+use crate::customer::{CustomerId, Entitlement, Limit};
+use crate::fit;
+use crate::job::{Job, Step};
+use crate::mechanism::Mechanism;
+use crate::pool::Pool;
+use crate::report::RunStatus;
+use crate::task::{Ms, StageKey, TaskKey, WorkerId};
+use crate::timeline::WaitReason;
+use crate::worker::{OrphanedRun, Worker};
+
+/// A gang that has waited this long for its customer's limit is reserved the resources that other tasks of the customer release.
+const GANG_PATIENCE: Ms = 1_000;
+
+/// What a customer uses in this pool, and what it waits for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QuotaDemand {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Resources in use.
+    pub used: Size,
+    /// Resources of the tasks of open steps that have no run.
+    pub wanted: Size,
+    /// Resources of the largest start that waits: a task, or a whole gang.
+    pub largest: Size,
+    /// What may be used in this pool.
+    pub limit: Limit,
+    /// Number of waiting tasks by what they wait for, in the order of [`WaitReason::ALL`].
+    pub waiting: [u64; WaitReason::ALL.len()],
+}
+
+impl QuotaDemand {
+    /// The used share of the limit, in the component in which that is largest; above 1 after the limit has fallen below the use.
+    #[must_use]
+    pub fn used_share(&self) -> f64 {
+        let (used, limit) = (self.used, self.limit);
+        let parts = [
+            (used.millicores, limit.millicores),
+            (used.memory_mib, limit.memory_mib),
+            (used.accelerators, limit.accelerators),
+        ];
+        let share = |(used, bound): (u64, Option<u64>)| Some(used as f64 / bound?.max(1) as f64);
+        parts.into_iter().filter_map(share).fold(0.0, f64::max)
+    }
+}
+
+/// What customers may use beside their known runs, as of one scheduling pass.
+#[derive(Debug, Default)]
+pub(crate) struct QuotaPass {
+    /// The most that may run on workers that haven't reported; `None` if all have.
+    unreported: Option<Unreported>,
+    /// Gangs that are reserved resources, one for each customer.
+    reserved: FxHashMap<CustomerId, (StageKey, Size)>,
+}
+
+/// Bounds of what may run on workers that haven't reported.
+#[derive(Debug)]
+struct Unreported {
+    /// Free capacity of these workers, as far as it is known that they have any.
+    capacity: Size,
+    /// Resources of the inherited tasks of each customer that may run there; `None` if not all jobs are known.
+    tasks: Option<FxHashMap<CustomerId, Size>>,
+}
+
+impl Unreported {
+    /// The most that a customer may have running on these workers.
+    fn of(&self, customer: &str) -> Size {
+        let tasks = match &self.tasks {
+            None => return self.capacity,
+            Some(tasks) => tasks.get(customer).copied().unwrap_or_default(),
+        };
+        Size::new(
+            tasks.millicores.min(self.capacity.millicores),
+            tasks.memory_mib.min(self.capacity.memory_mib),
+            tasks.accelerators.min(self.capacity.accelerators),
+        )
+    }
+}
+
+impl Pool {
+    /// Sets what the customers are entitled to in this pool. Until the first call, no task of any customer's job starts.
+    pub fn set_customers(
+        &mut self,
+        customers: impl IntoIterator<Item = (CustomerId, Entitlement)>,
+    ) {
+        self.accounts.set(customers);
+    }
+
+    /// What a customer has running in this pool.
+    #[must_use]
+    pub fn used_by(&self, customer: &str) -> Size {
+        self.accounts.get(customer).map_or(Size::ZERO, |it| it.used)
+    }
+
+    /// What the customers use and wait for.
+    #[must_use]
+    pub fn quota_demand(&self) -> Vec<QuotaDemand> {
+        let mut demand: FxHashMap<&CustomerId, QuotaDemand> = FxHashMap::default();
+        for (customer, account) in self.accounts.iter() {
+            demand.insert(
+                customer,
+                QuotaDemand {
+                    customer: Arc::clone(customer),
+                    used: account.used,
+                    wanted: Size::ZERO,
+                    largest: Size::ZERO,
+                    limit: account.limit(),
+                    waiting: [0; WaitReason::ALL.len()],
+                },
+            );
+        }
+        for key in &self.open_steps {
+            let Some((job, step)) = self.job_and_step(key) else {
+                continue;
+            };
+            let (Some(entry), Some(stage)) = (demand.get_mut(&job.customer), self.stage(key))
+            else {
+                continue;
+            };
+            let waiting = stage.waiting_count() as u64;
+            if waiting == 0 {
+                continue;
+            }
+            if let Some(reason) = stage.timeline.waiting_for() {
+                entry.waiting[reason as usize] += waiting;
+            }
+            entry.wanted = entry.wanted.plus(step.charge().times(waiting));
+            let start = if step.gang { waiting } else { 1 };
+            entry.largest = max_each(entry.largest, step.charge().times(start));
+        }
+        demand.into_values().collect()
+    }
+
+    pub(crate) fn job_and_step(&self, key: &StageKey) -> Option<(&Arc<Job>, &Step)> {
+        let job = &self.jobs.get(&key.job)?.job;
+        Some((job, job.steps.get(usize::from(key.step))?))
+    }
+
+    /// Customer of a step's job, and what a task counts with against the customer's limit.
+    fn charge_of(&self, key: &StageKey) -> (CustomerId, Size) {
+        self.job_and_step(key)
+            .map(|(job, step)| (Arc::clone(&job.customer), step.charge()))
+            .unwrap_or_default()
+    }
+
+    /// Reserves capacity for a task's run, and counts the run against its customer's limit.
+    pub(crate) fn reserve_capacity(&mut self, key: &TaskKey, worker: &WorkerId, number: u32) {
+        let Some(size) = self.size(&key.stage) else {
+            return;
+        };
+        let (customer, charge) = self.charge_of(&key.stage);
+        if let Some(worker) = self.workers.get_mut(worker)
+            && worker.runs.insert(key.clone(), number).is_none()
+        {
+            worker.used = worker.used.plus(size);
+            self.accounts.charge(&customer, charge);
+        }
+    }
+
+    /// Releases the capacity of a task's run.
+    pub(crate) fn release_capacity(&mut self, key: &TaskKey, worker: &WorkerId) {
+        let Some(size) = self.size(&key.stage) else {
+            return;
+        };
+        let (customer, charge) = self.charge_of(&key.stage);
+        if let Some(worker) = self.workers.get_mut(worker)
+            && worker.runs.remove(key).is_some()
+        {
+            worker.used = worker.used.saturating_minus(size);
+            self.accounts.release(&customer, charge);
+        }
+    }
+
+    /// Records a run that isn't the current run of any task; it occupies capacity until it is gone.
+    pub(crate) fn record_orphaned_run(&mut self, now: Ms, id: &WorkerId, row: &RunStatus) {
+        let size = self.size(&row.task.stage);
+        let charge = self.charge_of(&row.task.stage);
+        let known = self.remove_orphan(id, &row.task);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.used = worker.used.plus(size.unwrap_or_default());
+        self.accounts.charge(&charge.0, charge.1);
+        let orphan = OrphanedRun {
+            run: row.run,
+            size,
+            charge,
+            since: known.as_ref().map_or(now, |orphan| orphan.since),
+            stop_sent: known.as_ref().map_or(0, |orphan| orphan.stop_sent),
+        };
+        worker.orphaned_runs.insert(row.task.clone(), orphan);
+    }
+
+    /// Removes an orphaned run that is over, or that has become the current run of its task.
+    pub(crate) fn remove_orphan(&mut self, id: &WorkerId, key: &TaskKey) -> Option<OrphanedRun> {
+        let worker = self.workers.get_mut(id)?;
+        let orphan = worker.orphaned_runs.remove(key)?;
+        worker.used = worker
+            .used
+            .saturating_minus(orphan.size.unwrap_or_default());
+        self.accounts.release(&orphan.charge.0, orphan.charge.1);
+        Some(orphan)
+    }
+
+    /// Removes all orphaned runs of a worker on which nothing runs any more.
+    pub(crate) fn remove_orphans(&mut self, id: &WorkerId) {
+        let keys: Vec<TaskKey> = self.workers.get(id).map_or_else(Vec::new, |worker| {
+            worker.orphaned_runs.keys().cloned().collect()
+        });
+        for key in keys {
+            self.remove_orphan(id, &key);
+        }
+    }
+
+    /// What customers may use in a scheduling pass, given the steps that wait.
+    pub(crate) fn begin_quota_pass<'a>(
+        &self,
+        now: Ms,
+        waiting: impl Iterator<Item = &'a StageKey>,
+    ) -> QuotaPass {
+        let mut pass = QuotaPass {
+            unreported: self.unreported(),
+            reserved: FxHashMap::default(),
+        };
+        if self.has(Mechanism::GangQuota) {
+            for key in waiting {
+                self.reserve_for_gang(now, key, &mut pass);
+            }
+        }
+        pass
+    }
+
+    /// Reserves its customer's resources for a gang that has waited for them, so that the customer's other tasks don't take what
+    /// is released before it suffices for the whole gang.
+    fn reserve_for_gang(&self, now: Ms, key: &StageKey, pass: &mut QuotaPass) {
+        let Some((job, step)) = self.job_and_step(key) else {
+            return;
+        };
+        if !step.gang || job.customer.is_empty() || pass.reserved.contains_key(&job.customer) {
+            return;
+        }
+        let Some(account) = self.accounts.get(&job.customer) else {
+            return;
+        };
+        let size = step.charge().times(u64::from(step.count));
+        let is_patient = self.stage(key).is_none_or(|stage| {
+            let waited = stage.timeline.waited(now)[WaitReason::Quota as usize];
+            stage.timeline.waiting_for() != Some(WaitReason::Quota) || waited < GANG_PATIENCE
+        });
+        if !is_patient && account.limit().allows(Size::ZERO, size) {
+            pass.reserved
+                .insert(Arc::clone(&job.customer), (key.clone(), size));
+        }
+    }
+
+    /// How many tasks of a step may start without exceeding the limit of the job's customer.
+    pub(crate) fn startable_within_quota(
+        &self,
+        pass: &QuotaPass,
+        key: &StageKey,
+        job: &Job,
+        step: &Step,
+    ) -> u32 {
+        if job.customer.is_empty() {
+            return u32::MAX;
+        }
+        if !self.accounts.are_known() {
+            return 0;
+        }
+        let account = self.accounts.get(&job.customer);
+        let Some(account) = account.filter(|account| !account.limit().is_unlimited()) else {
+            return u32::MAX;
+        };
+        let mut used = account.used;
+        if let Some(unreported) = &pass.unreported {
+            used = used.plus(unreported.of(&job.customer));
+        }
+        if let Some((gang, size)) = pass.reserved.get(&job.customer)
+            && gang != key
+        {
+            used = used.plus(*size);
+        }
+        fit::count_fitting(step.charge(), account.limit().headroom(used))
+    }
+
+    /// The most that may run on workers of the former owner that haven't reported to this one; `None` if all have.
+    fn unreported(&self) -> Option<Unreported> {
+        let largest = self.workers.values().fold(Size::ZERO, |largest, worker| {
+            max_each(largest, worker.info.capacity)
+        });
+        let hidden = |worker: &Worker| {
+            let unknown = worker.orphaned_runs.values().any(|it| it.size.is_none());
+            unknown || self.unconfirmed_workers.contains(&worker.id)
+        };
+        let mut capacity = Size::ZERO;
+        for worker in self.workers.values().filter(|worker| hidden(worker)) {
+            capacity = capacity.plus(worker.free_capacity());
+        }
+        let unlisted = self.unconfirmed_workers.iter();
+        let unlisted = unlisted.filter(|id| !self.workers.contains_key(*id));
+        capacity = capacity.plus(largest.times(unlisted.count() as u64));
+        if capacity == Size::ZERO {
+            return None;
+        }
+        let tasks = (!self.jobs_incomplete).then(|| self.inherited_tasks());
+        Some(Unreported { capacity, tasks })
+    }
+
+    /// Resources of the unfinished tasks without a known run that the former owner may have started, by customer.
+    fn inherited_tasks(&self) -> FxHashMap<CustomerId, Size> {
+        let mut sums: FxHashMap<CustomerId, Size> = FxHashMap::default();
+        let inherited = self.jobs.values().filter(|live| live.inherited);
+        for live in inherited.filter(|live| !live.job.customer.is_empty()) {
+            for occurrence in live.open.values() {
+                for (stage, step) in occurrence.stages.iter().zip(&live.job.steps) {
+                    let waiting = stage.waiting_count() as u64;
+                    let sum = sums.entry(Arc::clone(&live.job.customer)).or_default();
+                    *sum = sum.plus(step.charge().times(waiting));
+                }
+            }
+        }
+        sums
+    }
+}
+
+/// The larger of two amounts, by component.
+fn max_each(a: Size, b: Size) -> Size {
+    Size::new(
+        a.millicores.max(b.millicores),
+        a.memory_mib.max(b.memory_mib),
+        a.accelerators.max(b.accelerators),
+    )
+}
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -2,9 +2,9 @@
 //!
 //! The order matters when demand exceeds capacity. A job has its full value until its objective, little value up to
 //! three times the objective, and none after that. So work that can still have value goes before work that can't, whatever
-//! its queue; then the queue's priority decides; then whether the work can still meet its objective; then the smaller
-//! remaining work, which has the most value for the capacity it takes. Work without value goes last and is never
-//! dropped.
+//! its queue; then what its customer is owed before what the customer sends beyond that; then the queue's priority decides;
+//! then whether the customer uses more than its share; then whether the work can still meet its objective; then the smaller
+//! remaining work, which has the most value for the capacity it takes. Work without value goes last and is never dropped.
 
 use rustc_hash::FxHashMap;
 
@@ -22,8 +22,12 @@
 pub struct Rank {
     /// It can no longer have any value, as it will exceed [`MAX_OBJECTIVE_RATIO`] times its objective.
     pub hopeless: bool,
+    /// Its customer has sent more jobs a second than it is owed.
+    pub beyond_share: bool,
     /// The queue's priority, 0 first.
     pub priority: u32,
+    /// What its customer uses relative to its weight, in steps; 0 if that is less than the customer's share.
+    pub excess: u32,
     /// It can no longer meet its objective.
     pub late: bool,
     /// Remaining work: the capacity that it takes, in the dimension in which it takes the largest share, times its
@@ -42,6 +46,12 @@
         if switches.has(Mechanism::OrderPriority) {
             rank.priority = self.priority;
         }
+        if switches.has(Mechanism::ShareOwed) {
+            rank.beyond_share = self.beyond_share;
+        }
+        if switches.has(Mechanism::ShareUse) {
+            rank.excess = self.excess;
+        }
         if switches.has(Mechanism::OrderLate) {
             rank.late = self.late;
         }
@@ -67,6 +77,10 @@
     pub work: u64,
     /// The job runs until it is cancelled, so it has no deadline.
     pub long_running: bool,
+    /// As in [`Rank::beyond_share`].
+    pub beyond_share: bool,
+    /// As in [`Rank::excess`].
+    pub excess: u32,
 }
 
 /// Ranks waiting work.
@@ -83,7 +97,9 @@
     let end = input.age + input.chain;
     Rank {
         hopeless: !input.long_running && end > input.objective * MAX_OBJECTIVE_RATIO,
+        beyond_share: input.beyond_share,
         priority: input.priority,
+        excess: input.excess,
         late: !input.long_running && end > input.objective,
         work: input.work,
     }
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -6,7 +6,7 @@
 use crate::pool::Pool;
 use crate::report::{RunStatus, WorkerReport};
 use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
-use crate::worker::{OrphanedRun, UnknownEnds};
+use crate::worker::UnknownEnds;
 
 /// A run of an unknown job is stopped after this time, and the end of such a run is skipped. The row of a job may reach this
 /// owner after the report of its run: usually by a few milliseconds, but by seconds while the store has problems.
@@ -201,13 +201,8 @@
         if worker.info.draining.is_none() {
             worker.leaves_at = None;
         }
-        for orphan in std::mem::take(&mut worker.orphaned_runs).into_values() {
-            worker.used = worker
-                .used
-                .minus(orphan.size.unwrap_or_default())
-                .unwrap_or_default();
-        }
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+        self.remove_orphans(id);
         for key in &keys {
             self.record_loss(now, key, Loss::Restarted);
         }
@@ -295,15 +290,8 @@
                 self.complete_or_advance(now, unix, &key.stage.job);
             }
         }
-        if let Some(worker) = self.workers.get_mut(id) {
-            for key in gone_orphans {
-                if let Some(orphan) = worker.orphaned_runs.remove(&key) {
-                    worker.used = worker
-                        .used
-                        .minus(orphan.size.unwrap_or_default())
-                        .unwrap_or_default();
-                }
-            }
+        for key in gone_orphans {
+            self.remove_orphan(id, &key);
         }
     }
 
@@ -314,9 +302,8 @@
             .jobs
             .get(&key.stage.job)
             .is_some_and(|live| live.state.is_final());
-        let size = self.size(&key.stage);
         let Some(task) = self.task_mut(key) else {
-            self.record_orphaned_run(now, id, row, size);
+            self.record_orphaned_run(now, id, row);
             return;
         };
         task.highest_run = task.highest_run.max(row.run);
@@ -353,7 +340,7 @@
             .as_ref()
             .is_some_and(|run| run.inherited && run.number < row.run);
         if task.done || closed || task.run.is_some() && !outdated {
-            self.record_orphaned_run(now, id, row, size);
+            self.record_orphaned_run(now, id, row);
             return;
         }
         if outdated {
@@ -369,45 +356,11 @@
             worker_was_up: true,
             ..Run::new(row.run, Arc::clone(id), now, 0)
         });
-        if let Some(worker) = self.workers.get_mut(id)
-            && let Some(orphan) = worker.orphaned_runs.remove(key)
-        {
-            worker.used = worker
-                .used
-                .minus(orphan.size.unwrap_or_default())
-                .unwrap_or_default();
-        }
+        self.remove_orphan(id, key);
         self.reserve_capacity(key, id, row.run);
         self.mark_started(&key.stage.job);
     }
 
-    /// Records a run that isn't the current run of any task; it occupies capacity until it is gone.
-    fn record_orphaned_run(
-        &mut self,
-        now: Ms,
-        id: &WorkerId,
-        row: &RunStatus,
-        size: Option<resource::Size>,
-    ) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let known = worker.orphaned_runs.get_mut(&row.task);
-        let orphan = OrphanedRun {
-            run: row.run,
-            size,
-            since: known.as_ref().map_or(now, |orphan| orphan.since),
-            stop_sent: known.as_ref().map_or(0, |orphan| orphan.stop_sent),
-        };
-        let replaced = worker.orphaned_runs.insert(row.task.clone(), orphan);
-        let replaced = replaced.and_then(|orphan| orphan.size).unwrap_or_default();
-        worker.used = worker
-            .used
-            .minus(replaced)
-            .unwrap_or_default()
-            .plus(size.unwrap_or_default());
-    }
-
     /// Stops orphaned runs: at once if their job is known, otherwise after [`UNKNOWN_JOB_TIMEOUT`].
     pub(crate) fn stop_orphaned_runs(&mut self, now: Ms) {
         let jobs_incomplete = self.jobs_incomplete;
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -82,13 +82,17 @@
                 self.complete_or_advance(now, unix, &key.stage.job);
             }
         }
-        for worker in self.workers.values_mut() {
-            if worker.lease_expires_at < now && !worker.orphaned_runs.is_empty() {
-                for orphan in std::mem::take(&mut worker.orphaned_runs).into_values() {
-                    let size = orphan.size.unwrap_or_default();
-                    worker.used = worker.used.minus(size).unwrap_or_default();
-                }
-            }
+        let lapsed = |worker: &&crate::Worker| {
+            worker.lease_expires_at < now && !worker.orphaned_runs.is_empty()
+        };
+        let lapsed: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(lapsed)
+            .map(|worker| Arc::clone(&worker.id))
+            .collect();
+        for id in lapsed {
+            self.remove_orphans(&id);
         }
         let unconfirmed = &self.unconfirmed_workers;
         let unavailable = &self.unavailable;
--- a/crates/pool/tests/case/mod.rs
+++ b/crates/pool/tests/case/mod.rs
@@ -120,3 +120,14 @@
         checkpoint: String::new(),
     }
 }
+
+/// The status of a run in progress that was started with this command.
+pub(crate) fn running(start: &Start) -> RunStatus {
+    RunStatus {
+        task: start.task.clone(),
+        run: start.run,
+        checkpoint: String::new(),
+        percent: 50,
+        load: 0,
+    }
+}
--- a/crates/pool/tests/policies.rs
+++ b/crates/pool/tests/policies.rs
@@ -45,6 +45,7 @@
             chain: 500,
             work: 10,
             long_running: false,
+            ..RankInput::default()
         })
     };
     assert!(rank_of(0, 2_600) > rank_of(2, 0));
--- a/crates/pool/tests/simulation/mod.rs
+++ b/crates/pool/tests/simulation/mod.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 
 use pool::{
-    Command, Job, Ms, Options, Policy, Pool, Progress, RunEnd, Start, StartAnswer, State, Step,
-    Stop, StopAnswer, TaskKey, WorkerId, WorkerInfo, WorkerReport,
+    Command, CustomerId, Entitlement, Job, Limit, Ms, Options, Policy, Pool, Progress, RunEnd,
+    Start, StartAnswer, State, Step, Stop, StopAnswer, TaskKey, WorkerId, WorkerInfo, WorkerReport,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -28,6 +28,8 @@
 struct Run {
     number: u32,
     size: Size,
+    /// The customer of the job, and what the run counts with against its limit.
+    charge: (CustomerId, Size),
     ends_at: Ms,
     fails: bool,
     stops_at: Option<Ms>,
@@ -108,6 +110,8 @@
     /// Number of runs on them.
     pub(crate) failures: usize,
     capacity: Size,
+    /// Limits of customers; see [`Simulation::set_limit`].
+    limits: BTreeMap<CustomerId, Size>,
     /// Tasks that crash each worker that starts them.
     pub(crate) crashers: BTreeMap<TaskKey, crashes::Crashes>,
     /// Number of workers that crashed while they ran a task, whatever the cause.
@@ -182,6 +186,7 @@
             faulty: BTreeSet::new(),
             failures: 0,
             capacity,
+            limits: BTreeMap::new(),
             crashers: BTreeMap::new(),
             crashed_under: BTreeMap::new(),
             replace_crashed: false,
@@ -224,6 +229,7 @@
         roster.sort();
         roster.dedup();
         pool.set_stored_roster(&roster);
+        pool.set_customers(self.entitlements());
         pool.inherit(self.now, roster.clone(), &self.unavailable);
         self.roster = roster;
         self.owners.push(Owner {
@@ -234,6 +240,39 @@
         });
     }
 
+    /// Sets a customer's limit, which all owners learn at once. No start may exceed it.
+    pub(crate) fn set_limit(&mut self, customer: &str, limit: Size) {
+        self.limits.insert(customer.into(), limit);
+        let entitlements = self.entitlements();
+        for owner in &mut self.owners {
+            owner.pool.set_customers(entitlements.clone());
+        }
+    }
+
+    fn entitlements(&self) -> Vec<(CustomerId, Entitlement)> {
+        let entitlement = |(customer, &limit): (&CustomerId, &Size)| {
+            let limit = Limit::from(limit);
+            (
+                Arc::clone(customer),
+                Entitlement {
+                    weight: 1_000.0,
+                    limit,
+                },
+            )
+        };
+        self.limits.iter().map(entitlement).collect()
+    }
+
+    /// What a customer has running on all workers.
+    pub(crate) fn running(&self, customer: &str) -> Size {
+        let runs = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values());
+        let own = runs.filter(|run| &*run.charge.0 == customer);
+        own.fold(Size::ZERO, |sum, run| sum.plus(run.charge.1))
+    }
+
     /// Accepts a caller's job for the current owner.
     pub(crate) fn accept(&mut self, job: Job) {
         let epoch = self.owners.last().map_or(0, |owner| owner.epoch);
--- a/crates/pool/tests/simulation/workers.rs
+++ b/crates/pool/tests/simulation/workers.rs
@@ -1,8 +1,10 @@
 //! Simulated workers: how they handle commands and polls, and when runs end.
 
+use std::sync::Arc;
+
 use pool::{
-    Ms, RunEnd, RunOutcome, RunStatus, Start, StartAnswer, Stop, StopAnswer, TaskKey, WorkerId,
-    WorkerReport,
+    Limit, Ms, RunEnd, RunOutcome, RunStatus, Start, StartAnswer, Stop, StopAnswer, TaskKey,
+    WorkerId, WorkerReport,
 };
 use rand::Rng as _;
 use resource::Size;
@@ -26,6 +28,12 @@
             .iter()
             .any(|(id, worker)| *id != start.worker && worker.runs.contains_key(&start.task));
         let end_stored = self.stored_ends.contains(&start.task);
+        let step = &start.job.steps[usize::from(start.task.stage.step)];
+        let charge = (Arc::clone(&start.job.customer), step.charge());
+        let limit = self.limits.get(&start.job.customer);
+        let allowed = limit.is_none_or(|&limit| {
+            Limit::from(limit).allows(self.running(&start.job.customer), charge.1)
+        });
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return;
         };
@@ -65,6 +73,11 @@
                 self.violations
                     .push(format!("{now}: capacity of {} exceeded", start.worker));
             }
+            if !allowed {
+                let customer = &start.job.customer;
+                self.violations
+                    .push(format!("{now}: limit of {customer} exceeded"));
+            }
             if elsewhere || worker.runs.contains_key(&start.task) {
                 self.violations
                     .push(format!("{now}: {:?} runs twice", start.task));
@@ -77,6 +90,7 @@
             let run = Run {
                 number: start.run,
                 size,
+                charge,
                 ends_at: now + duration,
                 fails,
                 stops_at: None,
