Calls need a key of their queue's customers, and see only jobs of their own

Cause: nothing read keys. Every caller could use every queue, see and cancel every job; jobs had no customer.

What callers see: 401 for a queue that is not open to all without a valid key, after the queue was looked up (404); 400 for a key that can't be one (header twice, bytes that aren't text, over 256 bytes) and for an id of another customer's job; 410 for the state and the cancel of another customer's job; 503 with Retry-After while it isn't known whether a key is valid. An empty header counts as none. An unknown key on a queue that is open to all is ignored; a valid one makes the job its customer's. A deployment without the policy "tenants" in its settings needs no keys; without a list of policies it does if the configuration names customers.

Change: - access: the decision as a pure function of configuration, queue, key, age of the proof, arrival and rules of revocation. A denial needs a configuration confirmed at or after the arrival; a known key passes, with strict revocation only within the deadline. - confirmation: at most one query under way, shared by all waiting calls, at most four a second; at most 256 calls wait, further ones are refused at once. Hosts ask an owner (Call::CatalogVersion), owners and hosts without one the store's feed with a zero wait. - admission joins the two without the whole Host; calls with valid keys take no lock that others use. - The caller goes with the calls State and Cancel to the owner. The row's header has customer and queue; a new owner keeps them of completed jobs, of which it decodes nothing else. An owner that hasn't loaded a job no longer notes its cancel early: it isn't known whose it is, and the host writes the cancel into the store anyway. - insert: a row of another customer's job is "id in use", neither accepted nor shown. - CatalogInForce: check and set are one step, so that of concurrent updates the newest stays. One index of keys a configuration, built at the first lookup, one hash lookup a key. - Decode::catalog returns a typed error with the customer's name; customers twice, keys of two customers, absurd names, keys, weights and limits. The version in force stays and still counts as confirmed. - No text of a key behind decoding: messages of the JSON parser, which quote what they can't read, are replaced by line and column; rows show the length of their values in Debug. - refusals: five log lines a second at most, counters by reason and by up to 64 customers.

Ruled out: a question for each unknown key; a cache of unknown keys (a key added later would be refused); the early note of a cancel with the caller, which would have to be checked when the job is read; 401 by the age of the configuration alone, as for 404.

--- a/crates/host/src/catalog_sync.rs
+++ b/crates/host/src/catalog_sync.rs
@@ -11,13 +11,14 @@
 use log::{info, warn};
 use pool::Ms;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::catalog::Catalog;
 use crate::clock;
-use crate::follow::{Change, PollTiming, follow};
+use crate::confirmation::Confirmation;
+use crate::follow::{Change, PollTiming, follow, read};
 use crate::host::{Host, lock};
-use crate::interfaces::Page;
+use crate::interfaces::{Page, StoreError};
 use crate::packed::Packed;
 use crate::pool_map::PoolMap;
 use crate::rows::{COMMON, POOL_MAP};
@@ -37,14 +38,16 @@
 const POOL_MAP_POLL_WAIT: Duration = Duration::from_millis(2_000);
 /// Delay of the next such poll while the store is unavailable. Owners poll more often and report when it is available again.
 const POOL_MAP_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Timeout of a query for the version of the configuration.
+const VERSION_QUERY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after an owner's configuration that could not be parsed; it would hardly differ at the next try.
 const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// State of the synchronisation of a host's configuration.
 #[derive(Default)]
 pub(crate) struct CatalogSync {
-    /// Latest time at which the configuration in force is known to have been the newest.
-    confirmed_at: AtomicU64,
+    /// How recent the configuration in force is known to be.
+    pub(crate) confirmation: Arc<Confirmation>,
     /// The transaction of the store up to which it is known to be the newest.
     as_of: AtomicU64,
     /// Like `confirmed_at`, but by heartbeats of owners only.
@@ -66,9 +69,7 @@
 impl Host {
     /// Records that the configuration in force was the newest at this time and up to this transaction of the store.
     pub(crate) fn confirm(&self, at: Ms, as_of: u64) {
-        self.catalog_sync
-            .confirmed_at
-            .fetch_max(at, Ordering::Relaxed);
+        self.catalog_sync.confirmation.confirm(at);
         self.catalog_sync.as_of.fetch_max(as_of, Ordering::Relaxed);
     }
 
@@ -79,7 +80,7 @@
 
     /// Time since the configuration in force was last known to be the newest.
     pub(crate) fn catalog_age(&self) -> Ms {
-        clock::now().saturating_sub(self.catalog_sync.confirmed_at.load(Ordering::Relaxed))
+        self.catalog_sync.confirmation.age()
     }
 
     /// Keeps the configuration and the pool map up to date until the host stops.
@@ -87,6 +88,7 @@
         tokio::select! {
             () = self.follow_store_or_owners() => {}
             () = self.fetch_from_owners() => {}
+            () = self.catalog_sync.confirmation.run(|| self.query_catalog_version()) => {}
             () = self.stop.ended() => {}
         }
     }
@@ -161,13 +163,79 @@
         for row in page.rows.iter().filter(|row| row.key == key) {
             let value = row.value.as_deref().unwrap_or_default();
             match self.decode.catalog(value) {
-                Some(catalog) => self.update_catalog(catalog),
-                None => warn!(bytes = value.len(); "configuration can't be parsed"),
+                Ok(catalog) => self.update_catalog(catalog),
+                Err(error) => {
+                    metrics::counter!("lentilyoke_invalid_catalogs_total").increment(1);
+                    warn!(bytes = value.len(), in_force = self.catalog_version(), error:% = error; "configuration is invalid; the one in force stays");
+                }
             }
         }
         self.confirm(page.at, page.version);
     }
 
+    /// Queries an owner, or the store if this host is an owner or has no link to one, whether the configuration in force is the
+    /// newest.
+    async fn query_catalog_version(&self) {
+        let asked_at = clock::now();
+        let link = if self.owned_pool_count() == 0 {
+            self.link_to_owner_where(|_| true)
+        } else {
+            None
+        };
+        let reply = match link {
+            Some(link) => link.call(Call::CatalogVersion, VERSION_QUERY_TIMEOUT).await,
+            None => None,
+        };
+        match reply {
+            Some(Reply::CatalogVersion {
+                version,
+                as_of,
+                age,
+            }) => {
+                // If the owner has a newer configuration, its next heartbeat says so, and this host fetches it.
+                if version == self.catalog_version() {
+                    self.confirm(asked_at.saturating_sub(age), as_of);
+                }
+            }
+            _ => drop(timeout(VERSION_QUERY_TIMEOUT, self.read_catalog_changes()).await),
+        }
+    }
+
+    /// Reads the changes of the configuration in the store without waiting for one.
+    async fn read_catalog_changes(&self) {
+        let (table, key) = &self.settings.store_tables.catalog;
+        let (as_of, sent_at) = (self.catalog_as_of(), clock::now());
+        let page = match self.store.feed(table, as_of, Duration::ZERO).await {
+            Ok(feed) => Page {
+                at: sent_at,
+                ..feed
+            },
+            Err(StoreError::HistoryCompacted) => {
+                read(self.store.as_ref(), table, &[String::new()], as_of).await
+            }
+            Err(error) => {
+                warn!(error:% = error; "query for changes of the configuration failed");
+                return;
+            }
+        };
+        self.apply_catalog_rows(&page, key);
+    }
+
+    /// The reply to the query of another host for the version of the configuration in force.
+    pub(crate) async fn confirmed_version(&self) -> Reply {
+        let received_at = clock::now();
+        let until = Instant::now() + VERSION_QUERY_TIMEOUT;
+        let confirmation = &self.catalog_sync.confirmation;
+        confirmation.wait_unbounded(received_at, until).await;
+        let (as_of, confirmed_at) = (self.catalog_as_of(), confirmation.confirmed_at());
+        Reply::CatalogVersion {
+            // Read after the other two: a version that was installed in between is only newer.
+            version: self.catalog_version(),
+            as_of,
+            age: received_at.saturating_sub(confirmed_at),
+        }
+    }
+
     async fn follow_pool_map(&self) {
         let parts = [COMMON.to_owned()];
         let store = self.store.as_ref();
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -4,13 +4,14 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use log::{info, warn};
 use pool::{Mechanism, Ms};
 use telemetry::Shutdown;
 use tokio::sync::Notify;
 
-use crate::catalog::Catalog;
+use crate::admission::Admission;
+use crate::catalog::{Catalog, CatalogInForce};
 use crate::catalog_sync::CatalogSync;
 use crate::clock;
 use crate::interfaces::{Advisor, Decode, Store, Workers};
@@ -53,7 +54,8 @@
     pub(crate) stop: Shutdown,
     /// Start time of this process in Unix milliseconds.
     pub(crate) incarnation: u64,
-    catalog: ArcSwapOption<Catalog>,
+    catalog: Arc<CatalogInForce>,
+    admission: Admission,
     /// How recent the configuration in force is known to be.
     pub(crate) catalog_sync: CatalogSync,
     /// Time of the last answer from the store; 0 if there was none.
@@ -93,6 +95,14 @@
         decode: Arc<dyn Decode>,
         stop: Shutdown,
     ) -> Arc<Self> {
+        let catalog = Arc::<CatalogInForce>::default();
+        let catalog_sync = CatalogSync::default();
+        let admission = Admission::new(
+            Arc::clone(&catalog),
+            Arc::clone(&catalog_sync.confirmation),
+            settings.revocation,
+            settings.catalog_deadline.mul_f64(MAX_CATALOG_AGE_SHARE),
+        );
         Arc::new(Self {
             settings,
             store,
@@ -101,8 +111,9 @@
             decode,
             stop,
             incarnation: clock::unix(),
-            catalog: ArcSwapOption::empty(),
-            catalog_sync: CatalogSync::default(),
+            catalog,
+            admission,
+            catalog_sync,
             last_store_answer: AtomicU64::new(0),
             store_failing_since: AtomicU64::new(0),
             min_store_rtt: AtomicU64::new(u64::MAX),
@@ -160,17 +171,19 @@
     /// The configuration in force; `None` until one was loaded. See [`Host::is_current`] for its age.
     #[must_use]
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
-        self.catalog.load_full()
+        self.catalog.load()
     }
 
     /// Whether the configuration is known to be current.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        Duration::from_millis(self.catalog_age())
-            < self
-                .settings
-                .catalog_deadline
-                .mul_f64(MAX_CATALOG_AGE_SHARE)
+        self.admission.is_current()
+    }
+
+    /// Decides which calls may use which queues.
+    #[must_use]
+    pub fn admission(&self) -> &Admission {
+        &self.admission
     }
 
     /// Whether a mechanism is enabled.
@@ -242,8 +255,7 @@
 
     /// Version of the configuration in force; 0 if there is none.
     pub(crate) fn catalog_version(&self) -> u64 {
-        let catalog = self.catalog.load();
-        catalog.as_ref().map_or(0, |catalog| catalog.version)
+        self.catalog.version()
     }
 
     /// Records whether the store answered a call, and how long the call took.
@@ -311,10 +323,13 @@
 
     /// Puts a configuration into force unless one at least as new is.
     pub(crate) fn update_catalog(&self, catalog: Catalog) {
-        let before = self.catalog_version();
-        if catalog.version > before {
-            info!(version = catalog.version, before = before, queues = catalog.queues.len(); "configuration in force");
-            self.catalog.store(Some(Arc::new(catalog)));
+        let (version, queues, customers) = (
+            catalog.version,
+            catalog.queues.len(),
+            catalog.customers.len(),
+        );
+        if let Some(before) = self.catalog.update(catalog) {
+            info!(version = version, before = before, queues = queues, customers = customers; "configuration in force");
             self.catalog_sync.changed.notify_waiters();
         }
     }
--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::access::Caller;
 use crate::interfaces::{Store, StoreError, Transaction};
 use crate::rows::{JOBS, JobRow, job_part, job_row_header};
 
@@ -31,6 +32,8 @@
     /// The row exists, written by this call or an earlier one. An earlier call may have chosen another pool than this one: the
     /// job belongs to the pool that the row names.
     Present(JobLocation),
+    /// The row exists, but belongs to a job that the caller may not access.
+    IdInUse,
     /// The row does not exist, and this call will not create it.
     Refused,
     /// It is not known whether the row exists.
@@ -98,14 +101,17 @@
             Err(StoreError::Conflict { rows }) => {
                 let found = rows.iter().find_map(|row| {
                     let header = job_row_header(row.value.as_deref()?)?;
-                    Some(JobLocation {
+                    if !header.is_accessible_to(&Caller::of_job(job)) {
+                        return Some(Inserted::IdInUse);
+                    }
+                    Some(Inserted::Present(JobLocation {
                         pool: header.pool,
                         version: row.version,
                         moved: header.moved.is_some(),
-                    })
+                    }))
                 });
                 if let Some(found) = found {
-                    return Inserted::Present(found);
+                    return found;
                 }
                 // The row exists, but the answer doesn't show its pool; the next answer may.
                 may_exist = true;
--- a/crates/host/src/interfaces.rs
+++ b/crates/host/src/interfaces.rs
@@ -1,5 +1,6 @@
 //! External interfaces of a host: store, workers, advisor and decoding of foreign rows.
 
+use std::fmt;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -9,9 +10,10 @@
 use snafu::Snafu;
 
 use crate::catalog::Catalog;
+use crate::invalid_catalog::InvalidCatalog;
 
 /// A row of the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, PartialEq)]
 pub struct Row {
     /// The table that it is in.
     pub table: String,
@@ -25,6 +27,19 @@
     pub version: u64,
 }
 
+impl fmt::Debug for Row {
+    /// Shows only the length of the value, which may contain keys of customers.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Row")
+            .field("table", &self.table)
+            .field("part", &self.part)
+            .field("key", &self.key)
+            .field("value_bytes", &self.value.as_ref().map(Vec::len))
+            .field("version", &self.version)
+            .finish()
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Snafu)]
 pub enum StoreError {
@@ -200,8 +215,11 @@
 
 /// Decodes rows that other systems write into the store.
 pub trait Decode: Send + Sync {
-    /// Decodes the configuration; `None` if it can't be parsed.
-    fn catalog(&self, value: &[u8]) -> Option<Catalog>;
+    /// Decodes the configuration.
+    ///
+    /// # Errors
+    /// Why it can't be used. The error contains no key.
+    fn catalog(&self, value: &[u8]) -> Result<Catalog, InvalidCatalog>;
 
     /// Decodes the row of a worker; `None` if the row doesn't describe one.
     fn worker(&self, key: &str, value: &[u8]) -> Option<WorkerInfo>;
--- a/crates/host/src/key.rs
+++ b/crates/host/src/key.rs
@@ -9,6 +9,9 @@
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq as _;
 
+/// Maximum length of a key in bytes.
+pub const MAX_KEY_BYTES: usize = 256;
+
 /// SHA-256 digest of a key. Comparison takes the same time wherever two digests differ.
 ///
 /// ```
@@ -28,6 +31,12 @@
     pub fn of(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
+
+    /// The first bytes of the digest, as a key of hash tables. They tell nothing about the key.
+    pub(crate) fn prefix(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_be_bytes([a, b, c, d, e, f, g, h])
+    }
 }
 
 impl PartialEq for KeyDigest {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -4,7 +4,9 @@
 //! * [`Store`], [`Workers`], [`Advisor`], [`Decode`]: external interfaces of a host.
 //! * [`Host`]: requests of callers ([`Host::submit`], [`Host::state`], [`Host::cancel`], [`Host::pending`]).
 //! * [`Owner`]: the owner of a pool, which takes it over, polls workers, starts tasks and stores progress.
-//! * [`Catalog`]: the configuration in force; [`packed`]: its compressed form.
+//! * [`Catalog`]: the configuration in force; [`packed`]: its compressed form; [`confirmation`]: how recent it is known to be.
+//! * [`access`]: which calls may use a queue, by their keys; [`admission`]: carries that out; [`refusals`]: logs and counts of
+//!   refused calls.
 //! * [`PoolMap`]: assignment of workers to pools; [`route`]: choice of the pool for a job.
 //! * [`insert`]: idempotent insertion of a job's row.
 //! * [`follow`]: following the changes of a table.
@@ -16,17 +18,21 @@
 //! * [`store_outage`]: handover of a pool by an owner that has lost the store; [`lag`]: detection of an overloaded host.
 //! * [`log_sampling`]: sampling of the jobs that are logged in full.
 
+pub mod access;
+pub mod admission;
 pub mod advisor_proxies;
 pub mod catalog;
 mod catalog_sync;
 mod claim;
 pub mod clock;
+pub mod confirmation;
 mod election;
 pub mod follow;
 pub mod hedge;
 mod host;
 pub mod insert;
 mod interfaces;
+mod invalid_catalog;
 mod key;
 pub mod lag;
 pub mod link;
@@ -37,6 +43,7 @@
 mod peers;
 pub mod pool_map;
 mod pool_state;
+pub mod refusals;
 mod requests;
 pub mod route;
 mod rows;
@@ -56,7 +63,8 @@
 pub use interfaces::{
     Advisor, Decode, Feed, Page, PollFailure, Row, Store, StoreError, Tickets, Transaction, Workers,
 };
-pub use key::KeyDigest;
+pub use invalid_catalog::{InvalidCatalog, check_customers};
+pub use key::{KeyDigest, MAX_KEY_BYTES};
 pub use owner::Owner;
 pub use pool_map::PoolMap;
 pub use requests::{JobStatus, Submitted};
--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -4,10 +4,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use pool::{Job, State};
+use pool::Job;
 use tokio::time::Instant;
 
 use super::Owner;
+use crate::access::Caller;
 use crate::clock;
 use crate::host::lock;
 use crate::insert::{Inserted, JobLocation, insert};
@@ -33,19 +34,33 @@
         self.wake.notify_one();
     }
 
-    /// The stored state of a job; `None` if this owner doesn't know the job or may have been replaced.
+    /// The stored state of a job, unless this owner doesn't know the job or may have been replaced.
     ///
     /// An owner that resumes after a pause would return states from before the pause: a caller that has seen "completed" would
     /// see the job run again. Such an owner is not confirmed until a majority of its workers has answered it.
-    pub(crate) fn state(&self, id: &str) -> Option<State> {
+    pub(crate) fn state(&self, id: &str, caller: &Caller) -> Reply {
         let pool = lock(&self.pool);
-        pool.state(id).filter(|_| pool.has_quorum(clock::now()))
+        let job = pool.job(id).filter(|_| pool.has_quorum(clock::now()));
+        match job {
+            None => Reply::Unknown,
+            Some(job) if !caller.may_access(&job.customer, &job.queue) => Reply::Inaccessible,
+            Some(_) => pool.state(id).map_or(Reply::Unknown, Reply::State),
+        }
     }
 
     /// Cancels a job; replies when the cancellation is stored.
-    pub(crate) async fn cancel(&self, id: &str) -> Reply {
-        if lock(&self.pool).cancel(clock::unix(), id).is_none() {
-            return Reply::Unknown;
+    ///
+    /// A job that is not loaded yet is left alone: it is not known who may access it.
+    pub(crate) async fn cancel(&self, id: &str, caller: &Caller) -> Reply {
+        {
+            let mut pool = lock(&self.pool);
+            let Some(job) = pool.job(id) else {
+                return Reply::Unknown;
+            };
+            if !caller.may_access(&job.customer, &job.queue) {
+                return Reply::Inaccessible;
+            }
+            pool.cancel(clock::unix(), id);
         }
         self.wake.notify_one();
         self.dirty.notify_one();
@@ -84,6 +99,7 @@
                 self.host.notify_accepted(location, job);
                 Reply::Inserted(location)
             }
+            Inserted::IdInUse => Reply::IdInUse,
             Inserted::Refused => Reply::Refused,
             Inserted::Unsure => Reply::Unsure,
         }
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -12,7 +12,10 @@
 use crate::follow::{Change, read, read_each};
 use crate::host::lock;
 use crate::interfaces::{Page, Row};
-use crate::rows::{CANCEL_PREFIX, JOBS, JobRow, PROGRESS, RosterRow, job_parts, pool_part};
+use crate::rows::{
+    CANCEL_PREFIX, JOBS, JobAccess, JobRow, PROGRESS, RosterRow, job_parts, job_row_header,
+    pool_part,
+};
 
 /// The stored progress of jobs, by id.
 pub(super) type ProgressById = FxHashMap<String, Progress>;
@@ -62,7 +65,9 @@
             }
             let progress = progress.get(&row.key);
             if let Some(completed) = progress.filter(|it| it.state == State::Completed) {
-                pool.adopt(now, unix, Arc::new(job_id_only(row)), Some(completed), true);
+                if let Some(job) = completed_job(row) {
+                    pool.adopt(now, unix, Arc::new(job), Some(completed), true);
+                }
             } else if let Some((job, before)) = self.parse_job(row) {
                 pool.adopt(now, unix, Arc::new(job), progress.or(before.as_ref()), true);
             }
@@ -172,11 +177,19 @@
     }
 }
 
-/// A completed job with nothing but its id. Nothing of it runs or will run, and callers ask only for its state. Most rows that a
-/// new owner reads are of such jobs, and decoding them whole took half of the time until other jobs were resumed.
-fn job_id_only(row: &Row) -> Job {
-    Job {
+/// A completed job with nothing but its id and who may access it. Nothing of it runs or will run, and callers ask only for its
+/// state. Most rows that a new owner reads are of such jobs, and decoding them whole took half of the time until other jobs were
+/// resumed.
+fn completed_job(row: &Row) -> Option<Job> {
+    let header = job_row_header(row.value.as_deref()?);
+    if header.is_none() {
+        warn!(row = row.key.as_str(); "job row can't be decoded");
+    }
+    let JobAccess { queue, customer } = header?.job;
+    Some(Job {
         id: row.key.as_str().into(),
+        queue,
+        customer,
         ..Job::default()
-    }
+    })
 }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -321,8 +321,8 @@
     /// Handles a call of another host or of this one.
     pub(crate) async fn handle_call(self: &Arc<Self>, call: Call) -> Reply {
         match call {
-            Call::State(id) => self.state(&id).map_or(Reply::Unknown, Reply::State),
-            Call::Cancel(id) => self.cancel(&id).await,
+            Call::State(id, caller) => self.state(&id, &caller),
+            Call::Cancel(id, caller) => self.cancel(&id, &caller).await,
             Call::Insert(pool, job) => self.insert(pool, *job).await,
             Call::Catalog => match self.host().packed_catalog() {
                 Some(packed) => {
@@ -331,6 +331,7 @@
                 }
                 None => Reply::Unsure,
             },
+            Call::CatalogVersion => self.host().confirmed_version().await,
             Call::PoolMap => Reply::PoolMap(Box::new((*self.host().pool_map()).clone())),
         }
     }
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
+use crate::access::Caller;
 use crate::clock;
 use crate::host::Host;
 use crate::insert::{Inserted, JobLocation, insert};
@@ -33,18 +34,25 @@
 pub enum Submitted {
     /// The job is stored and will run.
     Accepted,
+    /// The id belongs to a job that the caller may not access; the caller's job is not stored and will never run.
+    IdInUse,
     /// The job is not stored and will never run; the caller may retry after this time.
     Refused(Duration),
     /// It is not known whether the job is stored.
     Unsure,
 }
 
+/// Whether an insert has found or written the job's row.
+fn is_known(inserted: Inserted) -> bool {
+    matches!(inserted, Inserted::Present(_) | Inserted::IdInUse)
+}
+
 /// Outcome of a query or a cancellation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobStatus {
     /// The job's state.
     Known(State),
-    /// There is no such job.
+    /// There is no such job, or the caller may not access it.
     NotFound,
     /// The state, or the outcome of the cancellation, is unknown.
     Unsure,
@@ -55,6 +63,7 @@
     pub async fn submit(self: &Arc<Self>, job: Job, until: Instant) -> Submitted {
         let began = clock::now();
         let (id, queue) = (Arc::clone(&job.id), job.queue.clone());
+        let customer = Arc::clone(&job.customer);
         let pool = route::choose_pool(&self.pool_map(), &job, &self.pool_loads());
         let last = self.last_heartbeat(pool);
         let job = Job {
@@ -68,6 +77,7 @@
         let submitted = self.try_submit(pool, job, until).await;
         let outcome = match submitted {
             Submitted::Accepted => "accepted",
+            Submitted::IdInUse => "id_in_use",
             Submitted::Refused(_) => "refused",
             Submitted::Unsure => "unsure",
         };
@@ -75,7 +85,7 @@
         metrics::counter!("lentilyoke_submits_total", "outcome" => outcome).increment(1);
         metrics::histogram!("lentilyoke_submit_ms", "outcome" => outcome).record(took);
         info!(
-            job = &*id, queue = queue, outcome:? = submitted, ms = clock::now().saturating_sub(began),
+            job = &*id, queue = queue, customer = &*customer, outcome:? = submitted, ms = clock::now().saturating_sub(began),
             pool = pool, epoch = last.heartbeat.epoch, beat_age = began.saturating_sub(last.received_at),
             plan = self.pool_map().version, store_served = self.store_available();
             "submit"
@@ -94,6 +104,7 @@
                 }
                 Submitted::Accepted
             }
+            (Inserted::IdInUse, _) => Submitted::IdInUse,
             (Inserted::Refused, _) => Submitted::Refused(RETRY_AFTER),
             (Inserted::Unsure, _) => Submitted::Unsure,
         }
@@ -103,7 +114,7 @@
     /// owner as well. The flag in the result is `true` if the owner inserted it.
     ///
     /// The store may be available to the owner although it is not to this host. Both inserts write the same row, so the first
-    /// that confirms the row decides; the job is refused only if both inserts were refused.
+    /// that finds or writes the row decides; the job is refused only if both inserts were refused.
     async fn insert_both_ways(&self, pool: u32, job: &Job, until: Instant) -> (Inserted, bool) {
         let retry_delay = self.store_retry_delay();
         if !self.has(Mechanism::JointInserts) && self.store_available() {
@@ -127,7 +138,7 @@
             inserted = own.as_mut() => (inserted, false),
             inserted = by_owner.as_mut() => (inserted, true),
         };
-        if matches!(first, Inserted::Present(_)) {
+        if is_known(first) {
             return (first, owner_first);
         }
         let second = if owner_first {
@@ -136,7 +147,7 @@
             by_owner.await
         };
         match (first, second) {
-            (_, Inserted::Present(_)) => (second, !owner_first),
+            (_, second) if is_known(second) => (second, !owner_first),
             (Inserted::Refused, Inserted::Refused) => (second, false),
             _ => (Inserted::Unsure, false),
         }
@@ -153,6 +164,7 @@
         let call = Call::Insert(pool, Box::new(job.clone()));
         match link.call(call, left).await {
             Some(Reply::Inserted(location)) => Inserted::Present(location),
+            Some(Reply::IdInUse) => Inserted::IdInUse,
             Some(Reply::Refused) => Inserted::Refused,
             _ => Inserted::Unsure,
         }
@@ -177,27 +189,55 @@
     }
 
     /// The state of a job: asks the owners of its candidate pools first, then reads the store.
-    pub async fn state(&self, id: &str) -> JobStatus {
+    pub async fn state(&self, id: &str, caller: &Caller) -> JobStatus {
         let candidates = route::candidates(&self.pool_map(), id);
         for &pool in &candidates {
-            let call = Call::State(id.to_owned());
-            if let Some(Reply::State(state)) = self.call_owner(pool, call, OWNER_TIMEOUT).await {
-                return JobStatus::Known(state);
+            if let Some(status) = self.state_by_owner(pool, id, caller).await {
+                return status;
             }
         }
+        let header = match self.read_accessible_header(id, caller).await {
+            Ok(header) => header,
+            Err(status) => return status,
+        };
+        if !candidates.contains(&header.pool)
+            && let Some(status) = self.state_by_owner(header.pool, id, caller).await
+        {
+            return status;
+        }
+        self.stored_state(&header, id).await
+    }
+
+    /// The state of a job according to the owner of a pool; `None` if the owner doesn't know it.
+    async fn state_by_owner(&self, pool: u32, id: &str, caller: &Caller) -> Option<JobStatus> {
+        let call = Call::State(id.to_owned(), caller.clone());
+        match self.call_owner(pool, call, OWNER_TIMEOUT).await? {
+            Reply::State(state) => Some(JobStatus::Known(state)),
+            Reply::Inaccessible => Some(self.deny_access(id, caller)),
+            _ => None,
+        }
+    }
+
+    /// Records that a caller named a job that it may not access, and returns what it is told.
+    fn deny_access(&self, id: &str, caller: &Caller) -> JobStatus {
+        self.admission().record_foreign_job(caller, id);
+        JobStatus::NotFound
+    }
+
+    /// Reads the pool of a job that the caller may access.
+    ///
+    /// # Errors
+    /// What the caller is told if there is no such job or the store gives no answer.
+    async fn read_accessible_header(
+        &self,
+        id: &str,
+        caller: &Caller,
+    ) -> Result<JobRowHeader, JobStatus> {
         match self.read_header(id).await {
-            Ok(Some(header)) if candidates.contains(&header.pool) => {
-                self.stored_state(&header, id).await
-            }
-            Ok(Some(header)) => {
-                let call = Call::State(id.to_owned());
-                match self.call_owner(header.pool, call, OWNER_TIMEOUT).await {
-                    Some(Reply::State(state)) => JobStatus::Known(state),
-                    _ => self.stored_state(&header, id).await,
-                }
-            }
-            Ok(None) => JobStatus::NotFound,
-            Err(()) => JobStatus::Unsure,
+            Ok(Some(header)) if header.is_accessible_to(caller) => Ok(header),
+            Ok(Some(_)) => Err(self.deny_access(id, caller)),
+            Ok(None) => Err(JobStatus::NotFound),
+            Err(()) => Err(JobStatus::Unsure),
         }
     }
 
@@ -258,21 +298,21 @@
     }
 
     /// Cancels a job. When this returns [`State::Cancelled`], the cancellation is stored.
-    pub async fn cancel(&self, id: &str, until: Instant) -> JobStatus {
+    pub async fn cancel(&self, id: &str, caller: &Caller, until: Instant) -> JobStatus {
         let candidates = route::candidates(&self.pool_map(), id);
         for &pool in &candidates {
-            if self.cancel_by_owner(pool, id, until).await {
-                return JobStatus::Known(State::Cancelled);
+            if let Some(status) = self.cancel_by_owner(pool, id, caller, until).await {
+                return status;
             }
         }
-        let header = match self.read_header(id).await {
-            Ok(Some(header)) => header,
-            Ok(None) => return JobStatus::NotFound,
-            Err(()) => return JobStatus::Unsure,
+        let header = match self.read_accessible_header(id, caller).await {
+            Ok(header) => header,
+            Err(status) => return status,
         };
-        if !candidates.contains(&header.pool) && self.cancel_by_owner(header.pool, id, until).await
+        if !candidates.contains(&header.pool)
+            && let Some(status) = self.cancel_by_owner(header.pool, id, caller, until).await
         {
-            return JobStatus::Known(State::Cancelled);
+            return status;
         }
         match self.stored_state(&header, id).await {
             JobStatus::Known(state) if state.is_final() => return JobStatus::Known(state),
@@ -300,12 +340,24 @@
         }
     }
 
-    /// Has the owner of a pool cancel a job; `true` if the cancellation is stored.
-    async fn cancel_by_owner(&self, pool: u32, id: &str, until: Instant) -> bool {
+    /// Has the owner of a pool cancel a job; `None` if the owner doesn't know the job or the cancellation may not be stored.
+    async fn cancel_by_owner(
+        &self,
+        pool: u32,
+        id: &str,
+        caller: &Caller,
+        until: Instant,
+    ) -> Option<JobStatus> {
         let left = until.saturating_duration_since(Instant::now());
-        let call = Call::Cancel(id.to_owned());
-        let reply = self.call_owner(pool, call, left.min(CANCEL_TIMEOUT)).await;
-        matches!(reply, Some(Reply::Cancelled))
+        let call = Call::Cancel(id.to_owned(), caller.clone());
+        match self
+            .call_owner(pool, call, left.min(CANCEL_TIMEOUT))
+            .await?
+        {
+            Reply::Cancelled => Some(JobStatus::Known(State::Cancelled)),
+            Reply::Inaccessible => Some(self.deny_access(id, caller)),
+            _ => None,
+        }
     }
 
     /// Number of jobs of a queue of which nothing has started; `None` if a pool's count is missing or too old.
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -17,9 +17,12 @@
 
 use std::net::SocketAddr;
 
+use pool::CustomerId;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::access::Caller;
+
 /// Accepted jobs and cancellations; each owner follows it for the jobs of its pool.
 ///
 /// All pools share one table: whether a job has been accepted must not depend on the pool that a host would choose for it.
@@ -79,17 +82,36 @@
     pub progress: pool::Progress,
 }
 
-/// The fields of a job's row that say which pool it is in, without the job itself.
+/// The fields of a job that say who may access it.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct JobAccess {
+    /// Queue that the job was submitted to.
+    pub queue: String,
+    /// Customer that the job belongs to; empty for none.
+    #[serde(default)]
+    pub customer: CustomerId,
+}
+
+/// The fields of a job's row that say which pool it is in and who may access it, without the rest of the job.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct JobRowHeader {
     /// The pool that the job is in.
     pub pool: u32,
+    /// Who may access the job.
+    pub job: JobAccess,
     /// Set if the job was transferred from another pool.
     #[serde(default)]
     pub moved: Option<TransferHistory>,
 }
 
-/// Parses the pool of a job from the value of its row.
+impl JobRowHeader {
+    /// Whether this caller may access the job.
+    pub(crate) fn is_accessible_to(&self, caller: &Caller) -> bool {
+        caller.may_access(&self.job.customer, &self.job.queue)
+    }
+}
+
+/// Parses the pool of a job, and who may access it, from the value of its row.
 pub(crate) fn job_row_header(value: &[u8]) -> Option<JobRowHeader> {
     serde_json::from_slice(value).ok()
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::access::Revocation;
+
 /// Locations of the rows that other systems write into the store.
 #[derive(Clone, Debug)]
 pub struct StoreTables {
@@ -39,4 +41,6 @@
     pub shutdown_grace: Duration,
     /// Time within which an accepted configuration must be in force on all hosts.
     pub catalog_deadline: Duration,
+    /// How keys that were removed from the configuration are treated.
+    pub revocation: Revocation,
 }
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::access::Caller;
 use crate::insert::JobLocation;
 use crate::packed::Packed;
 use crate::timed_reader::TimedReader;
@@ -80,14 +81,17 @@
 /// Call of a host to the owner of a pool.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Call {
-    /// Returns the state of a job.
-    State(String),
-    /// Cancels a job.
-    Cancel(String),
+    /// Returns the state of a job to a caller.
+    State(String, Caller),
+    /// Cancels a job for a caller.
+    Cancel(String, Caller),
     /// Writes a job's row, for this pool, because the store is not available to the calling host.
     Insert(u32, Box<Job>),
     /// Returns the configuration in force at the owner.
     Catalog,
+    /// Returns the version of the configuration in force at the owner, once the owner knows whether it was the newest when the
+    /// call arrived.
+    CatalogVersion,
     /// Returns the pool map in force at the owner.
     #[serde(rename = "Plan")]
     PoolMap,
@@ -100,16 +104,30 @@
     State(State),
     /// The owner doesn't know the job.
     Unknown,
+    /// The caller may not access the job.
+    Inaccessible,
     /// The job is cancelled, and the cancellation is stored.
     Cancelled,
     /// The job's row exists, with this pool and version.
     Inserted(JobLocation),
+    /// The id belongs to a job that the caller may not access.
+    IdInUse,
     /// The job's row was not written and will not be.
     Refused,
     /// The owner doesn't know the outcome, or has no answer.
     Unsure,
     /// The configuration in force.
     Catalog(Packed),
+    /// The version of the configuration in force.
+    CatalogVersion {
+        /// The version.
+        version: u64,
+        /// The transaction of the store up to which it is known to be the newest.
+        as_of: u64,
+        /// How long before the call arrived it was last known to be the newest, in milliseconds; 0 if it was at that time or
+        /// later.
+        age: Ms,
+    },
     /// The pool map in force.
     #[serde(rename = "Plan")]
     PoolMap(Box<crate::PoolMap>),
@@ -122,11 +140,14 @@
         match self {
             Self::State(_) => "state",
             Self::Unknown => "unknown",
+            Self::Inaccessible => "inaccessible",
             Self::Cancelled => "cancelled",
             Self::Inserted(_) => "inserted",
+            Self::IdInUse => "id in use",
             Self::Refused => "refused",
             Self::Unsure => "unsure",
             Self::Catalog(_) => "configuration",
+            Self::CatalogVersion { .. } => "version of the configuration",
             Self::PoolMap(_) => "plan",
         }
     }
--- a/crates/host/tests/insert.rs
+++ b/crates/host/tests/insert.rs
@@ -225,3 +225,23 @@
     let second = insert(&store, 1, &job, until, retry_delay, false).await;
     assert_eq!((first, second), (present(0), present(0)));
 }
+
+/// Guards against a customer that is told "accepted" for an id of another customer's job, or learns anything of that job.
+#[tokio::test(start_paused = true)]
+async fn an_id_of_another_customer_is_in_use() {
+    let store = FakeStore::new(&[]);
+    let until = Instant::now() + Duration::from_secs(2);
+    let retry_delay = Duration::from_millis(160);
+    let job = |customer: &str, queue: &str| Job {
+        customer: customer.into(),
+        queue: queue.to_owned(),
+        ..Job::default()
+    };
+    let insert = async |job: Job| insert(&store, 0, &job, until, retry_delay, false).await;
+    assert_eq!(insert(job("a", "q")).await, present(0));
+    assert_eq!(insert(job("a", "q")).await, present(0));
+    assert_eq!(insert(job("b", "q")).await, Inserted::IdInUse);
+    assert_eq!(insert(job("", "other queue")).await, Inserted::IdInUse);
+    // The caller's key was removed meanwhile, and the queue is open to all.
+    assert_eq!(insert(job("", "q")).await, present(0));
+}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -204,6 +204,12 @@
         self.jobs.contains_key(id)
     }
 
+    /// A job, if it is known.
+    #[must_use]
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id).map(|live| &*live.job)
+    }
+
     /// The state of a job as reported to its caller. A final state is reported only once it is stored.
     ///
     /// Until then only the workers hold the ends, and a worker may leave or crash before a new owner polls it: a job
