An acknowledgement of ends reaches only the incarnation that it names

Cause: workers number the ends of runs from 1 in each incarnation, and a poll names the last end that the worker may forget. A poll that named an end of the former incarnation and was received by the next one made that one forget ends up to this number, which nobody had read; a poll that waits goes on forgetting them as they come. The id in X-Expect-Instance doesn't tell the two apart, since it stays the same. The client opened a new connection without a word when its idle one had been closed by the crash, so the owner had no failed call to go by.

Acknowledging only by polls that don't wait: a window remains, and busy workers would get twice as many polls. No starts between a listing and its acknowledgement: they would wait for the store.

Why it works: a connection doesn't outlive the process at its other end, so what an incarnation has said on a connection tells who will read the next request on it. It rests on a crash closing connections; where something between keeps them open, a poll can still reach the next incarnation as before.

--- a/crates/host/src/interfaces.rs
+++ b/crates/host/src/interfaces.rs
@@ -155,6 +155,15 @@
     Lost,
 }
 
+/// Ends of runs that a worker may forget, because they are stored.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Acknowledgement {
+    /// Incarnation of the worker that numbered these ends, in Unix milliseconds; 0 if not reported.
+    pub incarnation: u64,
+    /// Number of the last of them; 0 for none.
+    pub last_end: u64,
+}
+
 /// Calls to workers.
 #[async_trait]
 pub trait Workers: Send + Sync {
@@ -168,7 +177,10 @@
     async fn pace(&self, address: &str, epoch: u64, pace: &Pace) -> bool;
 
     /// Long poll of a worker: renews its lease (until `lease` on the worker's clock, if given), lets it discard the ends of runs
-    /// up to the number `acknowledged`, and returns its runs; waits up to `wait` for the end of a run.
+    /// that are `acknowledged`, and returns its runs; waits up to `wait` for the end of a run.
+    ///
+    /// The acknowledgement reaches only the incarnation that it names. Another one numbers its own ends from the start, and would
+    /// discard ends that nobody has read. Where it is uncertain which incarnation receives the poll, the poll acknowledges nothing.
     ///
     /// # Errors
     /// Why there is no listing.
@@ -178,7 +190,7 @@
         worker: &WorkerId,
         epoch: u64,
         lease: Option<Ms>,
-        acknowledged: u64,
+        acknowledged: Acknowledgement,
         wait: Duration,
     ) -> Result<WorkerReport, PollFailure>;
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -53,7 +53,8 @@
 pub use catalog::{Catalog, Queue};
 pub use host::Host;
 pub use interfaces::{
-    Advisor, Decode, Feed, Page, PollFailure, Row, Store, StoreError, Tickets, Transaction, Workers,
+    Acknowledgement, Advisor, Decode, Feed, Page, PollFailure, Row, Store, StoreError, Tickets,
+    Transaction, Workers,
 };
 pub use owner::Owner;
 pub use pool_map::PoolMap;
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::hedge::{Attempt, Hedge, Outcome};
 use crate::host::lock;
-use crate::interfaces::PollFailure;
+use crate::interfaces::{Acknowledgement, PollFailure};
 use crate::log_sampling::is_logged_in_full;
 use crate::owner::Owner;
 
@@ -47,12 +47,20 @@
     }
 }
 
+/// A poll that was sent.
+#[derive(Clone, Copy, Debug)]
+struct SentPoll {
+    /// When it was sent.
+    at: Ms,
+    /// What was known of the worker's ends then, as in [`PollRequest::ends`].
+    ends: (u64, u64, u64),
+    /// Ends that the worker may forget.
+    acknowledged: Acknowledgement,
+}
+
 /// The result of a poll.
 struct PollResult {
-    /// When the poll was sent.
-    sent_at: Ms,
-    /// What was known of the worker's ends when the poll was sent, as in [`PollRequest::ends`].
-    ends: (u64, u64, u64),
+    poll: SentPoll,
     outcome: Result<WorkerReport, PollFailure>,
 }
 
@@ -104,7 +112,10 @@
         };
         // A worker that did not answer may have restarted. Its new incarnation numbers ends from the start, and must not forget
         // ends because of the numbers of the former one.
-        let acknowledged = if lost { 0 } else { ends.2 };
+        let acknowledged = Acknowledgement {
+            incarnation: ends.0,
+            last_end: if lost { 0 } else { ends.2 },
+        };
         let request = PollRequest {
             address,
             ends,
@@ -140,7 +151,11 @@
                 lock(&owner.pool).mark_unresponsive(id);
                 owner.dirty.notify_one();
                 if !lost {
-                    warn!(dependency = "worker", worker = &**id, failure:? = failure; "lost");
+                    warn!(
+                        dependency = "worker", worker = &**id, failure:? = failure, incarnation = ends.0,
+                        acknowledged = acknowledged.last_end;
+                        "lost"
+                    );
                     lost = true;
                 }
                 tokio::time::sleep(POLL_RETRY_DELAY).await;
@@ -157,8 +172,8 @@
     ends: (u64, u64, u64),
     /// End of the renewed lease on the worker's clock; `None` if the lease isn't renewed.
     lease: Option<Ms>,
-    /// The worker may forget ends up to this number.
-    acknowledged: u64,
+    /// Ends that the worker may forget.
+    acknowledged: Acknowledgement,
 }
 
 impl PollRequest {
@@ -181,11 +196,12 @@
             let outcome = workers
                 .poll(&address, &id, epoch, lease, acknowledged, wait)
                 .await;
-            PollResult {
-                sent_at,
+            let poll = SentPoll {
+                at: sent_at,
                 ends,
-                outcome,
-            }
+                acknowledged,
+            };
+            PollResult { poll, outcome }
         })
     }
 }
@@ -212,14 +228,14 @@
         }
         // The worker may have restarted since.
         let request = PollRequest {
-            acknowledged: 0,
+            acknowledged: Acknowledgement::default(),
             ..request.clone()
         };
         Some(request.send(owner, id, clock::now(), Duration::ZERO))
     };
     let process = |result: PollResult, call| match (result.outcome, call) {
         (Ok(report), _) => {
-            apply_report(owner, id, result.ends, result.sent_at, report);
+            apply_report(owner, id, result.poll, report);
             Ok(())
         }
         (Err(PollFailure::Fenced), _) => Err(PollFailure::Fenced),
@@ -244,25 +260,22 @@
 }
 
 /// Applies what a worker lists, and logs the ends that it lists for the first time.
-fn apply_report(
-    owner: &Owner,
-    id: &WorkerId,
-    ends: (u64, u64, u64),
-    sent_at: Ms,
-    mut report: WorkerReport,
-) {
-    report.requested_at = sent_at;
+fn apply_report(owner: &Owner, id: &WorkerId, poll: SentPoll, mut report: WorkerReport) {
+    report.requested_at = poll.at;
     // The answer to another poll may have listed some of the ends meanwhile.
     let known = lock(&owner.pool)
         .worker(id)
-        .map_or(ends, |worker| worker.end_cursor().max(ends));
+        .map_or(poll.ends, |worker| worker.end_cursor().max(poll.ends));
     let same_incarnation = report.incarnation == known.0;
+    if !same_incarnation && known.0 > 0 {
+        log_restart(id, known.0, poll, &report);
+    }
     for end in report
         .ended
         .iter()
         .filter(|end| !same_incarnation || end.number > known.1)
     {
-        log_end(id, end);
+        log_end(id, report.incarnation, end);
     }
     let (now, unix) = (clock::now(), clock::unix());
     let unstored = {
@@ -278,14 +291,28 @@
 
 /// Counts an end that a worker lists for the first time, and logs it unless it is a successful one outside of the log sample:
 /// there are hundreds of these a second.
-fn log_end(id: &WorkerId, end: &pool::RunEnd) {
+fn log_end(id: &WorkerId, incarnation: u64, end: &pool::RunEnd) {
     metrics::counter!("lentilyoke_ends_total", "how" => end.outcome.name()).increment(1);
     let key = &end.task;
     if end.outcome != RunOutcome::Done || is_logged_in_full(&key.stage.job) {
         info!(
             job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
-            task = key.index, run = end.run, worker = &**id, how = end.outcome.name();
+            task = key.index, run = end.run, worker = &**id, how = end.outcome.name(),
+            incarnation = incarnation, number = end.number;
             "end"
         );
     }
 }
+
+/// Logs that the answer to a poll came from another incarnation than the one that answered last, with what the poll acknowledged
+/// and what the answer lists.
+fn log_restart(id: &WorkerId, known: u64, poll: SentPoll, report: &WorkerReport) {
+    let number = |end: Option<&pool::RunEnd>| end.map_or(0, |end| end.number);
+    info!(
+        worker = &**id, known = known, incarnation = report.incarnation,
+        ms = clock::now().saturating_sub(poll.at), acknowledged_of = poll.acknowledged.incarnation,
+        acknowledged = poll.acknowledged.last_end, runs = report.running.len(), ends = report.ended.len(),
+        first_end = number(report.ended.first()), last_end = number(report.ended.last());
+        "worker restarted"
+    );
+}
