Pool: a report of a new incarnation tells which runs were lost with the former one

What callers saw: a task that ran, or had been done, was started again elsewhere, so that two runs of it were in progress ("runs twice"), and a task was noted as a possible cause of a crash that it had survived.

Cause: when a worker answered with a new incarnation, all its runs were taken as lost with the former one before the answer was read. But a start command that is sent around the restart may be carried out by the new incarnation. If it was carried out after that one had listed its runs, and its answer overtook the list, the task was started again at once. If the list held the run or its end, the loss had already been logged and noted against the task. A run whose command was never answered and that was being stopped at the restart was given up too, although the command may still reach the new incarnation.

Ruled out: leaving these runs to the check for runs that a worker doesn't list; it waits 4 s, since it is about a worker that contradicts itself, and a restart is frequent enough to matter to quick jobs.

Change: a restart only marks the runs. A report of the new incarnation decides: a run that it lists is of the new incarnation; one that it lacks is lost if it was confirmed before the report was requested, is left to the next report if it was confirmed later, and is stopped first if it never was. Whether a task may be the cause of the crash is still judged by the last poll that the former incarnation answered.

Why it works: a worker lists each run that it has begun and not forgotten. A report that was requested after a command had been answered was made after the command was carried out, so it lists the run if, and only if, the new incarnation has it or has ended it.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -163,7 +163,8 @@
             return;
         };
         let was_leaving = worker.leaves_at.is_some();
-        if loss == Loss::Missing || was_leaving || !run.is_in_crash_window(worker.last_poll) {
+        let last_poll = worker.last_poll_before(loss);
+        if loss == Loss::Missing || was_leaving || !run.is_in_crash_window(last_poll) {
             return;
         }
         let crash = Crash {
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::pool::Pool;
+use crate::report::WorkerReport;
 use crate::task::{Ms, Phase, TaskKey, WorkerId};
 
 /// How a worker lost a run.
@@ -69,10 +70,64 @@
             run: number,
             loss,
             confirmed,
-            survived: worker.last_poll.saturating_sub(requested_at),
+            survived: worker.last_poll_before(loss).saturating_sub(requested_at),
             runs: worker.runs.len(),
             worker: id,
         });
         self.record_crash(now, key, loss);
     }
+
+    /// Ends the runs that were lost when the worker restarted, given a report of the new incarnation.
+    ///
+    /// Either incarnation may have carried out a start command that was sent around the restart. A run that this report lists, as
+    /// running or ended, is of the new one. One that it doesn't list was lost with the former incarnation if it was confirmed
+    /// before the report was requested. If it was confirmed later, the next report tells. If it never was, the command may still
+    /// reach the new incarnation, which has forgotten the epoch: the capacity stays reserved until a stop is confirmed there.
+    pub(crate) fn end_runs_of_former_incarnation(
+        &mut self,
+        now: Ms,
+        unix: u64,
+        id: &WorkerId,
+        report: &WorkerReport,
+    ) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if report.is_truncated() {
+            return;
+        }
+        let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+        let mut lost = Vec::new();
+        for key in keys {
+            let Some(run) = self.task_mut(&key).and_then(|task| task.run.as_mut()) else {
+                continue;
+            };
+            if !run.may_be_of_former_incarnation {
+                continue;
+            }
+            let decided = run.confirmed_at.is_none_or(|at| report.requested_at > at);
+            run.may_be_of_former_incarnation = !decided && !report.lists(&key, run.number);
+            if decided && !report.lists(&key, run.number) {
+                lost.push(key);
+            }
+        }
+        for key in &lost {
+            self.record_loss(now, key, Loss::Restarted);
+        }
+        for key in lost {
+            let Some(run) = self.task_mut(&key).and_then(|task| task.run.as_mut()) else {
+                continue;
+            };
+            if run.confirmed_at.is_none() {
+                run.phase = Phase::Stopping;
+                run.stop_sent = 0;
+                run.stop_confirmed = 0;
+                self.unconfirmed_runs.insert(key);
+            } else {
+                let job = Arc::clone(&key.stage.job);
+                self.end_run(now, &key, 0);
+                self.complete_or_advance(now, unix, &job);
+            }
+        }
+    }
 }
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -27,7 +27,7 @@
             return;
         }
         if report.incarnation > worker.incarnation && (worker.fenced || worker.incarnation > 0) {
-            self.worker_restarted(now, unix, id);
+            self.worker_restarted(id);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -64,6 +64,7 @@
             }
         }
         if newest {
+            self.end_runs_of_former_incarnation(now, unix, id, report);
             self.reconcile_runs(now, unix, id, report);
         }
     }
@@ -185,8 +186,8 @@
         }
     }
 
-    /// Handles a restart of the worker: no run of the previous incarnation exists any more.
-    fn worker_restarted(&mut self, now: Ms, unix: u64, id: &WorkerId) {
+    /// Handles a restart of the worker: the new incarnation has none of the runs that the former one carried out.
+    fn worker_restarted(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -196,6 +197,7 @@
         worker.ends_stored = 0;
         worker.clock = (0, 0);
         worker.lease_expires_at = 0;
+        worker.last_poll_before_restart = worker.last_poll;
         worker.failure_score = 0.0;
         worker.slowness = 1.0;
         if worker.info.draining.is_none() {
@@ -208,31 +210,9 @@
                 .unwrap_or_default();
         }
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
-        for key in &keys {
-            self.record_loss(now, key, Loss::Restarted);
-        }
         for key in keys {
-            let unanswered = self
-                .task_mut(&key)
-                .and_then(|task| task.run.as_mut())
-                .is_some_and(|run| {
-                    // An unanswered start command may reach the new incarnation, which has forgotten the epoch. Its capacity
-                    // stays reserved until a stop is confirmed there.
-                    let unanswered =
-                        run.phase == Phase::Starting || run.phase == Phase::Unconfirmed;
-                    if unanswered {
-                        run.phase = Phase::Stopping;
-                        run.stop_sent = 0;
-                        run.stop_confirmed = 0;
-                    }
-                    unanswered
-                });
-            if unanswered {
-                self.unconfirmed_runs.insert(key);
-            } else {
-                let job = Arc::clone(&key.stage.job);
-                self.end_run(now, &key, 0);
-                self.complete_or_advance(now, unix, &job);
+            if let Some(run) = self.task_mut(&key).and_then(|task| task.run.as_mut()) {
+                run.may_be_of_former_incarnation = true;
             }
         }
     }
@@ -248,23 +228,17 @@
         if worker.runs.is_empty() && worker.orphaned_runs.is_empty() {
             return;
         }
-        let ends_truncated = report.ended.len() >= 500;
-        let is_reported = |key: &TaskKey, number: u32| {
-            report
-                .running
-                .iter()
-                .any(|row| row.run == number && row.task == *key)
-        };
+        let ends_truncated = report.is_truncated();
         let missing: Vec<TaskKey> = worker
             .runs
             .iter()
-            .filter(|(key, number)| !is_reported(key, **number))
+            .filter(|(key, number)| !report.lists(key, **number))
             .map(|(key, _)| key.clone())
             .collect();
         let gone_orphans: Vec<TaskKey> = worker
             .orphaned_runs
             .iter()
-            .filter(|(key, orphan)| !is_reported(key, orphan.run))
+            .filter(|(key, orphan)| !report.lists(key, orphan.run))
             .map(|(key, _)| key.clone())
             .collect();
         for key in missing {
@@ -329,6 +303,7 @@
             && run.worker == *id
         {
             run.worker_was_up = true;
+            run.confirmed_at.get_or_insert(now);
             if matches!(run.phase, Phase::Starting | Phase::Unconfirmed) {
                 run.phase = Phase::Running;
                 self.unconfirmed_runs.remove(key);
@@ -367,6 +342,7 @@
             percent: row.percent,
             load: row.load,
             worker_was_up: true,
+            confirmed_at: Some(now),
             ..Run::new(row.run, Arc::clone(id), now, 0)
         });
         if let Some(worker) = self.workers.get_mut(id)
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -45,6 +45,7 @@
         match answer {
             StartAnswer::Running => {
                 run.worker_was_up = true;
+                run.confirmed_at.get_or_insert(now);
                 if unconfirmed {
                     run.phase = Phase::Running;
                     run.progressed_at = now;
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -80,3 +80,20 @@
     /// Ends of runs that the worker has not been told to forget.
     pub ended: Vec<RunEnd>,
 }
+
+/// Largest number of ends that a report lists; the worker keeps the others for later ones.
+const MAX_ENDS: usize = 500;
+
+impl WorkerReport {
+    /// Whether the worker may have ended runs that this report doesn't list.
+    pub(crate) fn is_truncated(&self) -> bool {
+        self.ended.len() >= MAX_ENDS
+    }
+
+    /// Whether the report lists a run as in progress.
+    pub(crate) fn lists(&self, task: &TaskKey, run: u32) -> bool {
+        self.running
+            .iter()
+            .any(|row| row.run == run && row.task == *task)
+    }
+}
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -69,6 +69,8 @@
     pub phase: Phase,
     /// When the start command was first sent.
     pub requested_at: Ms,
+    /// When the worker first confirmed the run: it answered the start command, or reported the run. `None` if it has not.
+    pub confirmed_at: Option<Ms>,
     /// Last moment at which the worker may still carry out the start command, on the worker's clock.
     pub start_deadline: Ms,
     /// How often the start command was sent.
@@ -94,6 +96,9 @@
     pub worker_was_up: bool,
     /// Whether the worker was lost and this run may be the cause.
     pub may_have_crashed_worker: bool,
+    /// Whether the worker has restarted since the start command was sent, and it isn't known yet which incarnation carried the
+    /// command out.
+    pub may_be_of_former_incarnation: bool,
 }
 
 impl Run {
@@ -104,6 +109,7 @@
             worker,
             phase: Phase::Starting,
             requested_at: now,
+            confirmed_at: None,
             start_deadline,
             times_sent: 1,
             last_sent: now,
@@ -116,6 +122,7 @@
             inherited: false,
             worker_was_up: false,
             may_have_crashed_worker: false,
+            may_be_of_former_incarnation: false,
         }
     }
 }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use crate::loss::Loss;
 use crate::repeat;
 use crate::task::{JobId, Ms, TaskKey, WorkerId};
 
@@ -97,6 +98,8 @@
     pub(crate) response_time: Ms,
     /// When the latest poll that the worker answered was sent.
     pub(crate) last_poll: Ms,
+    /// When the latest poll that the former incarnation answered was sent; 0 if none is known to have been.
+    pub(crate) last_poll_before_restart: Ms,
     /// The worker's lease has certainly expired at this time, unless it is renewed.
     pub(crate) lease_expires_at: Ms,
     /// Estimated time at which a draining worker leaves.
@@ -149,6 +152,14 @@
         repeat::delay(self.response_time, 1)
     }
 
+    /// When the latest poll was sent that the worker answered before a loss of this kind.
+    pub(crate) const fn last_poll_before(&self, loss: Loss) -> Ms {
+        match loss {
+            Loss::Restarted => self.last_poll_before_restart,
+            Loss::Lapsed | Loss::Missing => self.last_poll,
+        }
+    }
+
     /// Whether the worker has answered a poll that was sent at `sent_at` or later.
     #[must_use]
     pub fn answered_since(&self, sent_at: Ms) -> bool {
