An owner doesn't contradict a final state that may be stored

Cause: an owner answers a query for a state from memory, and tells a final state only once the store has confirmed its write. Between the moment at which the write takes effect and its answer, or for longer if the answer is lost, the owner says "running". A host that has no link to the owner, or no answer from it in time, reads the final state from the store, and the next query to the owner contradicts it.

Ruled out: telling the final state before the write is confirmed (if the write has failed and the owner is lost, the job runs again); reading the store for each query (two priced transactions each).

Change: from the write of a final state until its answer, the pool gives no state. The owner holds such a query back until the store has answered, for at most 300 ms, and then says that it can't tell; the asking host reads the store, as it does for an owner that doesn't answer. A write that the store refuses has had no effect and ends this; one without an answer doesn't, also if a later one is refused, until the state is stored. An owner whose ownership has ended answers nothing.

Why it works: the owner now says nothing older than what it has tried to store, so that whatever another host can have read from the store is the owner's answer as well, or the owner has none.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -68,6 +68,8 @@
     pub(crate) dirty: Notify,
     /// Notified after each write that was stored.
     pub(crate) stored: Notify,
+    /// Notifies queries for states that the store has answered a write.
+    pub(crate) written: Notify,
     /// Cancelled when this ownership ends.
     pub(crate) ended: CancellationToken,
     /// Other hosts that are connected to this owner, by name.
@@ -113,6 +115,7 @@
             wake: Notify::new(),
             dirty: Notify::new(),
             stored: Notify::new(),
+            written: Notify::new(),
             ended: CancellationToken::new(),
             hosts: Mutex::default(),
             next_number: AtomicU64::new(1),
--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -13,6 +13,9 @@
 use crate::insert::{Inserted, JobLocation, insert};
 use crate::wire::Reply;
 
+/// How long a query for a job's state waits for the answer of the store to the write of its final state. The host that asks then
+/// has some time left to read the store.
+const STATE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a caller that cancels a job waits until the cancellation is stored.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -33,13 +36,27 @@
         self.wake.notify_one();
     }
 
-    /// The stored state of a job; `None` if this owner doesn't know the job or may have been replaced.
+    /// The state of a job; `None` if this owner doesn't know the job, can't tell its state, or may have been replaced. Waits while
+    /// the final state is being stored.
     ///
     /// An owner that resumes after a pause would return states from before the pause: a caller that has seen "completed" would
     /// see the job run again. Such an owner is not confirmed until a majority of its workers has answered it.
-    pub(crate) fn state(&self, id: &str) -> Option<State> {
-        let pool = lock(&self.pool);
-        pool.state(id).filter(|_| pool.has_quorum(clock::now()))
+    pub(crate) async fn state(&self, id: &str) -> Option<State> {
+        let until = Instant::now() + STATE_TIMEOUT;
+        loop {
+            let written = self.written.notified();
+            {
+                let pool = lock(&self.pool);
+                let is_owner = !self.ended.is_cancelled() && pool.has_quorum(clock::now());
+                if !is_owner || !pool.contains_job(id) {
+                    return None;
+                }
+                if let Some(state) = pool.state(id) {
+                    return Some(state);
+                }
+            }
+            tokio::time::timeout_at(until, written).await.ok()?;
+        }
     }
 
     /// Cancels a job; replies when the cancellation is stored.
@@ -52,11 +69,14 @@
         let until = Instant::now() + CANCEL_TIMEOUT;
         loop {
             let stored = self.stored.notified();
-            let state = lock(&self.pool).state(id);
-            match state {
-                None => return Reply::Unknown,
-                Some(state) if state.is_final() => return Reply::Cancelled,
-                Some(_) => {}
+            {
+                let pool = lock(&self.pool);
+                if !pool.contains_job(id) {
+                    return Reply::Unknown;
+                }
+                if pool.state(id).is_some_and(State::is_final) {
+                    return Reply::Cancelled;
+                }
             }
             if tokio::time::timeout_at(until, stored).await.is_err() {
                 return Reply::Unsure;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -321,7 +321,7 @@
     /// Handles a call of another host or of this one.
     pub(crate) async fn handle_call(self: &Arc<Self>, call: Call) -> Reply {
         match call {
-            Call::State(id) => self.state(&id).map_or(Reply::Unknown, Reply::State),
+            Call::State(id) => self.state(&id).await.map_or(Reply::Unknown, Reply::State),
             Call::Cancel(id) => self.cancel(&id).await,
             Call::Insert(pool, job) => self.insert(pool, *job).await,
             Call::Catalog => match self.host().packed_catalog() {
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -123,7 +123,12 @@
             &old_jobs[..deletes],
         );
         let sent_at = clock::now();
-        match owner.host().store.commit(&transaction).await {
+        let result = owner.host().store.commit(&transaction).await;
+        if let Err(StoreError::Refused { .. } | StoreError::Rejected { .. }) = &result {
+            lock(&owner.pool).batch_refused(&batch);
+            owner.written.notify_waiters();
+        }
+        match result {
             Ok(done) => {
                 if rewrite {
                     version.roster = done;
@@ -141,6 +146,7 @@
                 log_completed_jobs(owner);
                 enroll(owner, &claim);
                 owner.stored.notify_waiters();
+                owner.written.notify_waiters();
                 owner.wake.notify_one();
                 continue;
             }
--- a/crates/pool/src/batch.rs
+++ b/crates/pool/src/batch.rs
@@ -15,6 +15,8 @@
     pub rows: Vec<(JobId, Progress)>,
     /// Workers with their incarnation and the number of the last end that these rows cover.
     pub ends: Vec<(WorkerId, u64, u64)>,
+    /// Jobs whose final states were in no batch before.
+    newly_final: Vec<JobId>,
     /// Whether the batch makes a job completed, failed or cancelled; callers wait for that.
     pub urgent: bool,
 }
@@ -49,6 +51,11 @@
             if let Some(live) = self.jobs.get_mut(&id) {
                 live.dirty = false;
                 batch.urgent |= live.state.is_final();
+                let was_written =
+                    std::mem::replace(&mut live.may_be_stored_as_final, live.state.is_final());
+                if live.state.is_final() && !was_written {
+                    batch.newly_final.push(Arc::clone(&id));
+                }
                 batch.rows.push((id, live.progress()));
             }
         }
@@ -111,6 +118,15 @@
         std::mem::take(&mut self.jobs_done)
     }
 
+    /// Handles a batch that the store refused: its final states are certainly not stored, unless an earlier batch stored them.
+    pub fn batch_refused(&mut self, batch: &Batch) {
+        for id in &batch.newly_final {
+            if let Some(live) = self.jobs.get_mut(id) {
+                live.may_be_stored_as_final = false;
+            }
+        }
+    }
+
     /// Handles a batch that could not be stored: marks its jobs to be stored again.
     pub fn batch_failed(&mut self, batch: &Batch) {
         for (id, _) in &batch.rows {
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -190,6 +190,8 @@
     pub state: State,
     /// The state as stored, which is what callers are shown.
     pub stored_state: State,
+    /// Whether the final state may be stored already: a write of it is in progress, or the outcome of one is unknown.
+    pub may_be_stored_as_final: bool,
     /// When the state became final, in Unix milliseconds.
     pub closed: u64,
     /// Occurrences in progress.
@@ -222,6 +224,7 @@
         let mut live = Self {
             state,
             stored_state: state,
+            may_be_stored_as_final: false,
             closed: progress.map_or(0, |progress| progress.closed),
             open: BTreeMap::new(),
             finished: progress.map_or_else(BTreeSet::new, |progress| {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -204,19 +204,21 @@
         self.jobs.contains_key(id)
     }
 
-    /// The state of a job as reported to its caller. A final state is reported only once it is stored.
+    /// The state of a job as reported to its caller; `None` if the job isn't known, or if only the store can tell. A final state is
+    /// reported only once it is stored.
     ///
     /// Until then only the workers hold the ends, and a worker may leave or crash before a new owner polls it: a job
-    /// that was reported as completed would then run again.
+    /// that was reported as completed would then run again. From the write of a final state until its answer, another host may
+    /// read the final state from the store, and any other state would contradict it.
     #[must_use]
     pub fn state(&self, id: &str) -> Option<State> {
-        self.jobs
-            .get(id)
-            .map(|live| match (live.stored_state, live.state) {
-                (stored, _) if stored.is_final() => stored,
-                (_, State::Queued) => State::Queued,
-                _ => State::Running,
-            })
+        let live = self.jobs.get(id)?;
+        match (live.stored_state, live.state) {
+            (stored, _) if stored.is_final() => Some(stored),
+            _ if live.may_be_stored_as_final => None,
+            (_, State::Queued) => Some(State::Queued),
+            _ => Some(State::Running),
+        }
     }
 
     /// Cancels a job and returns its resulting state, or `None` if the job isn't known.
