standin: a worker's time doesn't run backwards

What was seen: a stand-in of a rack panicked in a debug build ("attempt to subtract with overflow", Machine::tick), once in a demo; a release build would take such a task as finished.

Cause: the time of a call was read before the lock of the workers was taken. A start with a later time could get the lock first, and the tick that had waited took the start of that task from an earlier time.

Ruled out: a saturating subtraction in Machine::tick alone. The panic would be gone, but leases and reports would still be computed with times that run backwards.

Change: the state and its clock are one type, which reads the time under the lock. Both stand-ins of workers use it, the one in a test process and the one over HTTP.

The demo itself was not played.

Why it works: the clock is steady, so of two calls the one that gets the lock later reads the later time.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod racks;
 pub mod serve;
+mod timed;
 
 pub use journal::{Journal, Span};
 pub use link::{LinkTraffic, link};
--- a/crates/standin/src/racks.rs
+++ b/crates/standin/src/racks.rs
@@ -1,12 +1,11 @@
 //! Many fake workers inside a test process, called without a network.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use resource::Size;
-use telemetry::Uptime;
 use wire::TaskId;
 use worker::call::{
     Adopt, Adopted, Heartbeat, Hello, Moment, Report, Run, RunResult, Start, Stop, Stopped,
@@ -14,22 +13,13 @@
 };
 use worker::{Error, Refusal, WorkerApi};
 
+use crate::timed::Timed;
 use crate::{Journal, Machine, WorkerFaults};
 
 /// Fake workers by address.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Racks {
-    uptime: Uptime,
-    machines: Arc<Mutex<BTreeMap<String, Machine>>>,
-}
-
-impl Default for Racks {
-    fn default() -> Self {
-        Self {
-            uptime: Uptime::start(),
-            machines: Arc::default(),
-        }
-    }
+    machines: Arc<Timed<BTreeMap<String, Machine>>>,
 }
 
 impl Racks {
@@ -44,11 +34,17 @@
     /// # Panics
     /// If there is no worker at this address.
     pub fn with<T>(&self, address: &str, change: impl FnOnce(&mut Machine) -> T) -> T {
-        let mut machines = self.lock();
-        let Some(machine) = machines.get_mut(address) else {
-            panic!("no machine at {address}");
-        };
-        change(machine)
+        self.change(address, |machine, _| change(machine))
+    }
+
+    /// Calls `change` with the worker at this address and the time.
+    fn change<T>(&self, address: &str, change: impl FnOnce(&mut Machine, Moment) -> T) -> T {
+        self.machines.change(|machines, now| {
+            let Some(machine) = machines.get_mut(address) else {
+                panic!("no machine at {address}");
+            };
+            change(machine, now)
+        })
     }
 
     /// Replaces the faults of a worker.
@@ -59,13 +55,13 @@
     /// Task attempts that are running now, on all workers.
     #[must_use]
     pub fn running_attempts(&self) -> Vec<TaskId> {
-        let now = self.now();
-        let mut machines = self.lock();
-        machines.values_mut().for_each(|machine| machine.tick(now));
-        machines
-            .values()
-            .flat_map(|machine| machine.running_attempts().cloned())
-            .collect()
+        self.machines.change(|machines, now| {
+            machines.values_mut().for_each(|machine| machine.tick(now));
+            machines
+                .values()
+                .flat_map(|machine| machine.running_attempts().cloned())
+                .collect()
+        })
     }
 
     /// Journals of all workers, by address.
@@ -78,11 +74,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Machine>> {
-        self.machines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn now(&self) -> Moment {
-        self.uptime.elapsed().as_millis() as Moment
+        self.machines.lock()
     }
 
     /// Calls a worker. A frozen one gives no answer until the caller's timeout.
@@ -106,8 +98,7 @@
             }
             Some(false) => {}
         }
-        let now = self.now();
-        let result = self.with(address, |machine| {
+        let result = self.change(address, |machine, now| {
             machine.tick(now);
             call(machine, now)
         });
@@ -134,8 +125,7 @@
         self.call(address, |m, now| m.begin_run(&run, now, now))
             .await?;
         tokio::time::sleep(Machine::run_duration(&run)).await;
-        let now = self.now();
-        let ran = self.with(address, |m| m.end_run(&run, now));
+        let ran = self.change(address, |m, now| m.end_run(&run, now));
         if self.with(address, |m| m.faults().loses_answers || m.faults().frozen) {
             tokio::time::sleep(limit).await;
             return Err(Error::NoAnswer {
--- a/crates/standin/src/serve/machine.rs
+++ b/crates/standin/src/serve/machine.rs
@@ -1,6 +1,6 @@
 //! A fake worker over HTTP.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use axum::extract::State;
@@ -9,10 +9,11 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use serde::Serialize;
-use telemetry::{Shutdown, Uptime};
+use telemetry::Shutdown;
 use worker::Refusal;
 use worker::call::{Adopt, Heartbeat, Moment, Run, Start, Stop, Throttle, Void};
 
+use crate::timed::Timed;
 use crate::{Machine, WorkerFaults};
 
 /// Interval at which the time of the worker advances, and a frozen worker is checked for its end.
@@ -21,8 +22,7 @@
 /// A fake worker with the clock of its process.
 #[derive(Clone, Debug)]
 pub struct ServedMachine {
-    machine: Arc<Mutex<Machine>>,
-    uptime: Uptime,
+    machine: Arc<Timed<Machine>>,
 }
 
 impl ServedMachine {
@@ -30,25 +30,19 @@
     #[must_use]
     pub fn new(machine: Machine) -> Self {
         Self {
-            machine: Arc::new(Mutex::new(machine)),
-            uptime: Uptime::start(),
+            machine: Arc::new(Timed::new(machine)),
         }
     }
 
     /// Advances the time of the worker until shutdown.
     pub async fn tick(self, stop: Shutdown) {
         while stop.sleep(TICK_INTERVAL).await {
-            let now = self.now();
-            self.lock().tick(now);
+            self.machine.change(Machine::tick);
         }
     }
 
     fn lock(&self) -> MutexGuard<'_, Machine> {
-        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn now(&self) -> Moment {
-        self.uptime.elapsed().as_millis() as Moment
+        self.machine.lock()
     }
 
     /// Calls the worker; while it is frozen, waits and does not answer.
@@ -59,8 +53,7 @@
         while self.lock().faults().frozen {
             tokio::time::sleep(TICK_INTERVAL).await;
         }
-        let now = self.now();
-        match call(&mut self.lock(), now) {
+        match self.machine.change(call) {
             Ok(value) => Json(value).into_response(),
             Err(refusal) => (StatusCode::CONFLICT, Json(refusal)).into_response(),
         }
