Pool: a task that stalls on every worker is started less and less often

What callers saw: nothing that a rule bounds; a task that makes no progress anywhere was stopped and started again every 2.8 s for as long as its job lasted, and each worker in turn was taken for faulty and got no tasks for 2 s.

Cause: a stall was put down to the worker, however often the task had stalled elsewhere.

Evidence: a_task_that_stalls_on_every_worker_is_started_less_and_less_often (crates/pool/tests/stalls.rs, no network) counted 429 starts in twenty minutes on the former code.

Ruled out: failing the job after some stalls. A stalled task hasn't failed by the platform's terms, and a job may be shown as failed only after reported failures (or crashes). A longer limit for all: tasks on a faulty worker would wait longer.

Change: from the third stall on, the time for which the task may stall doubles with each run, and its worker is blamed as for a task that has failed before. The first two stalls are handled as before (a_task_that_stalls_on_two_workers_leaves_them_soon, which also passed before).

Measured: at most 12 starts in twenty minutes, as the test asks; all tests of the package pass.

Why it works: the time doubles, so the number of starts grows with the logarithm of the time.

The number of stalls isn't stored: a new owner counts from 0.

--- a/crates/pool/src/monitor.rs
+++ b/crates/pool/src/monitor.rs
@@ -14,6 +14,9 @@
 /// A task whose progress hasn't changed for this long is stalled. Reports arrive at least every 0.7 s, and a task of 15 s
 /// advances by one percent in 0.15 s.
 const STALL_TIMEOUT: Ms = 2_500;
+/// A task that has stalled more often than this is likelier to be the cause than its workers. From then on the time for which it may
+/// stall doubles with each run.
+const STALLS_OF_WORKERS: u32 = 2;
 /// A worker whose failure score reaches [`SUSPECT_SCORE`] gets no tasks for this long, then one at a time.
 const SUSPECT_PAUSE: Ms = 2_000;
 /// The next poll waits for further ends for the estimate of the shortest task on the worker, divided by this.
@@ -24,6 +27,8 @@
 const FIRST_FAILURE_SCORE: f64 = 1.0;
 /// Added by a failure of a task that has failed before: the task itself is the likelier cause.
 const REPEATED_FAILURE_SCORE: f64 = 0.25;
+/// Added by a task that stalls.
+const STALL_SCORE: f64 = 1.5 * FIRST_FAILURE_SCORE;
 /// Subtracted by a task that succeeds.
 const SUCCESS_CREDIT: f64 = 0.6;
 
@@ -131,10 +136,10 @@
                 let Some(step) = live.job.steps.get(usize::from(key.stage.step)) else {
                     continue;
                 };
-                let Some(run) = self
+                let Some((run, stalls)) = self
                     .stage(&key.stage)
                     .and_then(|stage| stage.tasks.get(key.index as usize))
-                    .and_then(|task| task.run.as_ref())
+                    .and_then(|task| Some((task.run.as_ref()?, task.stalls)))
                 else {
                     continue;
                 };
@@ -149,6 +154,8 @@
                 } else if !step.long_running {
                     // One percent of a long task may take longer than the fixed limit.
                     let timeout = STALL_TIMEOUT.max(step.estimate / 10);
+                    let doublings = stalls.saturating_sub(STALLS_OF_WORKERS);
+                    let timeout = timeout.saturating_mul(2_u64.saturating_pow(doublings));
                     if now.saturating_sub(run.progressed_at) > timeout {
                         stalled.push((key.clone(), Arc::clone(&worker.id)));
                     }
@@ -166,9 +173,16 @@
         }
         for (key, id) in stalled {
             self.stop_run(&key);
+            let stalls = self.task_mut(&key).map_or(0, |task| {
+                task.stalls += 1;
+                task.stalls
+            });
             if let Some(worker) = self.workers.get_mut(&id) {
-                // A stalled task counts as one and a half first failures.
-                worker.failure_score += 1.5;
+                worker.failure_score += if stalls > STALLS_OF_WORKERS {
+                    REPEATED_FAILURE_SCORE
+                } else {
+                    STALL_SCORE
+                };
                 if worker.failure_score >= SUSPECT_SCORE {
                     worker.paused_until = worker.paused_until.max(now + SUSPECT_PAUSE);
                 }
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -139,6 +139,8 @@
     pub crashed: Vec<Crash>,
     /// When the latest crash was recorded.
     pub crashed_at: Ms,
+    /// Number of runs that were stopped because they stalled.
+    pub stalls: u32,
     /// Number of entries of `crashed` that are stored.
     pub crashes_stored: usize,
     /// Number of the next run, if it was added to `crashed` before its start command is sent.
