soak: executors that restart at once under their ids

The simulation of the pool says that it has workers obey an acknowledgement only in the incarnation that it names.

--- a/crates/pool/tests/simulation/workers.rs
+++ b/crates/pool/tests/simulation/workers.rs
@@ -195,6 +195,7 @@
                 }
                 worker.epoch = epoch;
                 worker.lease = worker.lease.max(lease.unwrap_or(0));
+                // Owners let an acknowledgement reach only the incarnation that it names.
                 if incarnation == worker.incarnation {
                     for end in worker
                         .unstored_ends
