--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -321,7 +321,7 @@
     /// Handles a call of another host or of this one.
     pub(crate) async fn handle_call(self: &Arc<Self>, call: Call) -> Reply {
         match call {
-            Call::State(id, caller) => self.state(&id, &caller),
+            Call::State(id, caller) => self.state(&id, &caller).await,
             Call::Cancel(id, caller) => self.cancel(&id, &caller).await,
             Call::Insert(pool, job) => self.insert(pool, *job).await,
             Call::Catalog => match self.host().packed_catalog() {
