Reports leave quick jobs of their customer room within its limit

Cause: the limit is given to whoever comes first. Change: work of lower priority leaves free what work of higher priority of the same customer has used lately (its peak, halved every 4 s), until it has waited 2 s for the limit itself (mechanism quota-reserve).

Ruled out: a fixed share for quick work (customers differ); stopping reports (work is lost).

--- a/crates/pool/src/accounts.rs
+++ b/crates/pool/src/accounts.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::customer::{CustomerId, Entitlement, Limit};
+use crate::task::Ms;
 
 /// Jobs are counted per second, and a job is owed if the jobs of its second and of the seconds before it, this many together,
 /// don't exceed the customer's weight.
@@ -13,6 +14,45 @@
 /// Number of seconds for which jobs are counted: a new owner reads the jobs of many seconds in any order.
 const MAX_COUNTED_SECONDS: usize = 128;
 
+/// After this time without use, the reserve for a priority has halved.
+const RESERVE_HALF_LIFE: Ms = 4_000;
+
+/// What a run counts with, and against which customer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Charge {
+    /// The customer; empty for none.
+    pub customer: CustomerId,
+    /// Priority of the job's queue.
+    pub priority: u32,
+    /// Resources.
+    pub size: Size,
+}
+
+/// Use of the work of one priority.
+#[derive(Clone, Copy, Debug, Default)]
+struct PriorityUse {
+    priority: u32,
+    used: Size,
+    /// The most that was used lately, and when.
+    peak: (Size, Ms),
+}
+
+impl PriorityUse {
+    /// The most that was used lately; decreases with time.
+    fn recent_peak(&self, now: Ms) -> Size {
+        let age = now.saturating_sub(self.peak.1) as f64 / RESERVE_HALF_LIFE as f64;
+        let factor = 0.5_f64.powf(age);
+        let part = |value: u64| (value as f64 * factor) as u64;
+        let peak = self.peak.0;
+        Size::new(
+            part(peak.millicores),
+            part(peak.memory_mib),
+            part(peak.accelerators),
+        )
+        .max_each(self.used)
+    }
+}
+
 /// The accounts of all customers, by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Accounts {
@@ -21,6 +61,8 @@
     by_customer: FxHashMap<CustomerId, Account>,
     /// Sum of the weights of all customers that are entitled to something.
     total_weight: f64,
+    /// The current time.
+    now: Ms,
 }
 
 /// One customer's account.
@@ -32,6 +74,8 @@
     listed: bool,
     /// Resources of the runs that were ordered and are not known to have ended.
     pub used: Size,
+    /// The same by priority.
+    by_priority: Vec<PriorityUse>,
     /// Number of accepted jobs, by Unix second.
     accepted: BTreeMap<u64, u32>,
 }
@@ -48,6 +92,29 @@
         (weight > 0.0).then_some(weight)
     }
 
+    /// What work of higher priority than this one has used lately and doesn't use now.
+    fn reserve(&self, now: Ms, priority: u32) -> Size {
+        let higher = self.by_priority.iter().filter(|it| it.priority < priority);
+        higher.fold(Size::ZERO, |sum, it| {
+            sum.plus(it.recent_peak(now).saturating_minus(it.used))
+        })
+    }
+
+    fn use_of(&mut self, priority: u32) -> &mut PriorityUse {
+        let found = self
+            .by_priority
+            .iter()
+            .position(|it| it.priority == priority);
+        let index = found.unwrap_or_else(|| {
+            self.by_priority.push(PriorityUse {
+                priority,
+                ..PriorityUse::default()
+            });
+            self.by_priority.len() - 1
+        });
+        &mut self.by_priority[index]
+    }
+
     /// Counts an accepted job; returns whether the customer is owed it.
     fn count_job(&mut self, accepted: u64) -> bool {
         let second = accepted / 1_000;
@@ -106,20 +173,38 @@
         self.total_weight
     }
 
+    /// Sets the current time.
+    pub(crate) fn set_time(&mut self, now: Ms) {
+        self.now = now;
+    }
+
+    /// What a customer should keep free for work of higher priority than this one: work that comes in short bursts finds the limit
+    /// used up by long tasks otherwise.
+    pub(crate) fn reserve(&self, customer: &str, priority: u32) -> Size {
+        let account = self.by_customer.get(customer);
+        account.map_or(Size::ZERO, |it| it.reserve(self.now, priority))
+    }
+
     /// Adds the resources of a run.
-    pub(crate) fn charge(&mut self, customer: &CustomerId, size: Size) {
-        if customer.is_empty() {
+    pub(crate) fn charge(&mut self, charge: &Charge) {
+        if charge.customer.is_empty() {
             return;
         }
-        let account = self.by_customer.entry(CustomerId::clone(customer));
+        let now = self.now;
+        let account = self.by_customer.entry(CustomerId::clone(&charge.customer));
         let account = account.or_default();
-        account.used = account.used.plus(size);
+        account.used = account.used.plus(charge.size);
+        let class = account.use_of(charge.priority);
+        class.used = class.used.plus(charge.size);
+        class.peak = (class.recent_peak(now), now);
     }
 
     /// Subtracts the resources of a run that has ended.
-    pub(crate) fn release(&mut self, customer: &CustomerId, size: Size) {
-        if let Some(account) = self.by_customer.get_mut(customer) {
-            account.used = account.used.saturating_minus(size);
+    pub(crate) fn release(&mut self, charge: &Charge) {
+        if let Some(account) = self.by_customer.get_mut(&charge.customer) {
+            account.used = account.used.saturating_minus(charge.size);
+            let class = account.use_of(charge.priority);
+            class.used = class.used.saturating_minus(charge.size);
         }
     }
 
--- a/crates/pool/src/mechanism.rs
+++ b/crates/pool/src/mechanism.rs
@@ -25,6 +25,8 @@
     ShareUse,
     /// A gang that waits for its customer's limit is reserved what the customer's other tasks release.
     GangQuota,
+    /// Work of low priority leaves free, of its customer's limit, what work of higher priority has used lately.
+    QuotaReserve,
     /// A task starts on the worker with the lowest cost; disabled: on the first by id that has capacity.
     BestFit,
     /// Work and free capacity are measured in the scarce dimensions; disabled: in processors.
@@ -68,13 +70,13 @@
 use Mechanism::{
     AdviceAhead, AdviceCheap, AdviceShare, BestFit, Doubt, EarlyRefusal, Evacuation, GangQuota,
     GatherEnds, Heirs, HoldPause, JobEpochs, JointInserts, Order, OrderHopeless, OrderLate,
-    OrderPriority, OrderWork, Pace, PartialJobs, RepeatOrders, Restart, Scarcity, ShareOwed,
-    ShareUse, Standstill, Witnesses,
+    OrderPriority, OrderWork, Pace, PartialJobs, QuotaReserve, RepeatOrders, Restart, Scarcity,
+    ShareOwed, ShareUse, Standstill, Witnesses,
 };
 
 impl Mechanism {
     /// All mechanisms, with the names that operators use.
-    pub const ALL: [(Self, &str); 27] = [
+    pub const ALL: [(Self, &str); 28] = [
         (Order, "order"),
         (OrderHopeless, "order-hopeless"),
         (OrderPriority, "order-priority"),
@@ -83,6 +85,7 @@
         (ShareOwed, "share-owed"),
         (ShareUse, "share-use"),
         (GangQuota, "gang-quota"),
+        (QuotaReserve, "quota-reserve"),
         (BestFit, "best-fit"),
         (Scarcity, "scarcity"),
         (AdviceShare, "advice-share"),
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -8,6 +8,7 @@
 use resource::Size;
 use rustc_hash::FxHashMap;
 
+use crate::accounts::Charge;
 use crate::customer::{CustomerId, Entitlement, Limit};
 use crate::fit;
 use crate::job::{Job, Step};
@@ -20,6 +21,8 @@
 
 /// A gang that has waited this long for its customer's limit is reserved the resources that other tasks of the customer release.
 const GANG_PATIENCE: Ms = 1_000;
+/// A step that has waited this long for its customer's limit may use what is reserved for work of higher priority.
+const RESERVE_PATIENCE: Ms = 2_000;
 
 /// What a customer uses in this pool, and what it waits for.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,6 +59,7 @@
 /// What customers may use beside their known runs, as of one scheduling pass.
 #[derive(Debug, Default)]
 pub(crate) struct QuotaPass {
+    now: Ms,
     /// The most that may run on workers that haven't reported; `None` if all have.
     unreported: Option<Unreported>,
     /// Gangs that are reserved resources, one for each customer.
@@ -141,11 +145,16 @@
         Some((job, job.steps.get(usize::from(key.step))?))
     }
 
-    /// Customer of a step's job, and what a task counts with against the customer's limit.
-    fn charge_of(&self, key: &StageKey) -> (CustomerId, Size) {
-        self.job_and_step(key)
-            .map(|(job, step)| (Arc::clone(&job.customer), step.charge()))
-            .unwrap_or_default()
+    /// What a task of a step counts with against its customer's limit.
+    fn charge_of(&self, key: &StageKey) -> Charge {
+        let Some((job, step)) = self.job_and_step(key) else {
+            return Charge::default();
+        };
+        Charge {
+            customer: Arc::clone(&job.customer),
+            priority: job.policy.priority,
+            size: step.charge(),
+        }
     }
 
     /// Reserves capacity for a task's run, and counts the run against its customer's limit.
@@ -153,12 +162,12 @@
         let Some(size) = self.size(&key.stage) else {
             return;
         };
-        let (customer, charge) = self.charge_of(&key.stage);
+        let charge = self.charge_of(&key.stage);
         if let Some(worker) = self.workers.get_mut(worker)
             && worker.runs.insert(key.clone(), number).is_none()
         {
             worker.used = worker.used.plus(size);
-            self.accounts.charge(&customer, charge);
+            self.accounts.charge(&charge);
         }
     }
 
@@ -167,12 +176,12 @@
         let Some(size) = self.size(&key.stage) else {
             return;
         };
-        let (customer, charge) = self.charge_of(&key.stage);
+        let charge = self.charge_of(&key.stage);
         if let Some(worker) = self.workers.get_mut(worker)
             && worker.runs.remove(key).is_some()
         {
             worker.used = worker.used.saturating_minus(size);
-            self.accounts.release(&customer, charge);
+            self.accounts.release(&charge);
         }
     }
 
@@ -185,7 +194,7 @@
             return;
         };
         worker.used = worker.used.plus(size.unwrap_or_default());
-        self.accounts.charge(&charge.0, charge.1);
+        self.accounts.charge(&charge);
         let orphan = OrphanedRun {
             run: row.run,
             size,
@@ -203,7 +212,7 @@
         worker.used = worker
             .used
             .saturating_minus(orphan.size.unwrap_or_default());
-        self.accounts.release(&orphan.charge.0, orphan.charge.1);
+        self.accounts.release(&orphan.charge);
         Some(orphan)
     }
 
@@ -224,6 +233,7 @@
         waiting: impl Iterator<Item = &'a StageKey>,
     ) -> QuotaPass {
         let mut pass = QuotaPass {
+            now,
             unreported: self.unreported(),
             reserved: FxHashMap::default(),
         };
@@ -248,16 +258,25 @@
             return;
         };
         let size = step.charge().times(u64::from(step.count));
-        let is_patient = self.stage(key).is_none_or(|stage| {
-            let waited = stage.timeline.waited(now)[WaitReason::Quota as usize];
-            stage.timeline.waiting_for() != Some(WaitReason::Quota) || waited < GANG_PATIENCE
-        });
-        if !is_patient && account.limit().allows(Size::ZERO, size) {
+        let waits = self
+            .stage(key)
+            .is_some_and(|stage| stage.timeline.waiting_for() == Some(WaitReason::Quota));
+        if waits
+            && self.quota_wait(now, key) >= GANG_PATIENCE
+            && account.limit().allows(Size::ZERO, size)
+        {
             pass.reserved
                 .insert(Arc::clone(&job.customer), (key.clone(), size));
         }
     }
 
+    /// Time for which the tasks of a step have waited for their customer's limit.
+    fn quota_wait(&self, now: Ms, key: &StageKey) -> Ms {
+        self.stage(key).map_or(0, |stage| {
+            stage.timeline.waited(now)[WaitReason::Quota as usize]
+        })
+    }
+
     /// How many tasks of a step may start without exceeding the limit of the job's customer.
     pub(crate) fn startable_within_quota(
         &self,
@@ -280,6 +299,10 @@
         if let Some(unreported) = &pass.unreported {
             used = used.plus(unreported.of(&job.customer));
         }
+        if self.has(Mechanism::QuotaReserve) && self.quota_wait(pass.now, key) < RESERVE_PATIENCE {
+            let reserve = self.accounts.reserve(&job.customer, job.policy.priority);
+            used = used.plus(reserve);
+        }
         if let Some((gang, size)) = pass.reserved.get(&job.customer)
             && gang != key
         {
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -32,6 +32,7 @@
         for id in due {
             self.advance(&id, now, unix);
         }
+        self.accounts.set_time(now);
         self.expire_leases(now, unix);
         self.check_runs(now);
         self.resend_commands(now);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-use crate::customer::CustomerId;
+use crate::accounts::Charge;
 use crate::loss::Loss;
 use crate::repeat;
 use crate::task::{JobId, Ms, TaskKey, WorkerId};
@@ -55,8 +55,8 @@
     pub run: u32,
     /// Reserved resources, if the job is known.
     pub size: Option<Size>,
-    /// The customer of the job, and what the run counts with against its limit.
-    pub charge: (CustomerId, Size),
+    /// What the run counts with against its customer's limit.
+    pub charge: Charge,
     /// When the run was first reported, or when all jobs became known to this owner if that was later.
     pub since: Ms,
     /// When a stop command was last sent.
--- a/crates/pool/tests/quota.rs
+++ b/crates/pool/tests/quota.rs
@@ -5,7 +5,7 @@
 #[allow(dead_code, reason = "other test files use the rest")]
 mod simulation;
 
-use case::{adopt, end, pool, report, run, starts};
+use case::{adopt, end, pool, report, report_all, run, starts};
 use pool::{
     CustomerId, Entitlement, Job, Limit, Mechanism, Options, Pool, RunOutcome, Start, StartAnswer,
     Step, Switches, WaitReason, WorkerId,
@@ -236,6 +236,55 @@
     assert!(at < 4_000, "started at {at} ms");
 }
 
+/// A customer's long reports could take its whole limit between two of its quick jobs, and the second one would wait for the end
+/// of a report. The reports leave free what quick jobs have used lately, but only for a while, so that they are never starved.
+#[test]
+fn reports_leave_room_within_the_limit_for_quick_jobs() {
+    let quick_starts = |switches: Switches| {
+        let mut pool = Pool::new(Options {
+            switches,
+            ..Options::default()
+        });
+        case::register_workers(&mut pool, 4);
+        set_limits(&mut pool, &[(A, 8_000)]);
+        adopt(
+            &mut pool,
+            1_000,
+            job_of(A, "00000000000000d1", &[(4, 1_000, 500)]),
+        );
+        let quick = run(&mut pool, 1_001);
+        assert_eq!(quick.len(), 4);
+        let ids: Vec<WorkerId> = pool.workers().map(|it| it.id.clone()).collect();
+        for id in &ids {
+            let own = quick.iter().filter(|it| it.worker == *id);
+            let ended = own
+                .zip(1..)
+                .map(|(it, number)| end(it, number, RunOutcome::Done));
+            report(&mut pool, 1_100, id, vec![], ended.collect());
+        }
+        let mut reports = job_of(A, "00000000000000e1", &[(20, 1_000, 60_000)]);
+        reports.policy.priority = 2;
+        adopt(&mut pool, 1_101, reports);
+        let mut running = run(&mut pool, 1_102);
+        adopt(
+            &mut pool,
+            1_103,
+            job_of(A, "00000000000000d2", &[(3, 1_000, 500)]),
+        );
+        let quick = run(&mut pool, 1_104);
+        running.extend(quick.clone());
+        for now in (1_200..4_200).step_by(200) {
+            report_all(&mut pool, now, &running);
+            running.extend(run(&mut pool, now + 1));
+        }
+        assert_eq!(running.len(), 8, "in the end the limit is used");
+        of_job(&quick, "00000000000000d2").len()
+    };
+    assert_eq!(quick_starts(Switches::default()), 3);
+    let without = Switches::without([Mechanism::QuotaReserve]);
+    assert_eq!(quick_starts(without), 0);
+}
+
 /// One customer sends seven times what it is owed, all of it small and quick. Another customer's job that comes later starts
 /// first, because it is owed.
 #[test]
