Calls with known keys wait in places of their own

Cause: with strict revocation a call with a known key may have to wait for a confirmation of the configuration, in one of the 256 places that calls with unknown keys take too. A flood of these would have refused callers with good keys at once.

Change: 256 places for each kind. Two tests were too weak to show what they guard against and are replaced by stricter ones: of concurrent updates the newest stays (threads in step, 20,000 rounds; before, a check and a set in two steps passed), and the tests with many calls let all of them wait first (before, only the first 61 had begun).

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -11,7 +11,7 @@
 use crate::access::{Caller, Decision, Freshness, PresentedKey, Reason, Revocation};
 use crate::catalog::{Catalog, CatalogInForce, Queue};
 use crate::clock;
-use crate::confirmation::Confirmation;
+use crate::confirmation::{Confirmation, Waiting};
 use crate::refusals::Refusals;
 
 /// A call that can't be decided on may be repeated after this time. A host in touch with an owner or the store gets the next
@@ -137,7 +137,11 @@
                 Decision::Unconfirmed(reason) => reason,
             };
             let as_of = reason.required_at(freshness, self.revocation);
-            if let Err(unconfirmed) = self.confirmation.wait(as_of, until).await {
+            let waiting = match reason {
+                Reason::NoKey | Reason::UnknownKey => Waiting::UnknownKey,
+                Reason::MayBeRevoked => Waiting::KnownKey,
+            };
+            if let Err(unconfirmed) = self.confirmation.wait(waiting, as_of, until).await {
                 let customer = self.customer(&catalog, call.key, reason);
                 self.refusals.record(unconfirmed.name(), customer, |unlogged| {
                     info!(
--- a/crates/host/src/confirmation.rs
+++ b/crates/host/src/confirmation.rs
@@ -12,7 +12,7 @@
 /// Minimum time between two queries whether the configuration is the newest. Calls with unknown keys may arrive at any rate, and
 /// each query costs the owner of a pool or the store a call.
 const QUERY_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of calls that wait at the same time. Each holds a connection and some memory.
+/// Maximum number of calls of a kind that wait at the same time. Each holds a connection and some memory.
 const MAX_WAITING_CALLS: usize = 256;
 
 /// Why a call can't be told whether the configuration is the newest.
@@ -35,12 +35,22 @@
     }
 }
 
+/// Kinds of calls that wait. Each has places of its own, so that calls which anyone can make don't take those of customers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Waiting {
+    /// Without a key, or with one that the configuration doesn't have.
+    UnknownKey,
+    /// With a key that the configuration has.
+    KnownKey,
+}
+
 /// The time as of which the configuration in force is known to be the newest. It never decreases: a newer configuration contains
 /// all changes of the one that it replaces.
 #[derive(Debug)]
 pub struct Confirmation {
     confirmed_at: watch::Sender<Ms>,
-    waiting_calls: Semaphore,
+    unknown_keys: Semaphore,
+    known_keys: Semaphore,
     requested: Notify,
 }
 
@@ -48,7 +58,8 @@
     fn default() -> Self {
         Self {
             confirmed_at: watch::Sender::new(0),
-            waiting_calls: Semaphore::new(MAX_WAITING_CALLS),
+            unknown_keys: Semaphore::new(MAX_WAITING_CALLS),
+            known_keys: Semaphore::new(MAX_WAITING_CALLS),
             requested: Notify::new(),
         }
     }
@@ -77,13 +88,21 @@
     }
 
     /// Waits until the configuration is confirmed as of this time, and has [`Confirmation::run`] query for it. The number of
-    /// waiting calls is bounded.
+    /// waiting calls of each kind is bounded.
     ///
     /// # Errors
     /// If too many calls are waiting, or the configuration isn't confirmed at `until`.
-    pub async fn wait(&self, as_of: Ms, until: Instant) -> Result<(), Unconfirmed> {
-        let _permit = self
-            .waiting_calls
+    pub async fn wait(
+        &self,
+        waiting: Waiting,
+        as_of: Ms,
+        until: Instant,
+    ) -> Result<(), Unconfirmed> {
+        let places = match waiting {
+            Waiting::UnknownKey => &self.unknown_keys,
+            Waiting::KnownKey => &self.known_keys,
+        };
+        let _place = places
             .try_acquire()
             .map_err(|_| Unconfirmed::TooManyWaiting)?;
         if self.wait_unbounded(as_of, until).await {
--- a/crates/host/tests/catalog.rs
+++ b/crates/host/tests/catalog.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: lookup of keys, transfer between hosts, and replacement by newer versions only.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
 use host::catalog::CatalogInForce;
@@ -79,46 +79,47 @@
 
 /// Guards against an update that replaces a newer one which is made at the same time.
 #[test]
-fn concurrent_updates_never_lead_back_to_an_older_version() {
-    const THREADS: u64 = 4;
-    const VERSIONS: u64 = 2_000;
+fn of_concurrent_updates_the_newest_stays() {
+    const ROUNDS: u64 = 20_000;
+    const THREADS: u64 = 3;
     let in_force = Arc::new(CatalogInForce::default());
-    let done = Arc::new(AtomicBool::new(false));
-    let observer = {
-        let (in_force, done) = (Arc::clone(&in_force), Arc::clone(&done));
-        thread::spawn(move || {
-            let mut last = 0;
-            while !done.load(Ordering::Relaxed) {
-                let version = in_force.version();
-                assert!(version >= last, "from {last} back to {version}");
-                last = version;
+    let ready = Arc::new(AtomicU64::new(0));
+    // Waits until all threads have done the step with this number.
+    let step = |ready: &AtomicU64, number: u64| {
+        ready.fetch_add(1, Ordering::AcqRel);
+        let mut spins = 0;
+        while ready.load(Ordering::Acquire) < number * THREADS {
+            spins += 1;
+            if spins % 64 == 0 {
+                thread::yield_now();
             }
-        })
+        }
     };
-    let updates: Vec<_> = (0..THREADS)
+    let threads: Vec<_> = (0..THREADS)
         .map(|thread| {
-            let in_force = Arc::clone(&in_force);
+            let (in_force, ready) = (Arc::clone(&in_force), Arc::clone(&ready));
             thread::spawn(move || {
-                // Each thread goes through the versions in another order.
-                for step in 0..VERSIONS {
-                    let version = (step * (thread * 2 + 7) + thread * 31) % VERSIONS + 1;
+                let mut errors = 0;
+                for round in 0..ROUNDS {
+                    // In each round another thread has the newest version.
+                    let version = round * THREADS + (thread + round) % THREADS + 1;
                     let update = Catalog {
                         version,
                         ..Catalog::default()
                     };
+                    step(&ready, 2 * round + 1);
                     let replaced = in_force.update(update);
-                    assert!(replaced.is_none_or(|before| before < version));
-                    assert!(in_force.version() >= version);
+                    errors += u64::from(replaced.is_some_and(|before| before >= version));
+                    step(&ready, 2 * round + 2);
+                    errors += u64::from(in_force.version() != (round + 1) * THREADS);
                 }
+                errors
             })
         })
         .collect();
-    for update in updates {
-        update.join().expect("no panic");
+    for thread in threads {
+        assert_eq!(thread.join().expect("no panic"), 0);
     }
-    done.store(true, Ordering::Relaxed);
-    observer.join().expect("no panic");
-    assert_eq!(in_force.version(), VERSIONS);
 }
 
 /// Guards against a configuration in which it isn't clear whose a key is, or what a customer may use.
--- a/crates/host/tests/confirmation.rs
+++ b/crates/host/tests/confirmation.rs
@@ -7,7 +7,7 @@
 use host::access::{PresentedKey, Revocation};
 use host::admission::{Admission, Call, Refusal};
 use host::catalog::CatalogInForce;
-use host::confirmation::{Confirmation, Unconfirmed};
+use host::confirmation::{Confirmation, Unconfirmed, Waiting};
 use host::{Catalog, Customer, KeyDigest, Queue, clock};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -65,7 +65,11 @@
     let mut calls = JoinSet::new();
     for _ in 0..200 {
         let confirmation = Arc::clone(&confirmation);
-        calls.spawn(async move { confirmation.wait(now(), Instant::now() + TIMEOUT).await });
+        calls.spawn(async move {
+            confirmation
+                .wait(Waiting::UnknownKey, now(), Instant::now() + TIMEOUT)
+                .await
+        });
     }
     while let Some(waited) = calls.join_next().await {
         assert_eq!(waited.expect("no panic"), Ok(()));
@@ -83,7 +87,11 @@
     let mut calls = JoinSet::new();
     for _ in 0..1_000 {
         let confirmation = Arc::clone(&confirmation);
-        calls.spawn(async move { confirmation.wait(now(), Instant::now() + TIMEOUT).await });
+        calls.spawn(async move {
+            confirmation
+                .wait(Waiting::UnknownKey, now(), Instant::now() + TIMEOUT)
+                .await
+        });
         sleep(Duration::from_millis(10)).await;
     }
     while let Some(waited) = calls.join_next().await {
@@ -104,7 +112,9 @@
         let confirmation = Arc::clone(&confirmation);
         calls.spawn(async move {
             let began = Instant::now();
-            let waited = confirmation.wait(now(), began + TIMEOUT).await;
+            let waited = confirmation
+                .wait(Waiting::UnknownKey, now(), began + TIMEOUT)
+                .await;
             (waited, began.elapsed())
         });
     }
@@ -122,7 +132,12 @@
     assert!((1..=256).contains(&waited_for_timeout));
     // The places are free again.
     confirmation.confirm(now());
-    assert_eq!(confirmation.wait(1, Instant::now() + TIMEOUT).await, Ok(()));
+    assert_eq!(
+        confirmation
+            .wait(Waiting::UnknownKey, 1, Instant::now() + TIMEOUT)
+            .await,
+        Ok(())
+    );
 }
 
 /// Guards against an older confirmation that replaces a newer one.
@@ -163,14 +178,14 @@
     admission: Arc<Admission>,
 }
 
-fn setup() -> Setup {
+fn setup(revocation: Revocation) -> Setup {
     let in_force = Arc::<CatalogInForce>::default();
     in_force.update(catalog(1, &["good"]));
     let confirmation = Arc::<Confirmation>::default();
     let admission = Arc::new(Admission::new(
         Arc::clone(&in_force),
         Arc::clone(&confirmation),
-        Revocation::default(),
+        revocation,
         Duration::from_secs(2),
     ));
     Setup {
@@ -180,6 +195,13 @@
     }
 }
 
+/// Lets the spawned tasks run until all wait.
+async fn run_spawned() {
+    for _ in 0..1_000 {
+        tokio::task::yield_now().await;
+    }
+}
+
 fn call(key: &str) -> Call<'static> {
     Call {
         host: "a",
@@ -192,7 +214,7 @@
 /// Guards against a denial of a key that is in the configuration by the time that the host knows it to be the newest.
 #[tokio::test]
 async fn a_waiting_call_is_decided_by_the_configuration_that_is_confirmed() {
-    let setup = setup();
+    let setup = setup(Revocation::default());
     let admission = Arc::clone(&setup.admission);
     let until = Instant::now() + Duration::from_secs(30);
     let waiting = tokio::spawn(async move { admission.admit(call("new"), until).await });
@@ -210,7 +232,7 @@
 /// Guards against callers with good keys that wait behind those with unknown ones.
 #[tokio::test(start_paused = true)]
 async fn unknown_keys_do_not_delay_known_ones() {
-    let setup = setup();
+    let setup = setup(Revocation::default());
     let mut calls = JoinSet::new();
     for number in 0..2_000 {
         let admission = Arc::clone(&setup.admission);
@@ -221,7 +243,7 @@
                 .await
         });
     }
-    tokio::task::yield_now().await;
+    run_spawned().await;
     let began = Instant::now();
     let admitted = setup.admission.admit(call("good"), began + TIMEOUT).await;
     assert!(admitted.is_ok());
@@ -231,3 +253,29 @@
         assert!(matches!(refusal, Refusal::Unknown(after) if !after.is_zero()));
     }
 }
+
+/// Guards against callers with good keys that have to be confirmed, and find all places taken by calls with unknown keys.
+#[tokio::test]
+async fn unknown_keys_take_no_place_of_known_ones() {
+    let setup = setup(Revocation {
+        strict: true,
+        deadline: Duration::from_secs(5),
+    });
+    let mut calls = JoinSet::new();
+    for number in 0..2_000 {
+        let admission = Arc::clone(&setup.admission);
+        calls.spawn(async move {
+            let until = Instant::now() + TIMEOUT;
+            admission
+                .admit(call(&format!("unknown-{number}")), until)
+                .await
+        });
+    }
+    run_spawned().await;
+    let admission = Arc::clone(&setup.admission);
+    let until = Instant::now() + TIMEOUT;
+    let good = tokio::spawn(async move { admission.admit(call("good"), until).await });
+    tokio::task::yield_now().await;
+    setup.confirmation.confirm(clock::now());
+    assert!(good.await.expect("no panic").is_ok());
+}
