A customer's backlog is bounded, and what exceeds it is refused with the time to come back

What callers see: a customer that sends without end had all of its jobs accepted, however many waited; they took memory of the owner and rows of the store, and most could never be served in time.

Change: once as many jobs of a customer wait as it is owed in 60 s (200 at least), the owner's heartbeat tells the hosts, which answer 429 with the time in which the excess is served at the rate that the customer is owed. Other customers are not affected.

Ruled out: refusing whatever exceeds weight jobs a second at each host: hosts see uneven parts of a customer's jobs, and would refuse jobs that are owed while they accept others that are not; the order among them is the owner's (share-owed).

--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -272,9 +272,9 @@
     /// Sends heartbeats with the state of this owner to all connected hosts.
     pub(super) async fn send_heartbeats(self: Arc<Self>) {
         loop {
-            let (pending, load) = {
+            let (pending, full_backlogs, load) = {
                 let pool = lock(&self.pool);
-                (pool.pending(), pool.load())
+                (pool.pending(), pool.full_backlogs(), pool.load())
             };
             let loaded = self.loaded.load(Ordering::Relaxed);
             self.update_gauges(&load, pending.values().sum());
@@ -289,6 +289,7 @@
                 store_failing: self.host.store_failing_since().is_some(),
                 pool_map: self.host.pool_map().version,
                 pending: loaded.then_some(pending),
+                full_backlogs,
                 load: load.demand,
                 labels: load.labels,
             };
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -36,6 +36,9 @@
     Accepted,
     /// The id belongs to a job that the caller may not access; the caller's job is not stored and will never run.
     IdInUse,
+    /// The job is not stored and will never run: its customer has as many jobs waiting as it may have. The caller may retry after
+    /// this time.
+    BacklogFull(Duration),
     /// The job is not stored and will never run; the caller may retry after this time.
     Refused(Duration),
     /// It is not known whether the job is stored.
@@ -78,6 +81,7 @@
         let outcome = match submitted {
             Submitted::Accepted => "accepted",
             Submitted::IdInUse => "id_in_use",
+            Submitted::BacklogFull(_) => "backlog_full",
             Submitted::Refused(_) => "refused",
             Submitted::Unsure => "unsure",
         };
@@ -97,6 +101,9 @@
         if self.has(Mechanism::EarlyRefusal) && !self.can_accept() {
             return Submitted::Refused(RETRY_AFTER);
         }
+        if let Some(after) = self.full_backlog(pool, &job.customer) {
+            return Submitted::BacklogFull(after);
+        }
         match self.insert_both_ways(pool, &job, until).await {
             (Inserted::Present(location), by_owner) => {
                 if !by_owner {
@@ -110,6 +117,16 @@
         }
     }
 
+    /// The time after which a pool can accept more jobs of a customer; `None` if it can now, as far as its owner has told.
+    fn full_backlog(&self, pool: u32, customer: &str) -> Option<Duration> {
+        let last = self.last_heartbeat(pool);
+        let age = clock::now().saturating_sub(last.received_at);
+        let mut full = last.heartbeat.full_backlogs.iter();
+        let (_, after) = full.find(|(name, _)| &**name == customer)?;
+        let left = after.checked_sub(age).filter(|left| *left > 0)?;
+        Some(Duration::from_millis(left))
+    }
+
     /// Inserts a job's row from this host and, if the store refuses or doesn't answer this host in its usual time, through an
     /// owner as well. The flag in the result is `true` if the owner inserted it.
     ///
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt as _};
-use pool::{Job, Ms, State};
+use pool::{CustomerId, Job, Ms, State};
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -221,6 +221,9 @@
     pub pool_map: u64,
     /// Number of jobs of which nothing has started, by queue; `None` until the owner has loaded the jobs.
     pub pending: Option<FxHashMap<String, u64>>,
+    /// Customers whose backlog is full, with the time in milliseconds after which more of their jobs can be accepted.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub full_backlogs: Vec<(CustomerId, Ms)>,
     /// Running and waiting work, as a share of the pool's capacity.
     #[serde(rename = "taken")]
     pub load: f64,
--- a/crates/pool/src/accounts.rs
+++ b/crates/pool/src/accounts.rs
@@ -14,6 +14,10 @@
 /// Number of seconds for which jobs are counted: a new owner reads the jobs of many seconds in any order.
 const MAX_COUNTED_SECONDS: usize = 128;
 
+/// A customer may have as many jobs waiting as it is owed in this many seconds.
+const MAX_BACKLOG_S: f64 = 60.0;
+/// Each customer may have this many jobs waiting, however small its weight is.
+const MIN_BACKLOG: f64 = 200.0;
 /// After this time without use, the reserve for a priority has halved.
 const RESERVE_HALF_LIFE: Ms = 4_000;
 
@@ -92,6 +96,14 @@
         (weight > 0.0).then_some(weight)
     }
 
+    /// How long it takes to serve the part of a backlog of this many jobs that exceeds the customer's bound, at the rate at which
+    /// its jobs are owed; `None` if the bound isn't reached.
+    pub(crate) fn backlog_excess(&self, waiting: u64) -> Option<Ms> {
+        let weight = self.weight()?;
+        let excess = waiting as f64 - (weight * MAX_BACKLOG_S).max(MIN_BACKLOG);
+        (excess >= 0.0).then(|| ((excess + 1.0) / weight * 1_000.0) as Ms)
+    }
+
     /// What work of higher priority than this one has used lately and doesn't use now.
     fn reserve(&self, now: Ms, priority: u32) -> Size {
         let higher = self.by_priority.iter().filter(|it| it.priority < priority);
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -15,6 +15,7 @@
 use crate::mechanism::Mechanism;
 use crate::pool::Pool;
 use crate::report::RunStatus;
+use crate::state::State;
 use crate::task::{Ms, StageKey, TaskKey, WorkerId};
 use crate::timeline::WaitReason;
 use crate::worker::{OrphanedRun, Worker};
@@ -140,6 +141,21 @@
         demand.into_values().collect()
     }
 
+    /// Customers whose backlog of waiting jobs has reached its bound, with the time after which more of their jobs can be accepted.
+    #[must_use]
+    pub fn full_backlogs(&self) -> Vec<(CustomerId, Ms)> {
+        let mut waiting: FxHashMap<&CustomerId, u64> = FxHashMap::default();
+        let queued = self.jobs.values().filter(|it| it.state == State::Queued);
+        for live in queued.filter(|live| !live.job.customer.is_empty()) {
+            *waiting.entry(&live.job.customer).or_default() += 1;
+        }
+        let excess = |(customer, count): (&CustomerId, u64)| {
+            let after = self.accounts.get(customer)?.backlog_excess(count)?;
+            Some((Arc::clone(customer), after))
+        };
+        waiting.into_iter().filter_map(excess).collect()
+    }
+
     pub(crate) fn job_and_step(&self, key: &StageKey) -> Option<(&Arc<Job>, &Step)> {
         let job = &self.jobs.get(&key.job)?.job;
         Some((job, job.steps.get(usize::from(key.step))?))
--- a/crates/pool/tests/quota.rs
+++ b/crates/pool/tests/quota.rs
@@ -391,3 +391,32 @@
     adopt(&mut pool, 1_000, filling);
     assert_eq!(run(&mut pool, 1_001).len(), 3);
 }
+
+/// A customer sends without end. Once as many of its jobs wait as it is owed in a minute, the owner says when more can be accepted;
+/// other customers' jobs are still accepted.
+#[test]
+fn the_backlog_of_a_customer_is_bounded() {
+    let mut pool = pool(1);
+    set_entitlements(&mut pool, &[(A, 10.0, 1_000), (B, 10.0, 0)]);
+    for index in 0..599 {
+        adopt(
+            &mut pool,
+            1_000,
+            job_of(A, &format!("{index:016}"), &[(1, 9_000, 500)]),
+        );
+    }
+    adopt(
+        &mut pool,
+        1_000,
+        job_of(B, "00000000000000b1", &[(1, 9_000, 500)]),
+    );
+    assert_eq!(pool.full_backlogs(), Vec::new());
+    for index in 600..620 {
+        adopt(
+            &mut pool,
+            1_000,
+            job_of(A, &format!("{index:016}"), &[(1, 9_000, 500)]),
+        );
+    }
+    assert_eq!(pool.full_backlogs(), vec![(CustomerId::from(A), 2_000)]);
+}
