A host asks the store if the owner doesn't know the newest configuration either

Cause: an owner without touch replied to a host's query only as that query timed out; had it replied in time, the host would have taken the reply for an answer and not asked the store, although the store may serve the host and not the owner.

Change: the owner replies after 0.5 s of the 0.7 s; a reply that proves nothing is followed by a read of the store's feed.

No test has an owner that can't read what its host can.

--- a/crates/host/src/catalog_sync.rs
+++ b/crates/host/src/catalog_sync.rs
@@ -40,6 +40,8 @@
 const POOL_MAP_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Timeout of a query for the version of the configuration.
 const VERSION_QUERY_TIMEOUT: Duration = Duration::from_millis(700);
+/// An owner replies to such a query with what it knows after this time. The rest of the timeout is for the network.
+const VERSION_REPLY_LIMIT: Duration = Duration::from_millis(500);
 /// Delay after an owner's configuration that could not be parsed; it would hardly differ at the next try.
 const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -173,8 +175,8 @@
         self.confirm(page.at, page.version);
     }
 
-    /// Queries an owner, or the store if this host is an owner or has no link to one, whether the configuration in force is the
-    /// newest.
+    /// Queries an owner whether the configuration in force is the newest. If this host is an owner, has no link to one, or the owner
+    /// doesn't know, queries the store.
     async fn query_catalog_version(&self) {
         let asked_at = clock::now();
         let link = if self.owned_pool_count() == 0 {
@@ -186,19 +188,21 @@
             Some(link) => link.call(Call::CatalogVersion, VERSION_QUERY_TIMEOUT).await,
             None => None,
         };
-        match reply {
-            Some(Reply::CatalogVersion {
-                version,
-                as_of,
-                age,
-            }) => {
-                // If the owner has a newer configuration, its next heartbeat says so, and this host fetches it.
-                if version == self.catalog_version() {
-                    self.confirm(asked_at.saturating_sub(age), as_of);
-                }
+        if let Some(Reply::CatalogVersion {
+            version,
+            as_of,
+            age,
+        }) = reply
+        {
+            // If the owner has a newer configuration, its next heartbeat says so, and this host fetches it.
+            if version == self.catalog_version() {
+                self.confirm(asked_at.saturating_sub(age), as_of);
+            }
+            if age == 0 {
+                return;
             }
-            _ => drop(timeout(VERSION_QUERY_TIMEOUT, self.read_catalog_changes()).await),
         }
+        drop(timeout(VERSION_QUERY_TIMEOUT, self.read_catalog_changes()).await);
     }
 
     /// Reads the changes of the configuration in the store without waiting for one.
@@ -224,7 +228,7 @@
     /// The reply to the query of another host for the version of the configuration in force.
     pub(crate) async fn confirmed_version(&self) -> Reply {
         let received_at = clock::now();
-        let until = Instant::now() + VERSION_QUERY_TIMEOUT;
+        let until = Instant::now() + VERSION_REPLY_LIMIT;
         let confirmation = &self.catalog_sync.confirmation;
         confirmation.wait_unbounded(received_at, until).await;
         let (as_of, confirmed_at) = (self.catalog_as_of(), confirmation.confirmed_at());
