Limit: what a customer may use, per component

Cause: the limit of a configuration says 0 for "not limited", and a pool's part of a limit may be 0 and allow nothing. One number can't say both.

Ruled out: leaving out components that a start doesn't need from the check. A start of a customer that is over its limit in another component may be judged by the sum of all that runs.

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -45,7 +45,7 @@
 pub use batch::Batch;
 pub use command::{AdvisorQuery, Command, Pace, Start, Stop};
 pub use crash::{AbandonedTask, Suspicion};
-pub use customer::{CustomerId, CustomerPolicy};
+pub use customer::{CustomerId, CustomerPolicy, Limit, QuotaDemand};
 pub use job::{AdvisorPolicy, InvalidJob, Job, Policy, Schedule, Step};
 pub use load::Load;
 pub use loss::{Loss, LostRun};
