Parts of customers' limits: state of a pool's parts, and how they move

Cause: a customer's limit holds over all pools together, and nothing divides it among their owners. quota_parts keeps a pool's units of each limit; quota_policy decides by the standings of two pools what one gives to the other. Nothing uses them yet.

Ruled out: entries with ids that the giver drops and the taker forgets. A row now holds what was ever given to and taken from each other pool; both only grow, so a repeated, late or stale message can't count twice, no id has to be remembered or forgotten, and the taker needs no read of the giver's row. One row for all customers of a pool: 1,000 customers would make each move a write of some 24 KB (worked out); a row for each customer is bounded by the number of pools (a test: below 2,400 bytes with 60 pools).

Run: the new tests; the property fails with gives that count until stored, takes that are increments, and gives that are told before they are stored, and a unit test with a lost write that is taken as refused (trials on a scratch copy).

Why it works: the sum of all parts and of what is in transit follows from the rows alone, and each row has one writer.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -1,7 +1,7 @@
 //! A host process: shared state and the health of its dependencies.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -19,6 +19,7 @@
 use crate::pool_state::{LastHeartbeat, PoolState};
 use crate::rows::{COMMON, POOL_MAP};
 use crate::settings::Settings;
+pub(crate) use crate::sync::lock;
 use crate::wire::Heartbeat;
 
 /// Share of `catalog_deadline` after which an unconfirmed configuration counts as outdated and no more requests are accepted
@@ -319,10 +320,3 @@
         }
     }
 }
-
-/// Locks a mutex, ignoring poisoning: state left by a thread that panicked is used as it is.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
-}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`verdict`]: whether an owner is lost.
 //! * [`suitability`]: suitability of a host as owner of a pool; [`takeover_delay`]: delay before a host takes a pool over.
 //! * [`store_outage`]: handover of a pool by an owner that has lost the store; [`lag`]: detection of an overloaded host.
+//! * [`quota_parts`]: a pool's parts of the customers' limits; [`quota_policy`]: how they move by demand.
 //! * [`log_sampling`]: sampling of the jobs that are logged in full.
 
 pub mod advisor_proxies;
@@ -37,6 +38,8 @@
 mod peers;
 pub mod pool_map;
 mod pool_state;
+pub mod quota_parts;
+pub mod quota_policy;
 mod requests;
 pub mod route;
 mod rows;
@@ -44,6 +47,7 @@
 mod settings;
 pub mod store_outage;
 pub mod suitability;
+mod sync;
 pub mod takeover_delay;
 mod timed_reader;
 mod transfer;
