Owners move parts of customers' limits between their pools

Cause: parts that stand still leave a customer's work waiting in one pool while another pool has units that it doesn't use. QuotaKeeper reads a pool's rows at the takeover, asks other pools' owners for units that are lacking (at most one request per pool and 250 ms, for all customers), answers requests, writes, and tells the takers. Without other pools it reads once and writes nothing. The owner of pool 0 deals first units out by the pools' sizes. Owner::units_of and QuotaUser::parts_changed are the interface for the pool, which doesn't use them yet: callers see no change.

Ruled out: writing parts in the writer's loop. Each row's version and the owner's row are conditions, so a lost write is settled by repeating the same one, and a slow write of parts delays no progress.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,7 +14,8 @@
 //! * [`verdict`]: whether an owner is lost.
 //! * [`suitability`]: suitability of a host as owner of a pool; [`takeover_delay`]: delay before a host takes a pool over.
 //! * [`store_outage`]: handover of a pool by an owner that has lost the store; [`lag`]: detection of an overloaded host.
-//! * [`quota_parts`]: a pool's parts of the customers' limits; [`quota_policy`]: how they move by demand.
+//! * [`quota_parts`]: a pool's parts of the customers' limits; [`quota_policy`]: how they move by demand; [`quota_keeper`]: the
+//!   store and the messages for both.
 //! * [`log_sampling`]: sampling of the jobs that are logged in full.
 
 pub mod advisor_proxies;
@@ -38,6 +39,7 @@
 mod peers;
 pub mod pool_map;
 mod pool_state;
+pub mod quota_keeper;
 pub mod quota_parts;
 pub mod quota_policy;
 mod requests;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod connected_hosts;
 mod directory;
+mod quota;
 mod scheduling_stats;
 mod store_changes;
 
@@ -28,6 +29,7 @@
 use crate::interfaces::Page;
 use crate::log_sampling::is_logged_in_full;
 use crate::owner_rows;
+use crate::quota_keeper::QuotaKeeper;
 use crate::rows::{JOBS, job_parts};
 use crate::store_outage::StoreOutage;
 use crate::writer;
@@ -91,6 +93,8 @@
     /// Workers with which there is a session.
     sessions: Mutex<FxHashSet<WorkerId>>,
     directory: Mutex<Directory>,
+    /// The pool's parts of the customers' limits.
+    pub(crate) quota: QuotaKeeper,
 }
 
 impl Owner {
@@ -125,6 +129,7 @@
             repeat_budget: Mutex::default(),
             sessions: Mutex::default(),
             directory: Mutex::default(),
+            quota: QuotaKeeper::new(pool_number, host.settings.max_row_bytes),
         });
         host.set_owner(pool_number, Some(Arc::clone(&owner)));
         let mut tasks = JoinSet::new();
@@ -132,6 +137,7 @@
         tasks.spawn(Arc::clone(&owner).run_handover());
         tasks.spawn(Arc::clone(&owner).watch_owner_row());
         tasks.spawn(Arc::clone(&owner).assign_workers());
+        tasks.spawn(Arc::clone(&owner).keep_quota_parts(claim.owner.incarnation, version));
         tasks.spawn(Arc::clone(&owner).take_over(claim, former_roster, version));
         tokio::select! {
             () = owner.ended.cancelled() => {}
--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -463,6 +463,7 @@
                     drop(sender.send(FromOwner::Reply(number, reply)).await);
                 });
             }
+            ToOwner::QuotaNeeds(needs) => self.quota.receive_needs(needs),
             ToOwner::Hello { .. } | ToOwner::OwnerReachable(_) => {}
         }
     }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -332,6 +332,7 @@
                 None => Reply::Unsure,
             },
             Call::PoolMap => Reply::PoolMap(Box::new((*self.host().pool_map()).clone())),
+            Call::QuotaGiven(given) => Reply::QuotaTaken(self.quota.receive_given(&given).await),
         }
     }
 }
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -11,6 +11,7 @@
 //! | `progress` | the pool's | id | in batches, by the owner | [`pool::Progress`] |
 //! | `owner` | the pool's | `owner` | when the owner or its successors change | [`OwnerRow`] |
 //! | `roster` | the pool's | `roster` | when the owner or its workers change, and after a write without an answer | [`RosterRow`] |
+//! | `quota` | the pool's | name of a customer | by the owner, when units of the customer's limit move between pools | [`crate::quota_parts::QuotaRow`] |
 //! | `plan` | `common` | `plan` | by the owner of pool 0, when a rack is seen for the first time | [`crate::PoolMap`] |
 //!
 //! The part of a pool is `pool-` and its number.
@@ -45,6 +46,8 @@
 pub(crate) const CANCEL_PREFIX: &str = "!";
 /// The workers that a pool's owner may use.
 pub(crate) const ROSTER: &str = "roster";
+/// Units of the customers' limits that pools gave to each other.
+pub(crate) const QUOTA: &str = "quota";
 /// The owner of a pool.
 pub(crate) const OWNER: &str = "owner";
 /// The pool map.
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt as _};
-use pool::{Job, Ms, State};
+use pool::{CustomerId, Job, Ms, State};
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,7 @@
 
 use crate::insert::JobLocation;
 use crate::packed::Packed;
+use crate::quota_policy::{QuotaGiven, QuotaNeeds};
 use crate::timed_reader::TimedReader;
 
 /// Maximum size of a frame in bytes: the rows of one transaction, with some margin.
@@ -75,6 +76,8 @@
     /// Asks any host whether it reaches the owner of this pool or is it; answered with [`FromOwner::OwnerReachable`].
     #[serde(rename = "Hears")]
     OwnerReachable(u32),
+    /// The owner of another pool, on this host, needs units of customers' limits.
+    QuotaNeeds(QuotaNeeds),
 }
 
 /// Call of a host to the owner of a pool.
@@ -91,6 +94,8 @@
     /// Returns the pool map in force at the owner.
     #[serde(rename = "Plan")]
     PoolMap,
+    /// Tells what another pool, whose owner is the calling host, has given to this one; answered with [`Reply::QuotaTaken`].
+    QuotaGiven(QuotaGiven),
 }
 
 /// Owner's reply to a [`Call`].
@@ -113,6 +118,8 @@
     /// The pool map in force.
     #[serde(rename = "Plan")]
     PoolMap(Box<crate::PoolMap>),
+    /// Units that the pool has ever taken from the calling one, as stored.
+    QuotaTaken(Vec<(CustomerId, u64)>),
 }
 
 impl Reply {
@@ -128,6 +135,7 @@
             Self::Unsure => "unsure",
             Self::Catalog(_) => "configuration",
             Self::PoolMap(_) => "plan",
+            Self::QuotaTaken(_) => "units taken",
         }
     }
 }
