Specification of the transfer of parts between pools

Cause: whether the parts of a limit ever exceed it depends on lost, late and repeated writes and messages, on owners that are replaced and on the limit falling meanwhile; tests reach only some of these orders.

A ninth, that the taker uses units only after its own write, turned out to be none: only its pool can ever take them. It is kept in the code as it costs one write's time, and isn't in the specification. That no unit is lost is checked as reachability: from each state, one in which nothing fails any more must lead to all units in use.

--- a/crates/model/src/bin/lentilyoke-model.rs
+++ b/crates/model/src/bin/lentilyoke-model.rs
@@ -1,7 +1,7 @@
 //! Searches every specification with all safeguards and without each of them; prints the number of
 //! states or a shortest trace to a violation.
 
-use model::{SearchResult, Spec, claims, configuration, gang, ownership, search, tasks};
+use model::{SearchResult, Spec, claims, configuration, gang, ownership, parts, search, tasks};
 
 fn main() {
     print_search(
@@ -135,6 +135,10 @@
         "configuration without share_only_when_serving",
         &with(guards),
     );
+    print_search("parts, all safeguards", &parts_with(parts::Guards::ALL));
+    for (name, guards) in parts_without() {
+        print_search(&format!("parts without {name}"), &parts_with(guards));
+    }
     let all = gang::Guards::ALL;
     print_search("gang, all safeguards", &gang::Gang { guards: all });
     let guards = gang::Guards {
@@ -250,3 +254,73 @@
         handovers: 2,
     }
 }
+
+fn parts_with(guards: parts::Guards) -> parts::Parts {
+    parts::Parts {
+        guards,
+        gives: 2,
+        takeovers: 2,
+    }
+}
+
+fn parts_without() -> Vec<(&'static str, parts::Guards)> {
+    let all = parts::Guards::ALL;
+    vec![
+        (
+            "lower_first",
+            parts::Guards {
+                lower_first: false,
+                ..all
+            },
+        ),
+        (
+            "announce_stored",
+            parts::Guards {
+                announce_stored: false,
+                ..all
+            },
+        ),
+        (
+            "totals",
+            parts::Guards {
+                totals: false,
+                ..all
+            },
+        ),
+        (
+            "check_claim",
+            parts::Guards {
+                check_claim: false,
+                ..all
+            },
+        ),
+        (
+            "compare_and_set",
+            parts::Guards {
+                compare_and_set: false,
+                ..all
+            },
+        ),
+        (
+            "repeat_unanswered",
+            parts::Guards {
+                repeat_unanswered: false,
+                ..all
+            },
+        ),
+        (
+            "keep_used",
+            parts::Guards {
+                keep_used: false,
+                ..all
+            },
+        ),
+        (
+            "hear_workers",
+            parts::Guards {
+                hear_workers: false,
+                ..all
+            },
+        ),
+    ]
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,12 +6,14 @@
 //! * [`claims`]: a non-idempotent request runs at most once, and the answer "not run" is true.
 //! * [`tasks`]: two attempts at one task never run at once, even while the owner of the job changes.
 //! * [`configuration`]: an accepted configuration is in force everywhere and never reverts.
+//! * [`parts`]: the pools' parts of a customer's limit never add up to more than the limit, and none is lost.
 //! * [`gang`]: either all members of a gang run or none.
 
 pub mod claims;
 pub mod configuration;
 pub mod gang;
 pub mod ownership;
+pub mod parts;
 mod search;
 mod spec;
 pub mod tasks;
--- a/crates/model/tests/search.rs
+++ b/crates/model/tests/search.rs
@@ -1,7 +1,7 @@
 //! Searches every specification, with all safeguards and without each of them. A search that finds no violation
 //! without a safeguard would show that the specification does not test that safeguard.
 
-use model::{SearchResult, Spec, claims, configuration, gang, ownership, search, tasks};
+use model::{SearchResult, Spec, claims, configuration, gang, ownership, parts, search, tasks};
 
 fn holds<S: Spec>(spec: &S) {
     let result = search(spec);
@@ -365,3 +365,107 @@
         "only some members of the gang run, and nothing will stop them",
     );
 }
+
+fn parts_with(guards: parts::Guards) -> parts::Parts {
+    parts::Parts {
+        guards,
+        gives: 2,
+        takeovers: 2,
+    }
+}
+
+const TOO_MANY_UNITS: &str = "the parts exceed the limit";
+const TOO_MANY_TASKS: &str = "more tasks run than the limit allows";
+
+#[test]
+fn the_parts_of_a_limit_never_exceed_it_and_none_is_lost() {
+    holds(&parts_with(parts::Guards::ALL));
+}
+
+#[test]
+fn a_giver_that_lowers_its_part_late_exceeds_the_limit() {
+    fails(
+        &parts_with(parts::Guards {
+            lower_first: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_TASKS,
+    );
+}
+
+#[test]
+fn units_told_before_they_are_stored_are_used_twice() {
+    fails(
+        &parts_with(parts::Guards {
+            announce_stored: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_UNITS,
+    );
+}
+
+#[test]
+fn increments_in_repeated_messages_are_counted_twice() {
+    fails(
+        &parts_with(parts::Guards {
+            totals: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_UNITS,
+    );
+}
+
+#[test]
+fn without_the_claim_as_a_condition_parts_exceed_the_limit() {
+    fails(
+        &parts_with(parts::Guards {
+            check_claim: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_TASKS,
+    );
+}
+
+#[test]
+fn without_a_version_as_a_condition_units_are_used_twice() {
+    fails(
+        &parts_with(parts::Guards {
+            compare_and_set: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_UNITS,
+    );
+}
+
+#[test]
+fn a_write_that_is_not_repeated_lets_parts_exceed_the_limit() {
+    fails(
+        &parts_with(parts::Guards {
+            repeat_unanswered: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_TASKS,
+    );
+}
+
+#[test]
+fn units_given_while_tasks_use_them_exceed_the_limit() {
+    fails(
+        &parts_with(parts::Guards {
+            keep_used: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_TASKS,
+    );
+}
+
+#[test]
+fn units_given_before_all_workers_are_heard_exceed_the_limit() {
+    fails(
+        &parts_with(parts::Guards {
+            hear_workers: false,
+            ..parts::Guards::ALL
+        }),
+        TOO_MANY_TASKS,
+    );
+}
