Merge the parts of limits among pools

The pool's demand is what its owner tells the keeper of parts, once all workers of the former owner have answered; the pool obeys a smaller part before anything is given away.

--- a/crates/host/src/owner/customers.rs
+++ b/crates/host/src/owner/customers.rs
@@ -5,8 +5,8 @@
 use resource::Size;
 
 use super::Owner;
-use crate::catalog::Customer;
 use crate::host::lock;
+use crate::quota_parts::UNITS;
 
 /// Maximum number of customers in the log lines and metrics of one pool; those that use most come first.
 const MAX_REPORTED_CUSTOMERS: usize = 100;
@@ -22,34 +22,53 @@
 
 impl Owner {
     /// Passes the customers' entitlements to the pool if the configuration or the pool map has changed.
-    pub(super) fn apply_entitlements(&self, applied: &mut AppliedEntitlements) {
+    pub(super) fn update_entitlements(&self, applied: &mut AppliedEntitlements) {
         let Some(catalog) = self.host.catalog() else {
             return;
         };
-        let map = self.host.pool_map();
         let versions = AppliedEntitlements {
             catalog: catalog.version,
-            pool_map: map.version,
+            pool_map: self.host.pool_map().version,
         };
         if versions == *applied {
             return;
         }
         *applied = versions;
-        let (units, of) = map.share(self.pool_number);
-        let entitlements = catalog.customers.iter().map(|customer| {
-            let id = CustomerId::from(customer.name.as_str());
-            (id, entitlement(customer, units, of))
-        });
-        let count = catalog.customers.len();
-        lock(&self.pool).set_customers(entitlements);
-        self.wake.notify_one();
+        self.apply_entitlements();
         info!(
-            pool = self.pool_number, epoch = self.epoch, version = catalog.version, customers = count,
-            units = units, of = of;
+            pool = self.pool_number, epoch = self.epoch, version = catalog.version, customers = catalog.customers.len();
             "entitlements of customers in force"
         );
     }
 
+    /// Passes the customers' entitlements to the pool.
+    pub(super) fn apply_entitlements(&self) {
+        let Some(catalog) = self.host.catalog() else {
+            return;
+        };
+        let map = self.host.pool_map();
+        let (size, all) = map.share(self.pool_number);
+        let share = f64::from(size) / f64::from(all.max(1));
+        let entitlements: Vec<_> = catalog
+            .customers
+            .iter()
+            .map(|customer| {
+                let units = if map.pool_count() == 1 {
+                    UNITS
+                } else {
+                    self.units_of(&customer.name)
+                };
+                let entitlement = Entitlement {
+                    weight: customer.policy.weight * share,
+                    limit: Limit::from(customer.policy.limit).share(units, UNITS),
+                };
+                (CustomerId::from(customer.name.as_str()), entitlement)
+            })
+            .collect();
+        lock(&self.pool).set_customers(entitlements);
+        self.wake.notify_one();
+    }
+
     /// Logs what each customer uses and waits for, and sets the metrics of its use.
     pub(super) fn log_customers(&self) {
         let mut demand = lock(&self.pool).quota_demand();
@@ -72,11 +91,3 @@
         }
     }
 }
-
-/// What a customer is entitled to in a pool that has `units` of `of` units of its limit.
-fn entitlement(customer: &Customer, units: u32, of: u32) -> Entitlement {
-    Entitlement {
-        weight: customer.policy.weight * f64::from(units) / f64::from(of.max(1)),
-        limit: Limit::from(customer.policy.limit).share(units, of),
-    }
-}
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -333,6 +333,7 @@
             },
             Call::CatalogVersion => self.host().confirmed_version().await,
             Call::PoolMap => Reply::PoolMap(Box::new((*self.host().pool_map()).clone())),
+            Call::QuotaGiven(given) => Reply::QuotaTaken(self.quota.receive_given(&given).await),
         }
     }
 }
--- a/crates/pool/src/customer.rs
+++ b/crates/pool/src/customer.rs
@@ -97,10 +97,16 @@
         )
     }
 
-    /// Whether `more` may be used beside `used`.
+    /// Whether `more` may be used beside `used`. After the limit has fallen below what is in use, nothing may, not even a task that
+    /// needs none of the component that is exceeded.
     #[must_use]
     pub fn allows(self, used: Size, more: Size) -> bool {
-        more.fits(self.headroom(used))
+        let allows = |bound: Option<u64>, used: u64, more: u64| {
+            bound.is_none_or(|bound| used.saturating_add(more) <= bound)
+        };
+        allows(self.millicores, used.millicores, more.millicores)
+            && allows(self.memory_mib, used.memory_mib, more.memory_mib)
+            && allows(self.accelerators, used.accelerators, more.accelerators)
     }
 
     /// Whether no component is limited.
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -26,7 +26,7 @@
 const RESERVE_PATIENCE: Ms = 2_000;
 
 /// What a customer uses in this pool, and what it waits for.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct QuotaDemand {
     /// The customer.
     pub customer: CustomerId,
@@ -324,7 +324,11 @@
         {
             used = used.plus(*size);
         }
-        fit::count_fitting(step.charge(), account.limit().headroom(used))
+        let limit = account.limit();
+        if !limit.allows(used, Size::ZERO) {
+            return 0;
+        }
+        fit::count_fitting(step.charge(), limit.headroom(used))
     }
 
     /// The most that may run on workers of the former owner that haven't reported to this one; `None` if all have.
