--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -166,22 +166,7 @@
             attribute("percent"),
             attribute("worker")
         ),
-        "step" => format!(
-            "step {}: {} tasks, opened {} ms after the job was accepted; advisor first queried after {} ms and first answered \
-             after {} ms ({} queries), started from {} to {} ms ({} start commands), done after {} ms (estimate per \
-             task: {} ms)",
-            attribute("step"),
-            attribute("tasks"),
-            attribute("age"),
-            attribute("asked"),
-            attribute("advised"),
-            attribute("questions"),
-            attribute("first_start"),
-            attribute("last_start"),
-            attribute("starts"),
-            attribute("done"),
-            attribute("estimate")
-        ),
+        "step" => format!("{}{}", step_times(&attribute), step_waits(&attribute)),
         "job" => format!(
             "{} {} ms after the job was accepted (objective: {} ms); final state stored {} ms later",
             attribute("state"),
@@ -206,3 +191,45 @@
         }
     }
 }
+
+/// Describes when a step progressed.
+fn step_times(attribute: &impl Fn(&str) -> String) -> String {
+    format!(
+        "step {}: {} tasks, opened {} ms after the job was accepted; advisor first queried after {} ms and first answered \
+         after {} ms ({} queries), started from {} to {} ms ({} start commands), done after {} ms (estimate per \
+         task: {} ms)",
+        attribute("step"),
+        attribute("tasks"),
+        attribute("age"),
+        attribute("asked"),
+        attribute("advised"),
+        attribute("questions"),
+        attribute("first_start"),
+        attribute("last_start"),
+        attribute("starts"),
+        attribute("done"),
+        attribute("estimate")
+    )
+}
+
+/// Describes what the tasks of a step waited for. Logs of older versions don't tell.
+fn step_waits(attribute: &impl Fn(&str) -> String) -> String {
+    let customer = attribute("customer");
+    let waits: Vec<String> = ["capacity", "quota", "share", "advice"]
+        .iter()
+        .map(|reason| (reason, attribute(&format!("waited_{reason}"))))
+        .filter(|(_, waited)| !waited.is_empty() && waited != "0")
+        .map(|(reason, waited)| format!("{waited} ms for {reason}"))
+        .collect();
+    let mut text = String::new();
+    if !customer.is_empty() {
+        let _ = write!(text, "; customer {customer}");
+        if attribute("owed") == "false" {
+            text.push_str(", which had sent more than it is owed");
+        }
+    }
+    if !waits.is_empty() {
+        let _ = write!(text, "; waited {}", waits.join(", "));
+    }
+    text
+}
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -108,6 +108,21 @@
     );
 }
 
+/// Guards against a report from which a customer can't tell whether its job waited for its own limit.
+#[test]
+fn a_step_tells_what_it_waited_for() {
+    let lines = [line(
+        "02.000",
+        "step",
+        r#""job":"j1","step":"0","tasks":"9","done":"913","customer":"acme","owed":"false","waited_capacity":"0","waited_quota":"620","waited_share":"0","waited_advice":"41""#,
+    )];
+    let report = explain("j1", lines.iter().map(String::as_str)).expect("the job is in the log");
+    let row = report.lines().next().expect("there is a row");
+    assert!(row.ends_with(
+        "; customer acme, which had sent more than it is owed; waited 620 ms for quota, 41 ms for advice"
+    ), "{row}");
+}
+
 /// Guards against a report that hides how a run was lost.
 #[test]
 fn a_lost_run_is_described_with_its_loss() {
