--- a/crates/host/src/owner/quota.rs
+++ b/crates/host/src/owner/quota.rs
@@ -1,7 +1,6 @@
 //! The owner's part in the limits of customers: what its pool uses of them, and the owners of the other pools.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -57,8 +56,8 @@
     }
 
     fn demand(&self) -> Option<Vec<QuotaDemand>> {
-        // The pool doesn't count by customer yet.
-        self.loaded.load(Ordering::Relaxed).then(Vec::new)
+        // The pool doesn't count by customer yet, so nothing may be moved.
+        None
     }
 
     fn parts_changed(&self) {
