--- a/crates/host/src/owner/quota.rs
+++ b/crates/host/src/owner/quota.rs
@@ -57,7 +57,7 @@
 
     fn demand(&self) -> Option<Vec<QuotaDemand>> {
         let pool = lock(&self.pool);
-        let is_known = self.loaded.load(Ordering::Relaxed) && pool.unconfirmed_workers().is_empty();
+        let is_known = self.loaded.load(Ordering::Relaxed) && pool.knows_all_use();
         is_known.then(|| pool.quota_demand())
     }
 
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -102,6 +102,12 @@
         self.accounts.get(customer).map_or(Size::ZERO, |it| it.used)
     }
 
+    /// Whether everything that may run in this pool is counted. A new owner doesn't know what runs on workers that haven't answered it.
+    #[must_use]
+    pub fn knows_all_use(&self) -> bool {
+        self.unconfirmed_workers.is_empty() && self.unreported().is_none()
+    }
+
     /// What the customers use and wait for.
     #[must_use]
     pub fn quota_demand(&self) -> Vec<QuotaDemand> {
