--- a/crates/host/tests/quota_keeper.rs
+++ b/crates/host/tests/quota_keeper.rs
@@ -135,6 +135,7 @@
             used: Size::new(used, 0, 0),
             wanted: Size::new(wanted, 0, 0),
             largest: Size::new(wanted.min(1_000), 0, 0),
+            ..QuotaDemand::default()
         }])
     }
 
