Split the keeper of parts and the parts along their seams

Callers see nothing: public paths and behaviour stay.

Change, moves only: quota_keeper/writes.rs holds the claim (`Ownership`), the transaction and the handling of its result; quota_keeper/dealer.rs deals out the first units; quota_parts/row.rs holds the stored row, the row as read and the write of a row. Moved functions that the parent calls became visible to it.

--- a/crates/host/src/quota_keeper.rs
+++ b/crates/host/src/quota_keeper.rs
@@ -1,5 +1,8 @@
 //! Keeps a pool's parts of the customers' limits: reads and writes their rows, asks other pools for units and gives units to them.
 
+mod dealer;
+mod writes;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -7,20 +10,24 @@
 use async_trait::async_trait;
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use log::{info, warn};
+use log::info;
 use pool::{CustomerId, Limit, QuotaDemand};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use crate::claim::parse;
 use crate::follow::read;
-use crate::interfaces::{Row, Store, StoreError, Transaction};
-use crate::quota_parts::{QuotaParts, RowWrite, StoredRow, UNITS};
+use crate::interfaces::Store;
+use crate::quota_parts::{QuotaParts, UNITS};
 use crate::quota_policy::{QuotaGiven, QuotaNeeds, Standing, decide, units_for};
-use crate::rows::{OWNER, OwnerRow, QUOTA, pool_part};
+use crate::rows::{QUOTA, pool_part};
 use crate::sync::lock;
 
+pub use writes::Ownership;
+
+use dealer::Dealer;
+use writes::{Written, stored_row};
+
 /// Time between two requests to other pools.
 const ROUND: Duration = Duration::from_millis(250);
 /// Units that another pool lacks are held back for it until it has had time to ask again.
@@ -76,39 +83,6 @@
     async fn send_given(&self, to: u32, given: QuotaGiven) -> Option<Vec<(CustomerId, u64)>>;
 }
 
-/// The claim under which rows are written.
-#[derive(Clone, Copy, Debug)]
-pub struct Ownership {
-    /// Epoch of the owner.
-    pub epoch: u64,
-    /// Incarnation of the owner's host.
-    pub incarnation: u64,
-    /// Version of the owner's row.
-    pub version: u64,
-}
-
-impl Ownership {
-    /// Finds the owner's row among these. Returns `false` if another owner wrote it.
-    fn update(&mut self, rows: &[Row]) -> bool {
-        let Some((row, version)) = parse::<OwnerRow>(rows, OWNER) else {
-            return true;
-        };
-        self.version = version;
-        row.epoch == self.epoch && row.incarnation == self.incarnation
-    }
-}
-
-/// Result of a write.
-enum Written {
-    /// There is nothing to write.
-    Nothing,
-    Stored,
-    /// The store didn't execute the write, or didn't answer.
-    Failed,
-    /// Another host owns the pool.
-    Deposed,
-}
-
 /// Keeps a pool's parts of the customers' limits.
 pub struct QuotaKeeper {
     pool: u32,
@@ -256,46 +230,6 @@
         self.stored.notify_waiters();
     }
 
-    /// Gives pools that never got units of a customer their first ones, in proportion to their sizes. Only pool 0 has units from the
-    /// start, so only its owner does it.
-    fn deal(&self, dealer: &mut Dealer, limits: &Limits, sizes: &[u32], user: &dyn QuotaUser) {
-        if self.pool != 0 {
-            return;
-        }
-        dealer.forget_if_changed(limits, sizes);
-        if dealer.complete {
-            return;
-        }
-        let Some(demand) = user.demand() else {
-            return;
-        };
-        let used = units_used(limits, &demand);
-        let total: u64 = sizes.iter().map(|size| u64::from(*size)).sum();
-        let mut complete = true;
-        for customer in limits.by_customer.keys() {
-            if dealer.done.contains(customer) {
-                continue;
-            }
-            let mut parts = lock(&self.parts);
-            let mut done = true;
-            for (to, size) in (0..).zip(sizes).skip(1) {
-                if *size == 0 || parts.has_given(to, customer) {
-                    continue;
-                }
-                let share = u64::from(UNITS) * u64::from(*size) / total.max(1);
-                let used = used.get(customer).copied().unwrap_or(0);
-                let free = parts.units_of(customer).saturating_sub(used);
-                done &= parts.give(customer, to, free.min(share as u32));
-            }
-            if done {
-                dealer.done.insert(Arc::clone(customer));
-            }
-            complete &= done;
-        }
-        dealer.complete = complete;
-        self.enforce_gives(limits, user);
-    }
-
     /// Asks other pools for units that this one lacks.
     fn ask(
         &self,
@@ -402,54 +336,6 @@
         }
     }
 
-    /// Writes changed rows.
-    async fn write(
-        &self,
-        ownership: &mut Ownership,
-        store: &dyn Store,
-        max_rows: &mut usize,
-    ) -> Written {
-        let rows = lock(&self.parts).start_write(*max_rows);
-        if rows.is_empty() {
-            return Written::Nothing;
-        }
-        let transaction = transaction(self.pool, *ownership, &rows);
-        let result = store.commit(&transaction).await;
-        let mut parts = lock(&self.parts);
-        match result {
-            Ok(version) => {
-                metrics::counter!("lentilyoke_quota_rows_written_total")
-                    .increment(rows.len() as u64);
-                parts.write_stored(version);
-                *max_rows = (*max_rows * 2).min(MAX_ROWS);
-                Written::Stored
-            }
-            Err(StoreError::Conflict { rows }) => {
-                if !ownership.update(&rows) {
-                    return Written::Deposed;
-                }
-                let rows = rows.into_iter().filter(|row| row.table == QUOTA);
-                parts.write_conflicted(rows.map(stored_row));
-                Written::Failed
-            }
-            Err(error @ StoreError::Rejected { .. }) => {
-                *max_rows = (rows.len() / 2).max(1);
-                let customer = parts.write_rejected();
-                warn!(pool = self.pool, rows = rows.len(), customer = customer.as_deref().unwrap_or(""), error:% = error; "store rejected the write of parts of limits");
-                Written::Failed
-            }
-            Err(error) => {
-                if matches!(error, StoreError::Lost { .. }) {
-                    parts.write_lost();
-                } else {
-                    parts.write_refused();
-                }
-                warn!(pool = self.pool, rows = rows.len(), error:% = error; "writing parts of limits failed");
-                Written::Failed
-            }
-        }
-    }
-
     /// Tells other pools what this one has given to them, until they have taken it.
     async fn deliver(&self, peers: &dyn QuotaPeers) {
         let mut under_way = BTreeSet::new();
@@ -492,34 +378,6 @@
     }
 }
 
-/// The customers whose units were dealt out, as of a configuration and the sizes of the pools.
-#[derive(Debug, Default)]
-struct Dealer {
-    version: u64,
-    sizes: Vec<u32>,
-    done: FxHashSet<CustomerId>,
-    complete: bool,
-}
-
-impl Dealer {
-    fn forget_if_changed(&mut self, limits: &Limits, sizes: &[u32]) {
-        let same_pools = self.sizes.len() == sizes.len()
-            && self
-                .sizes
-                .iter()
-                .zip(sizes)
-                .all(|(a, b)| (*a > 0) == (*b > 0));
-        if !same_pools {
-            self.done.clear();
-        }
-        if !same_pools || self.version != limits.version {
-            self.complete = false;
-        }
-        self.version = limits.version;
-        self.sizes = sizes.to_vec();
-    }
-}
-
 /// The units that tasks use, by customer.
 fn units_used(limits: &Limits, demand: &[QuotaDemand]) -> FxHashMap<CustomerId, u32> {
     let used = demand.iter().filter_map(|demand| {
@@ -529,28 +387,3 @@
     });
     used.collect()
 }
-
-fn stored_row(row: Row) -> StoredRow {
-    StoredRow {
-        customer: row.key.into(),
-        value: row.value,
-        version: row.version,
-    }
-}
-
-/// The transaction that writes these rows under the owner's claim.
-fn transaction(pool: u32, ownership: Ownership, rows: &[RowWrite]) -> Transaction {
-    let mut transaction = Transaction {
-        part: pool_part(pool),
-        checks: vec![(OWNER.to_owned(), OWNER.to_owned(), ownership.version)],
-        ..Transaction::default()
-    };
-    for row in rows {
-        let key = row.customer.to_string();
-        let check = (QUOTA.to_owned(), key.clone(), row.version);
-        transaction.checks.push(check);
-        let put = (QUOTA.to_owned(), key, row.value.clone());
-        transaction.puts.push(put);
-    }
-    transaction
-}
