--- a/crates/pool/tests/quota.rs
+++ b/crates/pool/tests/quota.rs
@@ -325,29 +325,39 @@
 /// its share, though the other one's job is smaller and came first.
 #[test]
 fn in_a_full_pool_the_customer_below_its_share_goes_first() {
-    let mut pool = pool(2);
-    set_entitlements(&mut pool, &[(A, 100.0, 0), (B, 100.0, 0)]);
-    adopt(
-        &mut pool,
-        1_000,
-        job_of(A, "00000000000000a1", &[(2, 4_000, 9_000)]),
-    );
-    let running = run(&mut pool, 1_001);
-    assert_eq!(running.len(), 2);
-    adopt(
-        &mut pool,
-        1_002,
-        job_of(A, "00000000000000a2", &[(1, 4_000, 500)]),
-    );
-    adopt(
-        &mut pool,
-        1_003,
-        job_of(B, "00000000000000b1", &[(1, 4_000, 900)]),
-    );
-    let done = vec![end(&running[0], 1, RunOutcome::Done)];
-    report(&mut pool, 1_100, &running[0].worker, vec![], done);
-    let started = run(&mut pool, 1_101);
-    assert_eq!(of_job(&started, "00000000000000b1").len(), 1);
+    let next_start = |switches: Switches| {
+        let mut pool = Pool::new(Options {
+            switches,
+            ..Options::default()
+        });
+        case::register_workers(&mut pool, 2);
+        set_entitlements(&mut pool, &[(A, 100.0, 0), (B, 100.0, 0)]);
+        adopt(
+            &mut pool,
+            1_000,
+            job_of(A, "00000000000000a1", &[(2, 4_000, 9_000)]),
+        );
+        let running = run(&mut pool, 1_001);
+        assert_eq!(running.len(), 2);
+        adopt(
+            &mut pool,
+            1_002,
+            job_of(A, "00000000000000a2", &[(1, 4_000, 500)]),
+        );
+        adopt(
+            &mut pool,
+            1_003,
+            job_of(B, "00000000000000b1", &[(1, 4_000, 900)]),
+        );
+        let done = vec![end(&running[0], 1, RunOutcome::Done)];
+        report(&mut pool, 1_100, &running[0].worker, vec![], done);
+        let started = run(&mut pool, 1_101);
+        assert_eq!(started.len(), 1);
+        started[0].task.stage.job.to_string()
+    };
+    assert_eq!(next_start(Switches::default()), "00000000000000b1");
+    let without = Switches::without([Mechanism::ShareUse]);
+    assert_eq!(next_start(without), "00000000000000a2");
 }
 
 /// Owners are replaced while orders get no answers, are carried out late, and workers crash or can't be reached. The limit holds
