--- a/crates/pool/tests/quota.rs
+++ b/crates/pool/tests/quota.rs
@@ -342,7 +342,7 @@
         adopt(
             &mut pool,
             1_002,
-            job_of(A, "00000000000000a2", &[(1, 4_000, 500)]),
+            job_of(A, "00000000000000a2", &[(1, 4_000, 800)]),
         );
         adopt(
             &mut pool,
