A new owner counts listed runs of jobs that it doesn't know yet; metrics of customers that use nothing

Found by reading: the former owner's list names runs on workers that it couldn't reach, but a run counts against its customer's limit only once its job is known. While a part of the store is away, the new owner took such workers for empty. They count with their free capacity until they answer or all jobs are known.

The gauge of a customer's used share kept its last value when the customer's last run ended; it is set for all reported customers now.

--- a/crates/host/src/owner/customers.rs
+++ b/crates/host/src/owner/customers.rs
@@ -72,15 +72,17 @@
     /// Logs what each customer uses and waits for, and sets the metrics of its use.
     pub(super) fn log_customers(&self) {
         let mut demand = lock(&self.pool).quota_demand();
-        demand.retain(|it| it.used != Size::ZERO || it.wanted != Size::ZERO);
         demand.sort_by_key(|it| std::cmp::Reverse(it.used.millicores));
         for it in demand.iter().take(MAX_REPORTED_CUSTOMERS) {
             let customer = it.customer.to_string();
             let pool = self.pool_number.to_string();
             let share = it.used_share();
-            let waiting = |reason: WaitReason| it.waiting[reason as usize];
             metrics::gauge!("lentilyoke_customer_limit_used_share", "pool" => pool, "customer" => customer)
                 .set(share);
+            if it.used == Size::ZERO && it.wanted == Size::ZERO {
+                continue;
+            }
+            let waiting = |reason: WaitReason| it.waiting[reason as usize];
             info!(
                 pool = self.pool_number, epoch = self.epoch, customer = &*it.customer, limit_used = share,
                 processors = it.used.millicores, memory = it.used.memory_mib, accelerators = it.used.accelerators,
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use resource::Size;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::accounts::Charge;
 use crate::customer::{CustomerId, Entitlement, Limit};
@@ -342,9 +342,16 @@
         let largest = self.workers.values().fold(Size::ZERO, |largest, worker| {
             largest.max_each(worker.info.capacity)
         });
+        // The former owner listed the runs of unavailable workers, but their jobs may not be known yet.
+        let listed: FxHashSet<&WorkerId> = if self.jobs_incomplete {
+            self.unavailable.iter().map(|it| &it.worker).collect()
+        } else {
+            FxHashSet::default()
+        };
         let hidden = |worker: &Worker| {
             let unknown = worker.orphaned_runs.values().any(|it| it.size.is_none());
-            unknown || self.unconfirmed_workers.contains(&worker.id)
+            let unheard = !worker.fenced && listed.contains(&worker.id);
+            unknown || unheard || self.unconfirmed_workers.contains(&worker.id)
         };
         let mut capacity = Size::ZERO;
         for worker in self.workers.values().filter(|worker| hidden(worker)) {
