A state that is being stored is asked of its owner again, not read from the store

Cause: an owner that is storing a job's final state answers after 300 ms that it doesn't know the job, and the asking host then reads the store: two transactions, one of them in the pool's own part.

Change: the owner answers that it can't tell yet, and the host asks again, up to four times; then the caller gets 503.

--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -14,8 +14,8 @@
 use crate::insert::{Inserted, JobLocation, insert};
 use crate::wire::Reply;
 
-/// How long a query for a job's state waits for the answer of the store to the write of its final state. The host that asks then
-/// has some time left to read the store.
+/// How long a query for a job's state waits for the answer of the store to the write of its final state. It is shorter than the
+/// timeout of the host that asks.
 const STATE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a caller that cancels a job waits until the cancellation is stored.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -60,7 +60,7 @@
                 }
             }
             if tokio::time::timeout_at(until, written).await.is_err() {
-                return Reply::Unknown;
+                return Reply::Unsure;
             }
         }
     }
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -22,6 +22,8 @@
 
 /// Timeout of a query for a job's state to the owner of its pool; after that the store is read.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
+/// An owner that is storing a job's final state is asked for it this many times; it waits a while for the store each time.
+const MAX_STATE_QUERIES: usize = 4;
 /// Timeout of a request to cancel. An owner waits 1.5 s until the cancellation is stored; the rest is for the network.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Counts of pending jobs that are older than this are not returned; callers may get counts that are up to 2 s old.
@@ -227,12 +229,18 @@
 
     /// The state of a job according to the owner of a pool; `None` if the owner doesn't know it.
     async fn state_by_owner(&self, pool: u32, id: &str, caller: &Caller) -> Option<JobStatus> {
-        let call = Call::State(id.to_owned(), caller.clone());
-        match self.call_owner(pool, call, OWNER_TIMEOUT).await? {
-            Reply::State(state) => Some(JobStatus::Known(state)),
-            Reply::Inaccessible => Some(self.deny_access(id, caller)),
-            _ => None,
+        for _ in 0..MAX_STATE_QUERIES {
+            let call = Call::State(id.to_owned(), caller.clone());
+            match self.call_owner(pool, call, OWNER_TIMEOUT).await? {
+                Reply::State(state) => return Some(JobStatus::Known(state)),
+                Reply::Inaccessible => return Some(self.deny_access(id, caller)),
+                // The final state is being stored. Reading the store instead would delay that write: a part of the store executes
+                // its transactions one after the other.
+                Reply::Unsure => {}
+                _ => return None,
+            }
         }
+        Some(JobStatus::Unsure)
     }
 
     /// Records that a caller named a job that it may not access, and returns what it is told.
