A restart of a worker that restarts anyway is not a confirmed crash of its tasks

Change: a crash is confirmed only if the worker had been up for 4 s, by the start that it reports, when the task was started on it; a task that has lost two workers starts only on such a worker; which records are confirmed is stored with them. A task that does crash its workers is given up after as many crashes as before where workers are steady (tests of before unchanged, all pass).

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -15,10 +15,14 @@
 use crate::pool::Pool;
 use crate::state::State;
 use crate::task::{Ms, Run, Task, TaskKey, WorkerId};
+use crate::worker::Worker;
 
 /// A run counts as a possible cause of a crash only if the worker answered no poll that was sent this long or longer after the
 /// start command.
 const CRASH_WINDOW: Ms = 2_000;
+/// A crash counts as confirmed only if the worker had been up for this long when the task was started on it. One that had not may
+/// be restarting for reasons of its own.
+pub(crate) const STEADY_AFTER: Ms = 2 * CRASH_WINDOW;
 /// A task that has run for this long is stable: all its crash records are dropped.
 pub(crate) const STABLE_AFTER: Ms = 10_000;
 /// A task that has crashed this many workers is isolated: nothing else is started on its worker until it has outlived
@@ -37,7 +41,8 @@
 pub(crate) struct Crash {
     /// Number of the run.
     pub run: u32,
-    /// Whether the worker was certainly up when the start command was sent. Otherwise it may have been down already.
+    /// Whether the worker was certainly up when the start command was sent, and had been for [`STEADY_AFTER`]. Otherwise it may have
+    /// been down already, or restart whatever runs on it.
     pub confirmed: bool,
 }
 
@@ -59,6 +64,12 @@
     pub crashed: Vec<u32>,
 }
 
+/// Whether the incarnation of a worker has been up for [`STEADY_AFTER`]; `unix` is the present time in Unix milliseconds. One that
+/// doesn't report its start counts as steady.
+pub(crate) fn is_steady(worker: &Worker, unix: u64) -> bool {
+    unix.saturating_sub(worker.incarnation) >= STEADY_AFTER
+}
+
 impl Run {
     /// Whether a crash of the worker could still be attributed to this run, given when the latest answered poll was sent.
     const fn is_in_crash_window(&self, last_poll: Ms) -> bool {
@@ -67,13 +78,14 @@
 }
 
 impl Task {
-    /// Restores the crash records stored by the former owner.
-    pub(crate) fn restore_crashes(&mut self, runs: &[u32]) {
+    /// Restores the crash records stored by the former owner, some of which are `unconfirmed`. A start that it announced counts as
+    /// confirmed: the owner may have been lost together with the worker.
+    pub(crate) fn restore_crashes(&mut self, runs: &[u32], unconfirmed: &[u32]) {
         self.crashed = runs
             .iter()
             .map(|&run| Crash {
                 run,
-                confirmed: true,
+                confirmed: !unconfirmed.contains(&run),
             })
             .collect();
         self.crashes_stored = runs.len();
@@ -105,6 +117,12 @@
         self.crashed.iter().map(|crash| crash.run).collect()
     }
 
+    /// Numbers of the recorded runs that aren't confirmed as crashes, as they are stored.
+    pub(crate) fn unconfirmed_crashes(&self) -> Vec<u32> {
+        let unconfirmed = self.crashed.iter().filter(|crash| !crash.confirmed);
+        unconfirmed.map(|crash| crash.run).collect()
+    }
+
     /// The crash history of the task.
     pub(crate) fn suspicion(&self) -> Suspicion {
         Suspicion {
@@ -169,7 +187,7 @@
         }
         let crash = Crash {
             run: run.number,
-            confirmed: run.worker_was_up,
+            confirmed: run.worker_was_up && run.worker_was_steady,
         };
         let Some(task) = self.task_mut(key) else {
             return;
--- a/crates/pool/src/fit.rs
+++ b/crates/pool/src/fit.rs
@@ -35,6 +35,8 @@
     pub suspicion: Suspicion,
     /// Highest number of crashes of any suspect on the worker that may still crash it; 0 if there is none.
     pub suspect_crashes: usize,
+    /// The worker has restarted so recently that it may restart again whatever runs on it, which would count against a suspect.
+    pub just_restarted: bool,
     /// Capacity of the service's workers and its use, which tell what is scarce.
     pub service_capacity: ServiceCapacity,
     /// All workers with enough free capacity cost the same, so the first one by id is chosen.
@@ -65,7 +67,9 @@
     let suspicion = context.suspicion;
     // The worker may have been lost in the same event as the one that the task ran on.
     let unproven = worker.last_poll <= suspicion.since;
-    if suspicion.crashes >= MIN_CRASHES_TO_ISOLATE && (context.suspect_crashes > 0 || unproven) {
+    if suspicion.crashes >= MIN_CRASHES_TO_ISOLATE
+        && (context.suspect_crashes > 0 || unproven || context.just_restarted)
+    {
         return None;
     }
     if worker.failure_score >= SUSPECT_SCORE && (context.assigned > 0 || !worker.runs.is_empty()) {
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -67,7 +67,9 @@
             }
             for (index, runs) in &progress.crashed {
                 if let Some(task) = tasks.get_mut(*index as usize) {
-                    task.restore_crashes(runs);
+                    let unconfirmed = progress.unconfirmed.iter().find(|(of, _)| of == index);
+                    let unconfirmed = unconfirmed.map_or(&[][..], |(_, runs)| runs);
+                    task.restore_crashes(runs, unconfirmed);
                 }
             }
             for (index, checkpoint) in &progress.checkpoints {
@@ -96,6 +98,10 @@
                 .filter(|(_, task)| !task.crashed.is_empty())
                 .map(|(index, task)| (index as u32, task.crashed_runs()))
                 .collect(),
+            unconfirmed: unfinished()
+                .map(|(index, task)| (index as u32, task.unconfirmed_crashes()))
+                .filter(|(_, runs)| !runs.is_empty())
+                .collect(),
             checkpoints: unfinished()
                 .filter(|(_, task)| !task.checkpoint.is_empty())
                 .map(|(index, task)| (index as u32, task.checkpoint.clone()))
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::command::{Command, Start};
-use crate::crash::{MIN_CRASHES_TO_ISOLATE, Suspicion};
+use crate::crash::{MIN_CRASHES_TO_ISOLATE, Suspicion, is_steady};
 use crate::fit::{self, Context};
 use crate::job::{Job, Step};
 use crate::live::{LiveJob, Stage};
@@ -363,6 +363,7 @@
                     .get(&worker.id)
                     .copied()
                     .unwrap_or(0),
+                just_restarted: !is_steady(worker, self.unix),
                 service_capacity: *capacity,
                 first_fit: !self.has(Mechanism::BestFit),
             };
@@ -407,6 +408,7 @@
             return;
         };
         let start_deadline = target.clock(now) + ttl;
+        let worker_was_steady = is_steady(target, self.unix);
         // A start acts as a lease until its deadline, and the worker's clock may be 2% slow. 400 ms cover the network,
         // timers and rounding, as for any lease.
         target.lease_expires_at = target.lease_expires_at.max(now + ttl + ttl / 33 + 400);
@@ -428,6 +430,7 @@
         task.run = Some(Run {
             // A task with so many crashes starts only on a worker that has answered since the last of them.
             worker_was_up: crashes >= MIN_CRASHES_TO_ISOLATE,
+            worker_was_steady,
             ..Run::new(number, Arc::clone(worker), now, start_deadline)
         });
         self.reserve_capacity(key, worker, number);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -121,6 +121,8 @@
     pub(crate) suspects: BTreeSet<TaskKey>,
     /// Workers with a run of a suspect that may still crash them, as of the current scheduling pass.
     pub(crate) suspects_by_worker: SuspectsByWorker,
+    /// Unix time of the latest scheduling pass, in milliseconds.
+    pub(crate) unix: u64,
     /// Tasks that were abandoned, to be logged.
     pub(crate) abandoned: Vec<AbandonedTask>,
     /// Runs that workers have lost, to be logged.
--- a/crates/pool/src/progress.rs
+++ b/crates/pool/src/progress.rs
@@ -16,6 +16,9 @@
     /// Indices of tasks with the numbers of their runs that may have crashed their workers.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub crashed: Vec<(u32, Vec<u32>)>,
+    /// Those of these runs that aren't confirmed as crashes. They don't count towards the confirmed ones of the next owner either.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub unconfirmed: Vec<(u32, Vec<u32>)>,
     /// Indices of tasks with their newest checkpoints.
     #[serde(rename = "saved")]
     pub checkpoints: Vec<(u32, String)>,
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -33,6 +33,7 @@
             self.advance(&id, now, unix);
         }
         self.accounts.set_time(now);
+        self.unix = unix;
         self.expire_leases(now, unix);
         self.check_runs(now);
         self.resend_commands(now);
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -94,6 +94,9 @@
     /// Whether the worker was known to be running when it received the start command: it answered, it reported the run, or its
     /// connection was lost only after the command was sent.
     pub worker_was_up: bool,
+    /// Whether the worker's incarnation had been up for [`crate::crash::STEADY_AFTER`] when the start command was sent; `false` if
+    /// that isn't known.
+    pub worker_was_steady: bool,
     /// Whether the worker was lost and this run may be the cause.
     pub may_have_crashed_worker: bool,
     /// Whether the worker has restarted since the start command was sent, and it isn't known yet which incarnation carried the
@@ -121,6 +124,7 @@
             pace: 100,
             inherited: false,
             worker_was_up: false,
+            worker_was_steady: false,
             may_have_crashed_worker: false,
             may_be_of_former_incarnation: false,
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -12,7 +12,7 @@
 use crate::task::{JobId, Ms, TaskKey, WorkerId};
 
 /// Description of a worker in the directory of workers.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct WorkerInfo {
     /// Network address.
     pub address: String,
