--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -16,7 +15,7 @@
 use crate::link::Link;
 use crate::owner::Owner;
 use crate::verdict::WitnessAnswer;
-use crate::wire::{Call, FromOwner, Receiver, Reply, Sender, ToOwner};
+use crate::wire::{Call, FromOwner, Message, Receiver, Reply, Sender, ToOwner};
 
 /// Time between two heartbeats. A shorter interval would detect the loss of an owner sooner, at the price of more wake-ups on
 /// each host.
@@ -59,7 +58,7 @@
 }
 
 /// Writes the messages of a channel to a connection, several frames at a time.
-async fn write_messages<T: Serialize>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
+async fn write_messages<T: Message>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
     while let Some(message) = from.recv().await {
         if sender.feed(&message).await.is_err() {
             return;
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -252,13 +252,46 @@
     }
 }
 
+/// A message between hosts.
+pub trait Message: Serialize {
+    /// Name of its kind, for metrics.
+    fn kind(&self) -> &'static str;
+}
+
+impl Message for ToOwner {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Heartbeat { .. } => "heartbeat_to_owner",
+            Self::Accepted(..) => "accepted",
+            Self::Call(..) => "call",
+            Self::Advised(..) => "advised",
+            Self::OwnerReachable(_) => "owner_reachable",
+            Self::QuotaNeeds(_) => "quota_needs",
+        }
+    }
+}
+
+impl Message for FromOwner {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat_from_owner",
+            Self::NotOwner { .. } => "not_owner",
+            Self::Reply(..) => "reply",
+            Self::Advise { .. } => "advise",
+            Self::TakeOver { .. } => "take_over",
+            Self::OwnerReachable(_) => "owner_reachable_reply",
+        }
+    }
+}
+
 /// Sends messages as frames.
 pub struct Sender<T, W = OwnedWriteHalf> {
     frames: FramedWrite<W, LengthDelimitedCodec>,
     message: std::marker::PhantomData<fn(T)>,
 }
 
-impl<T: Serialize, W: AsyncWrite + Unpin> Sender<T, W> {
+impl<T: Message, W: AsyncWrite + Unpin> Sender<T, W> {
     /// Creates a sender on the write half of a connection.
     #[must_use]
     pub fn new(half: W) -> Self {
@@ -274,6 +307,9 @@
     /// If the connection is broken.
     pub async fn feed(&mut self, message: &T) -> std::io::Result<()> {
         let bytes = serde_json::to_vec(message)?;
+        metrics::counter!("lentilyoke_frames_total", "kind" => message.kind()).increment(1);
+        metrics::counter!("lentilyoke_frame_bytes_total", "kind" => message.kind())
+            .increment(bytes.len() as u64);
         self.frames.feed(Bytes::from(bytes)).await
     }
 
