One owner reads the table of workers for the owners of all pools

Cause: the feed of the store goes by table and the row of a worker changes with each heartbeat, so each of 11 owners read all rows of 6,000 workers: workers times pools. Ruled out: key ranges (ids of a pool's workers are scattered over the keys); life and load from the polls of workers (a drain is told in the row alone). Change: the owner of pool 0 reads the table and passes on, to hosts that own a pool and ask for it, rows that say more than that their workers are alive. Each batch names the transactions between which it is complete and the heartbeat that it refers to; an owner polls the store itself across a gap and when what it was told is older than 1.4 s, so it goes on by itself when the reader is killed, cut off, behind or without the store.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -96,43 +96,117 @@
     timing: PollTiming,
     mut apply: impl FnMut(Change),
 ) {
-    let mut newest = from.unwrap_or(0);
-    let mut listed = from.is_some();
-    // Rows that the caller has read already may be old, so the first poll returns at once.
-    let mut wait = if listed { Duration::ZERO } else { timing.wait };
+    let mut cursor = Cursor::new(store, table, parts, from, timing);
     loop {
-        if !listed {
-            let page = read(store, table, parts, newest).await;
-            newest = page.version;
+        let pause = cursor.poll(&mut apply).await;
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// Position of a follower in the changes of a table.
+pub(crate) struct Cursor<'a> {
+    store: &'a dyn Store,
+    table: &'a str,
+    parts: &'a [String],
+    timing: PollTiming,
+    /// The newest transaction whose changes were passed on.
+    newest: u64,
+    /// All rows as of some transaction are known, so changes since then are sufficient.
+    listed: bool,
+    /// How long the next poll waits for changes.
+    wait: Duration,
+}
+
+impl<'a> Cursor<'a> {
+    /// Creates a cursor at the transaction `from`. Without one, the first poll reads all rows.
+    pub(crate) fn new(
+        store: &'a dyn Store,
+        table: &'a str,
+        parts: &'a [String],
+        from: Option<u64>,
+        timing: PollTiming,
+    ) -> Self {
+        // Rows that the caller has read already may be old, so the first poll returns at once.
+        let wait = from.map_or(timing.wait, |_| Duration::ZERO);
+        Self {
+            store,
+            table,
+            parts,
+            timing,
+            newest: from.unwrap_or(0),
+            listed: from.is_some(),
+            wait,
+        }
+    }
+
+    /// Changes the timing from the next poll on.
+    pub(crate) fn set_timing(&mut self, timing: PollTiming) {
+        if !self.wait.is_zero() {
+            self.wait = timing.wait;
+        }
+        self.timing = timing;
+    }
+
+    /// The newest transaction whose changes were passed on.
+    pub(crate) fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// Skips the changes up to this transaction, which the caller has received from elsewhere.
+    pub(crate) fn advance(&mut self, version: u64) {
+        self.newest = self.newest.max(version);
+    }
+
+    /// Polls the store once and passes on what it answers; returns the pause until the next poll.
+    pub(crate) async fn poll(&mut self, apply: &mut impl FnMut(Change)) -> Duration {
+        if !self.listed {
+            let page = read(self.store, self.table, self.parts, self.newest).await;
+            self.newest = page.version;
             apply(Change::Snapshot(page));
-            listed = true;
+            self.listed = true;
         }
         let sent_at = clock::now();
-        match store.feed(table, newest, wait).await {
+        match self.store.feed(self.table, self.newest, self.wait).await {
             Ok(mut feed) => {
-                newest = newest.max(feed.version);
-                let full = feed.rows.len() >= FULL_PAGE_ROWS;
-                feed.at = known_at(sent_at, wait, &feed);
+                self.newest = self.newest.max(feed.version);
+                let full = is_full(&feed);
+                feed.at = known_at(sent_at, self.wait, &feed);
                 // After an answer that took long, an immediate poll confirms sooner that nothing has changed since.
                 let late = clock::now().saturating_sub(feed.at) > LATE_ANSWER;
-                wait = if late { Duration::ZERO } else { timing.wait };
-                feed.rows.retain(|row| parts.contains(&row.part));
-                let any = !feed.rows.is_empty();
+                self.wait = if late {
+                    Duration::ZERO
+                } else {
+                    self.timing.wait
+                };
+                feed.rows.retain(|row| self.parts.contains(&row.part));
+                let pause = if feed.rows.is_empty() || full {
+                    Duration::ZERO
+                } else {
+                    self.timing.pause
+                };
                 apply(Change::Update(feed));
-                if any && !full && !timing.pause.is_zero() {
-                    tokio::time::sleep(timing.pause).await;
-                }
+                pause
+            }
+            Err(StoreError::HistoryCompacted) => {
+                self.listed = false;
+                Duration::ZERO
             }
-            Err(StoreError::HistoryCompacted) => listed = false,
             Err(error) => {
-                wait = Duration::ZERO;
+                self.wait = Duration::ZERO;
                 apply(Change::Failed(error));
-                tokio::time::sleep(timing.retry).await;
+                self.timing.retry
             }
         }
     }
 }
 
+/// Whether there may be more changes than an answer to a poll holds.
+pub(crate) fn is_full(feed: &Feed) -> bool {
+    feed.rows.len() >= FULL_PAGE_ROWS
+}
+
 /// Latest time at which the answer to a poll made at `sent_at` is certain to have been up to date. An answer without changes was
 /// given at the end of the wait, any other at an unknown time since `sent_at`.
 fn known_at(sent_at: Ms, wait: Duration, feed: &Feed) -> Ms {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -8,7 +8,7 @@
 use log::{info, warn};
 use pool::{Mechanism, Ms};
 use telemetry::Shutdown;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, broadcast};
 
 use crate::admission::Admission;
 use crate::catalog::{Catalog, CatalogInForce};
@@ -20,8 +20,10 @@
 use crate::pool_state::{LastHeartbeat, PoolState};
 use crate::rows::{COMMON, POOL_MAP};
 use crate::settings::Settings;
+use crate::store_checks::StoreChecks;
 pub(crate) use crate::sync::lock;
 use crate::wire::Heartbeat;
+use crate::worker_feed::WorkerChanges;
 
 /// Share of `catalog_deadline` after which an unconfirmed configuration counts as outdated and no more requests are accepted
 /// under it. The remainder is left for requests that are already being processed.
@@ -45,6 +47,10 @@
 /// A store that has failed all calls for this long counts as unavailable.
 const STORE_FAILURE_TOLERANCE: Ms = 400;
 
+/// Maximum number of changes of the table of workers that wait for an owner on this host. An owner that falls behind by more
+/// polls the store.
+const MAX_QUEUED_WORKER_CHANGES: usize = 32;
+
 /// A host process: accepts jobs from callers and may own pools of workers.
 pub struct Host {
     pub(crate) settings: Settings,
@@ -84,6 +90,8 @@
     pub(crate) pool_map_changed: Notify,
     /// Whether this host has known the owner of any pool since it started.
     pub(crate) knows_owner: AtomicBool,
+    /// Changes of the table of workers, for the owners on this host.
+    worker_changes: broadcast::Sender<Arc<WorkerChanges>>,
 }
 
 impl Host {
@@ -128,6 +136,7 @@
             probe_finished: Notify::new(),
             pool_map_changed: Notify::new(),
             knows_owner: AtomicBool::new(false),
+            worker_changes: broadcast::Sender::new(MAX_QUEUED_WORKER_CHANGES),
         })
     }
 
@@ -254,6 +263,17 @@
         }
     }
 
+    /// Passes changes of the table of workers to the owners on this host.
+    pub(crate) fn receive_worker_changes(&self, changes: WorkerChanges) {
+        // An error means that this host owns no pool.
+        drop(self.worker_changes.send(Arc::new(changes)));
+    }
+
+    /// Returns a receiver of changes of the table of workers.
+    pub(crate) fn subscribe_worker_changes(&self) -> broadcast::Receiver<Arc<WorkerChanges>> {
+        self.worker_changes.subscribe()
+    }
+
     /// Version of the configuration in force; 0 if there is none.
     pub(crate) fn catalog_version(&self) -> u64 {
         self.catalog.version()
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,7 +9,7 @@
 //!   refused calls.
 //! * [`PoolMap`]: assignment of workers to pools; [`route`]: choice of the pool for a job.
 //! * [`insert`]: idempotent insertion of a job's row.
-//! * [`follow`]: following the changes of a table.
+//! * [`follow`]: following the changes of a table; [`worker_feed`]: those of the workers, which one owner reads for all.
 //! * [`hedge`]: repeated calls for overdue answers.
 //! * [`advisor_proxies`]: choice of the host that queries the advisor.
 //! * [`wire`]: protocol between hosts; [`link`]: a host's connection to an owner.
@@ -62,6 +62,7 @@
 mod transfer;
 pub mod verdict;
 pub mod wire;
+pub mod worker_feed;
 mod writer;
 
 pub use catalog::{Catalog, Customer, Queue};
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -44,9 +44,6 @@
 /// Pause after each answer with changed jobs. Hosts report accepted jobs to the owner directly; the table is followed for those
 /// jobs whose hosts could not.
 const JOBS_FEED_PAUSE: Duration = Duration::from_millis(200);
-/// Pause after each answer with changed workers. The row of a worker changes with each of its heartbeats, which makes some thirty
-/// changes a second for 48 workers. A draining worker must get nothing new from 2.5 s after its row says so.
-const WORKERS_FEED_PAUSE: Duration = Duration::from_millis(350);
 /// A new owner starts with the jobs that it has read by this time. A healthy store takes a quarter of it for all jobs.
 const JOBS_READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time between two scheduling passes, which also check leases, suspicions and paces.
@@ -231,9 +228,7 @@
             self.loaded.store(true, Ordering::Relaxed);
         };
         let parts: Vec<String> = job_parts().collect();
-        let unnamed_part = [String::new()];
         let store = Arc::clone(&self.host.store);
-        let tables = self.host.settings.store_tables.clone();
         let follow_jobs = follow(
             store.as_ref(),
             JOBS,
@@ -244,20 +239,10 @@
                 self.jobs_changed(change);
             },
         );
-        let follow_workers = follow(
-            store.as_ref(),
-            &tables.workers,
-            &unnamed_part,
-            Some(after),
-            PollTiming::default().pause(WORKERS_FEED_PAUSE),
-            |change| {
-                self.workers_changed(change);
-            },
-        );
         tokio::join!(
             rest,
             follow_jobs,
-            follow_workers,
+            self.follow_workers(after),
             writer::run(&self, claim, version),
             self.run_scheduler(),
         );
--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -23,6 +23,7 @@
 use crate::store_outage::Candidate;
 use crate::suitability::Suitability;
 use crate::wire::{FromOwner, Heartbeat, ToOwner};
+use crate::worker_feed::WorkerChanges;
 
 /// A more suitable host gets a pool only if the store has served it for this long.
 const MIN_STORE_AVAILABILITY: Ms = 800;
@@ -71,6 +72,8 @@
     pub(super) store_rtt: u64,
     /// Number of pools that it owns.
     owned_pools: u32,
+    /// It wants to be told changes of the table of workers.
+    follows_workers: bool,
     /// How fast the advisor answers it.
     pub(super) advisor_proxy: AdvisorProxy,
     /// It makes advisor queries for this pool. The advisor serves one query at a time for each host, so the hosts are divided
@@ -338,6 +341,26 @@
         }
     }
 
+    /// Passes changes of the table of workers on to the owners of other pools.
+    pub(super) fn pass_on(&self, changes: &WorkerChanges) {
+        let now = clock::now();
+        for host in lock(&self.hosts).values() {
+            if host.follows_workers && now.saturating_sub(host.heartbeat_received_at) < MAX_SILENCE
+            {
+                let changes = WorkerChanges {
+                    echoed_at: host.heartbeat_sent_at,
+                    ..changes.clone()
+                };
+                // A host that misses a message notices the gap.
+                drop(host.sender.try_send(FromOwner::WorkerChanges(changes)));
+            }
+        }
+        self.host.receive_worker_changes(WorkerChanges {
+            echoed_at: now,
+            ..changes.clone()
+        });
+    }
+
     /// Whether a host makes advisor queries for this pool.
     fn is_advisor_proxy_for_pool(&self, name: &str) -> bool {
         let pools = u64::from(self.host.pool_map().pool_count());
@@ -396,6 +419,7 @@
                 store_answered_at: 0,
                 store_rtt: u64::MAX,
                 owned_pools: 0,
+                follows_workers: false,
                 is_advisor_proxy: self.is_advisor_proxy_for_pool(name),
                 advisor_proxy: AdvisorProxy::default(),
             },
@@ -430,6 +454,7 @@
                 owned_pools,
                 sent,
                 store_answer_age,
+                follows_workers,
                 ..
             } => {
                 if let Some(host) = lock(&self.hosts).get_mut(name)
@@ -444,6 +469,7 @@
                         .map_or(0, |age| host.heartbeat_received_at.saturating_sub(age));
                     host.store_rtt = store_rtt;
                     host.owned_pools = owned_pools;
+                    host.follows_workers = follows_workers;
                     host.heartbeat_sent_at = sent;
                 }
             }
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -1,6 +1,7 @@
 //! Jobs, cancellations and workers that the owner reads from the store.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::warn;
 use pool::{Job, Progress, State, WorkerId};
@@ -9,13 +10,18 @@
 
 use super::Owner;
 use crate::clock;
-use crate::follow::{Change, read, read_each};
+use crate::follow::{Change, PollTiming, follow, read, read_each};
 use crate::host::lock;
 use crate::interfaces::{Page, Row};
 use crate::rows::{
     CANCEL_PREFIX, JOBS, JobAccess, JobRow, PROGRESS, RosterRow, job_parts, job_row_header,
     pool_part,
 };
+use crate::worker_feed::{ChangeFilter, follow_reader};
+
+/// Pause after each answer with changed workers. The row of a worker changes with each of its heartbeats, which makes some thirty
+/// changes a second for 48 workers. A draining worker must get nothing new from 2.5 s after its row says so.
+const WORKERS_FEED_PAUSE: Duration = Duration::from_millis(350);
 
 /// The stored progress of jobs, by id.
 pub(super) type ProgressById = FxHashMap<String, Progress>;
@@ -123,6 +129,37 @@
         self.dirty.notify_one();
     }
 
+    /// Follows the table of workers since the transaction `after`. The owner of pool 0 reads it for the owners of all pools.
+    pub(super) async fn follow_workers(self: &Arc<Self>, after: u64) {
+        let store = self.host.store.as_ref();
+        let table = &self.host.settings.store_tables.workers;
+        let timing = PollTiming::default().pause(WORKERS_FEED_PAUSE);
+        if self.pool_number > 0 {
+            let passed_on = self.host.subscribe_worker_changes();
+            let apply = |change| self.workers_changed(change);
+            follow_reader(store, table, after, passed_on, timing, clock::now, apply).await;
+            return;
+        }
+        let mut filter = ChangeFilter::default();
+        filter.skip_to(after);
+        let parts = [String::new()];
+        follow(store, table, &parts, Some(after), timing, |change| {
+            match &change {
+                Change::Snapshot(page) => filter.skip_to(page.version),
+                Change::Update(feed) if self.host.pool_map().pool_count() > 1 => {
+                    let decode = self.host.decode.as_ref();
+                    if let Some(changes) = filter.filter(clock::now(), feed, decode) {
+                        self.pass_on(&changes);
+                    }
+                }
+                Change::Update(feed) => filter.skip_to(feed.version),
+                Change::Failed(_) => {}
+            }
+            self.workers_changed(change);
+        })
+        .await;
+    }
+
     /// Handles changes of the table of workers.
     pub(super) fn workers_changed(self: &Arc<Self>, change: Change) {
         let (rows, all) = match change {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -114,6 +114,7 @@
                 owned_pools: host.owned_pool_count(),
                 sent: clock::now(),
                 store_answer_age: host.store_answer_age(),
+                follows_workers: pool == 0 && host.owned_pool_count() > 0,
             };
             if !link.send(heartbeat) {
                 return;
@@ -175,6 +176,7 @@
                         link.send(ToOwner::Advised(number, tickets));
                     });
                 }
+                FromOwner::WorkerChanges(changes) => host.receive_worker_changes(changes),
                 FromOwner::TakeOver { .. } | FromOwner::OwnerReachable(_) => {}
             }
         }
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -22,6 +22,7 @@
 use crate::packed::Packed;
 use crate::quota_policy::{QuotaGiven, QuotaNeeds};
 use crate::timed_reader::TimedReader;
+use crate::worker_feed::WorkerChanges;
 
 /// Maximum size of a frame in bytes: the rows of one transaction, with some margin.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -65,6 +66,9 @@
         /// Time since the store last answered the host, in milliseconds; `None` if it never did.
         #[serde(default, rename = "answered")]
         store_answer_age: Option<Ms>,
+        /// The host owns a pool and wants to be told changes of the table of workers.
+        #[serde(default, rename = "follows")]
+        follows_workers: bool,
     },
     /// The host has accepted a job: its row is written, with this pool and version.
     Accepted(Box<Job>, JobLocation),
@@ -197,6 +201,9 @@
     /// Whether the answering host reaches the owner, or is it.
     #[serde(rename = "Hears")]
     OwnerReachable(bool),
+    /// Changes of the table of workers, for a host whose heartbeats ask for them.
+    #[serde(rename = "Workers")]
+    WorkerChanges(WorkerChanges),
 }
 
 /// State that the owner of a pool sends to all connected hosts periodically.
@@ -281,6 +288,7 @@
             Self::Advise { .. } => "advise",
             Self::TakeOver { .. } => "take_over",
             Self::OwnerReachable(_) => "owner_reachable_reply",
+            Self::WorkerChanges(_) => "worker_changes",
         }
     }
 }
