Checks of the store by idle hosts don't grow with the fleet

Cause: each host polls the pool map with a wait of 2 s, only to learn that the store is available to it: hosts / 2 calls a second, 294 of some 980 (worked out). Weighed: no check but a host's own inserts (a host that owners count on as a successor would not know that it lost the store); checks by strong hosts alone (their number grows as well). Change: all hosts together make 60 checks a second at most, by owners' count of their hosts; up to 120 hosts nothing changes. An answer counts until the next one is due. What is slower: the notice of a store that is silent for one host alone; its inserts go through an owner after 160 ms or more until then, as before, and owners that lose the store still have all hosts check at once.

--- a/crates/host/src/catalog_sync.rs
+++ b/crates/host/src/catalog_sync.rs
@@ -16,12 +16,13 @@
 use crate::catalog::Catalog;
 use crate::clock;
 use crate::confirmation::Confirmation;
-use crate::follow::{Change, PollTiming, follow, read};
+use crate::follow::{Change, Cursor, PollTiming, follow, read};
 use crate::host::{Host, lock};
 use crate::interfaces::{Page, StoreError};
 use crate::packed::Packed;
 use crate::pool_map::PoolMap;
 use crate::rows::{COMMON, POOL_MAP};
+use crate::store_checks::StoreChecks;
 use crate::wire::{Call, Reply};
 
 /// Interval at which a host checks whether owners keep it up to date.
@@ -33,11 +34,6 @@
 /// A host that follows the store fetches from an owner as well after it has been behind for this long, and one that fetches from
 /// an owner follows the store as well after it has waited for this long.
 const SECOND_SOURCE_DELAY: Duration = Duration::from_millis(1_000);
-/// How long the polls for changes of the pool map wait. From their answers, a host that doesn't follow the configuration in the
-/// store learns that the store is available. Hosts that take jobs of callers learn this from their inserts too.
-const POOL_MAP_POLL_WAIT: Duration = Duration::from_millis(2_000);
-/// Delay of the next such poll while the store is unavailable. Owners poll more often and report when it is available again.
-const POOL_MAP_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Timeout of a query for the version of the configuration.
 const VERSION_QUERY_TIMEOUT: Duration = Duration::from_millis(700);
 /// An owner replies to such a query with what it knows after this time. The rest of the timeout is for the network.
@@ -111,6 +107,8 @@
                 () = self.until(|| self.owned_pool_count() > 0 || !self.is_kept_current()) => {}
             }
             self.catalog_sync.relying.store(false, Ordering::Relaxed);
+            // Polls for changes of the configuration are more frequent than any checks.
+            self.store_checks.begin(StoreChecks::interval(0));
         }
     }
 
@@ -240,28 +238,44 @@
         }
     }
 
+    /// Follows the pool map in the store. From the answers, a host that doesn't follow the configuration in the store learns that
+    /// the store is available. Hosts that take jobs of callers learn this from their inserts too.
     async fn follow_pool_map(&self) {
         let parts = [COMMON.to_owned()];
-        let store = self.store.as_ref();
-        let timing = PollTiming::default()
-            .wait(POOL_MAP_POLL_WAIT)
-            .retry(POOL_MAP_RETRY_DELAY);
-        follow(store, POOL_MAP, &parts, None, timing, |change| {
-            let rows = match change {
-                Change::Snapshot(page) | Change::Update(page) => page.rows,
-                Change::Failed(error) => {
-                    warn!(error:% = error; "poll for changes of the pool map failed");
-                    return;
-                }
-            };
-            for value in rows.iter().filter_map(|row| row.value.as_deref()) {
-                match serde_json::from_slice::<PoolMap>(value) {
-                    Ok(map) => self.update_pool_map(map),
-                    Err(error) => warn!(error:% = error; "pool map can't be parsed"),
-                }
+        let mut cursor = Cursor::new(
+            self.store.as_ref(),
+            POOL_MAP,
+            &parts,
+            None,
+            PollTiming::default(),
+        );
+        loop {
+            let hosts = self.host_count();
+            let interval = StoreChecks::interval(hosts);
+            self.store_checks.begin(interval);
+            let timing = PollTiming::default()
+                .wait(interval)
+                .retry(StoreChecks::retry_delay(hosts));
+            cursor.set_timing(timing);
+            let pause = cursor.poll(&mut |change| self.apply_pool_map(change)).await;
+            sleep(pause).await;
+        }
+    }
+
+    fn apply_pool_map(&self, change: Change) {
+        let rows = match change {
+            Change::Snapshot(page) | Change::Update(page) => page.rows,
+            Change::Failed(error) => {
+                warn!(error:% = error; "poll for changes of the pool map failed");
+                return;
             }
-        })
-        .await;
+        };
+        for value in rows.iter().filter_map(|row| row.value.as_deref()) {
+            match serde_json::from_slice::<PoolMap>(value) {
+                Ok(map) => self.update_pool_map(map),
+                Err(error) => warn!(error:% = error; "pool map can't be parsed"),
+            }
+        }
     }
 
     /// Fetches newer versions from owners. A reply may take as long as its connection lasts, so the two run concurrently.
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -28,8 +28,6 @@
 /// Share of `catalog_deadline` after which an unconfirmed configuration counts as outdated and no more requests are accepted
 /// under it. The remainder is left for requests that are already being processed.
 const MAX_CATALOG_AGE_SHARE: f64 = 0.88;
-/// The store counts as available if it has answered within this time. Every host polls it for changes more often than that.
-const STORE_ANSWER_VALIDITY: Ms = 2_600;
 
 /// Answers that took longer are left out of the latency statistics: a poll for changes takes as long as nothing changes, which
 /// says nothing about the speed of the store.
@@ -65,6 +63,8 @@
     admission: Admission,
     /// How recent the configuration in force is known to be.
     pub(crate) catalog_sync: CatalogSync,
+    /// How often this host checks the store.
+    pub(crate) store_checks: StoreChecks,
     /// Time of the last answer from the store; 0 if there was none.
     last_store_answer: AtomicU64,
     /// Time since which every call to the store has failed; 0 if the last one was answered.
@@ -123,6 +123,7 @@
             catalog,
             admission,
             catalog_sync,
+            store_checks: StoreChecks::default(),
             last_store_answer: AtomicU64::new(0),
             store_failing_since: AtomicU64::new(0),
             min_store_rtt: AtomicU64::new(u64::MAX),
@@ -328,7 +329,7 @@
         let failing_since = self.store_failing_since.load(Ordering::Relaxed);
         (failing_since == 0 || now.saturating_sub(failing_since) < STORE_FAILURE_TOLERANCE)
             && now.saturating_sub(self.last_store_answer.load(Ordering::Relaxed))
-                < STORE_ANSWER_VALIDITY
+                < self.store_checks.validity()
     }
 
     /// Delay before a call to the store that is not answered yet is repeated: a multiple of the usual latency.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`wire`]: protocol between hosts; [`link`]: a host's connection to an owner.
 //! * [`verdict`]: whether an owner is lost.
 //! * [`suitability`]: suitability of a host as owner of a pool; [`takeover_delay`]: delay before a host takes a pool over.
+//! * [`store_checks`]: how often a host checks the store.
 //! * [`store_outage`]: handover of a pool by an owner that has lost the store; [`lag`]: detection of an overloaded host.
 //! * [`quota_parts`]: a pool's parts of the customers' limits; [`quota_policy`]: how they move by demand; [`quota_keeper`]: the
 //!   store and the messages for both.
@@ -54,6 +55,7 @@
 mod rows;
 mod session;
 mod settings;
+pub mod store_checks;
 pub mod store_outage;
 pub mod suitability;
 mod sync;
--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -295,6 +295,7 @@
                 full_backlogs,
                 load: load.demand,
                 labels: load.labels,
+                hosts: lock(&self.hosts).len() as u32 + 1,
             };
             let mut advisor_proxies = 1;
             {
--- a/crates/host/src/pool_state.rs
+++ b/crates/host/src/pool_state.rs
@@ -179,6 +179,15 @@
         loads.collect()
     }
 
+    /// Number of hosts of the deployment, as far as owners have told; 0 if none has.
+    pub(crate) fn host_count(&self) -> u32 {
+        let pool_states = lock(&self.pool_states);
+        let counts = pool_states
+            .iter()
+            .map(|state| state.last_heartbeat.heartbeat.hosts);
+        counts.max().unwrap_or(0)
+    }
+
     /// The link to an owner whose last heartbeat is recent and fulfils a condition.
     pub(crate) fn link_to_owner_where(
         &self,
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -244,6 +244,9 @@
     pub load: f64,
     /// Labels of the pool's workers.
     pub labels: Vec<String>,
+    /// Number of hosts that are connected to the owner, and the owner's own.
+    #[serde(default)]
+    pub hosts: u32,
 }
 
 impl Heartbeat {
