A host reads the rows of those owners that it doesn't know, several at a time

Cause: whenever some owner is unknown, a host reads the rows of all owners, one after the other: pools times the round trip, and hosts times pools calls if one owner is lost (588 times 11). Change: only rows of unknown owners are read; the first alone, so that a store that is away gets one call of each host, then four at a time.

--- a/crates/host/src/owner_rows.rs
+++ b/crates/host/src/owner_rows.rs
@@ -9,6 +9,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
 use log::warn;
 use tokio::sync::watch;
 
@@ -19,6 +21,8 @@
 
 /// Longest wait of a long poll for changes; after it, the loop checks again which owners are unknown.
 const POLL_WAIT: Duration = Duration::from_millis(900);
+/// Maximum number of concurrent reads of owners' rows.
+const MAX_CONCURRENT_READS: usize = 4;
 /// Pause after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -98,39 +102,55 @@
     Some((found, page.version))
 }
 
-/// Reads and records the rows of all pools' owners; returns the oldest transaction as of which one of them was read.
-async fn read_all(host: &Host) -> Option<u64> {
-    let mut version = u64::MAX;
-    for pool in 0..host.pool_map().pool_count() {
-        let (_, read) = read(host, pool).await?;
-        version = version.min(read);
+/// Reads and records the rows of these pools' owners; returns the oldest transaction as of which one of them was read. The first
+/// read goes alone, so that a store that is away gets one call of each host rather than one for each pool.
+async fn read_all(host: &Host, pools: &[u32]) -> Option<u64> {
+    let (first, others) = pools.split_first()?;
+    let (_, mut version) = read(host, *first).await?;
+    for group in others.chunks(MAX_CONCURRENT_READS) {
+        let mut reads = FuturesUnordered::new();
+        for &pool in group {
+            reads.push(read(host, pool));
+        }
+        while let Some(read) = reads.next().await {
+            version = version.min(read?.1);
+        }
     }
     Some(version)
 }
 
-/// Follows the owners' rows as long as there is a pool whose owner this host doesn't know.
+/// Follows the owners' rows as long as there is a pool whose owner this host doesn't know. Only the rows of such pools are read: if
+/// one owner is lost, the calls don't grow with the number of pools.
 pub(crate) async fn follow(host: &Arc<Host>) {
-    let mut after = None;
-    let mut pools = 0;
+    let mut after: Option<u64> = None;
+    let mut followed: Vec<u32> = Vec::new();
     loop {
         let owner_missing = host.owner_missing.notified();
-        if !host.has_unknown_owner() {
-            // Changes until then don't matter, since all rows are read again.
+        let unknown = host.pools_without_known_owner();
+        if unknown.is_empty() {
+            // Changes until then don't matter, since the rows are read again.
             after = None;
             owner_missing.await;
             continue;
         }
-        if pools != host.pool_map().pool_count() {
-            after = None;
+        if after.is_none() {
+            followed.clear();
         }
-        let Some(newest) = after else {
-            pools = host.pool_map().pool_count();
-            after = read_all(host).await;
-            if after.is_none() {
-                tokio::time::sleep(RETRY_DELAY).await;
+        let unread: Vec<u32> = unknown
+            .into_iter()
+            .filter(|pool| !followed.contains(pool))
+            .collect();
+        if !unread.is_empty() {
+            match read_all(host, &unread).await {
+                Some(version) => {
+                    after = Some(after.map_or(version, |after| version.min(after)));
+                    followed.extend(unread);
+                }
+                None => tokio::time::sleep(RETRY_DELAY).await,
             }
             continue;
-        };
+        }
+        let Some(newest) = after else { continue };
         match host.store.feed(OWNER, newest, POLL_WAIT).await {
             Ok(feed) => {
                 after = Some(feed.version.max(newest));
--- a/crates/host/src/pool_state.rs
+++ b/crates/host/src/pool_state.rs
@@ -81,15 +81,15 @@
         self.owner_missing.notify_one();
     }
 
-    /// Whether there is a pool whose owner this host neither is nor has a link to.
-    pub(crate) fn has_unknown_owner(&self) -> bool {
-        let pools = self.pool_map.load().pool_count() as usize;
+    /// Pools whose owner this host neither is nor has a link to.
+    pub(crate) fn pools_without_known_owner(&self) -> Vec<u32> {
+        let pools = self.pool_map.load().pool_count();
         let pool_states = lock(&self.pool_states);
-        let states = pool_states.iter().take(pools);
-        states
-            .filter(|state| state.owner.is_some() || state.link.is_some())
-            .count()
-            < pools
+        let has_owner = |pool: &u32| {
+            let state = pool_states.get(*pool as usize);
+            state.is_some_and(|state| state.owner.is_some() || state.link.is_some())
+        };
+        (0..pools).filter(|pool| !has_owner(pool)).collect()
     }
 
     /// Number of pools that this host owns.
