The reader takes a worker for silent by the platform's heartbeat interval

Cause: a worker counted as silent after 2.5 s, whatever its heartbeat; on this deployment they come each 3 s, so nearly all rows were passed on to ten owners.

--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -140,7 +140,7 @@
             follow_reader(store, table, after, passed_on, timing, clock::now, apply).await;
             return;
         }
-        let mut filter = ChangeFilter::default();
+        let mut filter = ChangeFilter::new(self.host.settings.worker_heartbeat);
         filter.skip_to(after);
         let parts = [String::new()];
         follow(store, table, &parts, Some(after), timing, |change| {
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -31,6 +31,8 @@
     pub link_mbps: f64,
     /// Locations of the rows that other systems write into the store.
     pub store_tables: StoreTables,
+    /// Time between two heartbeats of a worker in the store.
+    pub worker_heartbeat: Duration,
     /// Options of the pools that it owns.
     pub pool: pool::Options,
     /// Target number of workers in a pool; a larger deployment is divided into several pools.
--- a/crates/host/src/worker_feed.rs
+++ b/crates/host/src/worker_feed.rs
@@ -25,9 +25,9 @@
 /// An owner relies on the reader while what it was told is certain to have been true this recently. It covers a batch every 350 ms
 /// and the heartbeat that the batch refers to, with one of each lost.
 const MAX_AGE: Ms = 1_400;
-/// A worker whose row hasn't changed for this long is passed on with its next row. Its entry may have expired in between: an owner
-/// that saw it removed has to learn that it is back, although the reader saw no difference.
-const MAX_SILENCE: Ms = 2_500;
+/// A worker whose row hasn't changed for this many of its heartbeats is passed on with its next row. Its entry expires after three and
+/// may have been away: an owner that saw it removed has to learn that it is back, although the reader saw no difference.
+const MAX_SILENT_HEARTBEATS: u32 = 2;
 
 /// Changes of the table of workers beyond heartbeats.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -87,14 +87,26 @@
 }
 
 /// Finds the rows that say more than that their workers are alive.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ChangeFilter {
+    /// A worker that was silent for longer is passed on with its next row.
+    max_silence: Ms,
     known: FxHashMap<String, KnownRow>,
     /// The transaction up to which changes were filtered; `None` if no page was.
     version: Option<u64>,
 }
 
 impl ChangeFilter {
+    /// Creates a filter for workers with this time between two heartbeats.
+    #[must_use]
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            max_silence: (heartbeat * MAX_SILENT_HEARTBEATS).as_millis() as Ms,
+            known: FxHashMap::default(),
+            version: None,
+        }
+    }
+
     /// Continues after a transaction as of which all rows were read. The next changes don't include those up to it.
     pub fn skip_to(&mut self, version: u64) {
         self.version = self.version.max(Some(version));
@@ -145,7 +157,8 @@
         };
         let before = self.known.insert(row.key.clone(), found);
         let is_heartbeat = before.is_some_and(|before| {
-            before.digest == found.digest && now.saturating_sub(before.changed_at) <= MAX_SILENCE
+            before.digest == found.digest
+                && now.saturating_sub(before.changed_at) <= self.max_silence
         });
         if is_heartbeat {
             return None;
--- a/crates/host/tests/worker_feed.rs
+++ b/crates/host/tests/worker_feed.rs
@@ -190,7 +190,7 @@
         let (table, sender) = (Arc::clone(&self.table), self.passed_on.clone());
         let (works, clock) = (Arc::clone(&self.reader_works), self.clock());
         self.tasks.spawn(async move {
-            let mut filter = ChangeFilter::default();
+            let mut filter = ChangeFilter::new(HEARTBEAT);
             filter.skip_to(version);
             let parts = [String::new()];
             let timing = PollTiming::default().pause(Duration::from_millis(350));
@@ -290,6 +290,36 @@
     );
 }
 
+/// Guards against passing on most rows as those of workers that had been silent: a deployment whose workers send a heartbeat each
+/// 3 s doubled its bytes between data centres.
+#[test]
+fn heartbeats_are_not_passed_on_however_rare_they_are() {
+    for heartbeat in [500, 1_500, 3_000, 10_000] {
+        let mut filter = ChangeFilter::new(Duration::from_millis(heartbeat));
+        filter.skip_to(0);
+        let mut passed_on = 0;
+        for beat in 1..20 {
+            let row = Row {
+                table: TABLE.to_owned(),
+                part: String::new(),
+                key: name(1),
+                value: Some(format!("ready:{beat}").into_bytes()),
+                version: beat,
+            };
+            let feed = Feed {
+                rows: vec![row],
+                version: beat,
+                ..Page::default()
+            };
+            // Every other heartbeat is late by a third.
+            let now = beat * heartbeat + beat % 2 * heartbeat / 3;
+            let changes = filter.filter(now, &feed, &StateDecoder);
+            passed_on += changes.expect("it is known after what").rows.len();
+        }
+        assert_eq!(passed_on, 1, "{heartbeat} ms");
+    }
+}
+
 /// Guards against calls of the store that grow with the pools although one owner reads for all.
 #[tokio::test(start_paused = true)]
 async fn polls_do_not_grow_with_the_pools() {
@@ -337,7 +367,7 @@
 /// saw no difference, while the owner had polled the store in between.
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_expired_and_came_back_is_passed_on() {
-    let mut filter = ChangeFilter::default();
+    let mut filter = ChangeFilter::new(HEARTBEAT);
     filter.skip_to(0);
     let row = |version, value: Option<&str>| Row {
         table: TABLE.to_owned(),
