Hosts far from the store get configuration and pool map from an owner when they start

Cause, from the logs: takeovers were done 0.2 s after the start, but 1.2 s followed in which nearly no step was completed. 181 owners' polls of workers failed at 26.4 s, 42 calls to the store too, all across the line between the regions, and far hosts were linked to all owners only after 1.8 s (middle). 294 far hosts each read configuration and pool map from the store, uncompressed and in base64, the map twice: some 100 KB each, over a second of a line of 150 Mbit/s (worked out). It grows with hosts times queues and hosts times racks. Ruled out: processor time of small hosts (near ones of the same kind were linked within 0.05 s). Change: a host that finds the store further than 12 ms away waits up to 1 s for an owner, which sends both once, the configuration compressed; what an owner says counts from the first message on. Takeovers wait until the pool map is known.

--- a/crates/host/src/catalog_sync.rs
+++ b/crates/host/src/catalog_sync.rs
@@ -16,14 +16,16 @@
 use crate::catalog::Catalog;
 use crate::clock;
 use crate::confirmation::Confirmation;
+use crate::first_source;
 use crate::follow::{Change, Cursor, PollTiming, follow, read};
 use crate::host::{Host, lock};
 use crate::interfaces::{Page, StoreError};
 use crate::packed::Packed;
 use crate::pool_map::PoolMap;
+use crate::pool_state::PoolState;
 use crate::rows::{COMMON, POOL_MAP};
 use crate::store_checks::StoreChecks;
-use crate::wire::{Call, Reply};
+use crate::wire::{Call, Heartbeat, Reply};
 
 /// Interval at which a host checks whether owners keep it up to date.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -93,6 +95,8 @@
 
     /// Follows the configuration in the store, except while owners keep this host up to date.
     async fn follow_store_or_owners(&self) {
+        let is_confirmed = || self.catalog_as_of() > 0;
+        first_source::wait_for_owner(is_confirmed, || self.store_rtt()).await;
         loop {
             info!(from = "store", as_of = self.catalog_as_of(); "source of the configuration");
             tokio::select! {
@@ -242,11 +246,13 @@
     /// the store is available. Hosts that take jobs of callers learn this from their inserts too.
     async fn follow_pool_map(&self) {
         let parts = [COMMON.to_owned()];
+        // Earlier changes are named by the owners' heartbeats.
+        let from = Some(self.catalog_as_of()).filter(|version| *version > 0);
         let mut cursor = Cursor::new(
             self.store.as_ref(),
             POOL_MAP,
             &parts,
-            None,
+            from,
             PollTiming::default(),
         );
         loop {
@@ -304,14 +310,35 @@
                 .store(clock::now(), Ordering::Relaxed);
             let reply = link.fetch(Call::Catalog).await;
             self.catalog_sync.fetching_since.store(0, Ordering::Relaxed);
-            if let Some(Reply::Catalog(packed)) = reply
-                && !self.apply_packed_catalog(&packed)
-            {
-                sleep(UNREADABLE_RETRY_DELAY).await;
+            if let Some(Reply::Catalog(packed)) = reply {
+                if self.apply_packed_catalog(&packed) {
+                    self.confirm_by_last_heartbeats();
+                } else {
+                    sleep(UNREADABLE_RETRY_DELAY).await;
+                }
             }
         }
     }
 
+    /// Confirms the configuration in force by the heartbeats that owners sent while it was being fetched.
+    fn confirm_by_last_heartbeats(&self) {
+        let mine = self.catalog_version();
+        let pools: Vec<PoolState> = lock(&self.pool_states).clone();
+        for state in pools {
+            self.confirm_by_heartbeat(mine, &state.last_heartbeat.heartbeat);
+        }
+    }
+
+    /// Confirms the version `mine` of the configuration if this heartbeat does.
+    pub(crate) fn confirm_by_heartbeat(&self, mine: u64, heartbeat: &Heartbeat) {
+        if let Some(at) = heartbeat.confirmed_at(mine) {
+            self.confirm(at, heartbeat.catalog_as_of);
+            self.catalog_sync
+                .confirmed_by_owner_at
+                .fetch_max(at, Ordering::Relaxed);
+        }
+    }
+
     async fn fetch_pool_map(&self) {
         loop {
             self.catalog_sync.newer_pool_map.notified().await;
--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -22,6 +22,7 @@
 use self::takeover_reason::TakeoverReason;
 use crate::claim::{Claim, ClaimVersion};
 use crate::clock;
+use crate::first_source::{self, NEAR_STORE_RTT_MS};
 use crate::host::Host;
 use crate::interfaces::{StoreError, Transaction};
 use crate::owner::Owner;
@@ -32,8 +33,6 @@
 use crate::suitability::Suitability;
 use crate::takeover_delay::TakeoverDelay;
 
-/// A store that answers within this time is in the same region.
-pub(crate) const NEAR_STORE_RTT_MS: u64 = 12;
 /// Takeover attempts of equally suitable hosts that aren't successors are spread over this time, in milliseconds.
 const SPREAD_MS: u64 = 200;
 /// A pool that has had no owner yet is claimed after this delay, so that more hosts can take part.
@@ -47,7 +46,6 @@
 pub(crate) async fn run(host: &Arc<Host>) {
     let mut tasks = JoinSet::new();
     let elections = async {
-        read_pool_map(host).await;
         let mut started = 0;
         loop {
             let pool_map_changed = host.pool_map_changed.notified();
@@ -60,15 +58,30 @@
             pool_map_changed.await;
         }
     };
+    let pool_map = async {
+        learn_pool_map(host).await;
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
         () = elections => {}
+        () = pool_map => {}
         () = owner_rows::follow(host) => {}
         () = host.stop.ended() => {}
     }
     tasks.shutdown().await;
 }
 
-/// Reads the pool map. Later changes are announced by the owners' heartbeats.
+/// Gets the pool map from an owner or the store. Later changes are announced by the owners' heartbeats.
+async fn learn_pool_map(host: &Host) {
+    let is_known = || host.pool_map().version > 0;
+    first_source::wait_for_owner(is_known, || host.store_rtt()).await;
+    if !is_known() {
+        read_pool_map(host).await;
+    }
+    host.pool_map_known.send_replace(true);
+}
+
+/// Reads the pool map from the store.
 async fn read_pool_map(host: &Host) {
     loop {
         match host.store.get(POOL_MAP, COMMON, POOL_MAP).await {
@@ -125,13 +138,16 @@
 
 /// Waits for the takeover delay of this host. The successors that the owner has named come first, one after the other, then
 /// suitable hosts: those near the store, with a large share of a processor, and without a pool. Returns `false` if the owner's
-/// row has changed meanwhile, so that this host must not take over.
+/// row has changed meanwhile, so that this host must not take over. What a pool needs is told by the pool map, so a host that
+/// doesn't know it yet waits for that first.
 async fn wait_before_takeover(
     host: &Host,
     pool: u32,
     row: Option<&OwnerRow>,
     rows: &mut watch::Receiver<KnownRow>,
 ) -> bool {
+    let mut pool_map_known = host.pool_map_known.subscribe();
+    drop(pool_map_known.wait_for(|known| *known).await);
     let successors = row.map_or(&[][..], |row| &row.successors);
     let id = &host.settings.id;
     let hash = xxh3_64_with_seed(id.as_bytes(), pool.into());
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -8,7 +8,7 @@
 use log::{info, warn};
 use pool::{Mechanism, Ms};
 use telemetry::Shutdown;
-use tokio::sync::{Notify, broadcast};
+use tokio::sync::{Notify, broadcast, watch};
 
 use crate::admission::Admission;
 use crate::catalog::{Catalog, CatalogInForce};
@@ -86,6 +86,8 @@
     pub(crate) probe_requested: Notify,
     /// Notified when that check is done.
     pub(crate) probe_finished: Notify,
+    /// Whether the pool map has been read, or got from an owner, since the start of this process.
+    pub(crate) pool_map_known: watch::Sender<bool>,
     /// Notified when a newer pool map is in force.
     pub(crate) pool_map_changed: Notify,
     /// Whether this host has known the owner of any pool since it started.
@@ -135,6 +137,7 @@
             store_changed: Notify::new(),
             probe_requested: Notify::new(),
             probe_finished: Notify::new(),
+            pool_map_known: watch::Sender::new(false),
             pool_map_changed: Notify::new(),
             knows_owner: AtomicBool::new(false),
             worker_changes: broadcast::Sender::new(MAX_QUEUED_WORKER_CHANGES),
@@ -240,12 +243,7 @@
     pub(crate) fn receive_heartbeat(&self, heartbeat: Heartbeat) {
         let now = clock::now();
         let mine = self.catalog_version();
-        if let Some(at) = heartbeat.confirmed_at(mine) {
-            self.confirm(at, heartbeat.catalog_as_of);
-            self.catalog_sync
-                .confirmed_by_owner_at
-                .fetch_max(at, Ordering::Relaxed);
-        }
+        self.confirm_by_heartbeat(mine, &heartbeat);
         if heartbeat.store_failing && self.owned_pool_count() == 0 {
             self.probe_requested.notify_one();
         }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,6 +9,7 @@
 //!   refused calls.
 //! * [`PoolMap`]: assignment of workers to pools; [`route`]: choice of the pool for a job.
 //! * [`insert`]: idempotent insertion of a job's row.
+//! * [`first_source`]: where a host that starts gets the configuration and the pool map from.
 //! * [`follow`]: following the changes of a table; [`worker_feed`]: those of the workers, which one owner reads for all.
 //! * [`hedge`]: repeated calls for overdue answers.
 //! * [`advisor_proxies`]: choice of the host that queries the advisor.
@@ -30,6 +31,7 @@
 pub mod clock;
 pub mod confirmation;
 mod election;
+pub mod first_source;
 pub mod follow;
 pub mod hedge;
 mod host;
--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -15,7 +15,7 @@
 use super::Owner;
 use crate::advisor_proxies::AdvisorProxy;
 use crate::clock;
-use crate::election::NEAR_STORE_RTT_MS;
+use crate::first_source::NEAR_STORE_RTT_MS;
 use crate::host::lock;
 use crate::lag::TimerLag;
 use crate::peers::HEARTBEAT_INTERVAL;
@@ -393,38 +393,39 @@
         }
     }
 
-    /// Adds a host that has connected; returns the number of its connection.
+    /// Adds a host that has connected, by a message that it sent at the time `sent` on its clock; returns the number of its
+    /// connection.
     pub(crate) fn host_connected(
         &self,
         name: &str,
         address: SocketAddr,
         (processors, link_mbps): (f64, f64),
+        sent: Ms,
         sender: mpsc::Sender<FromOwner>,
     ) -> u64 {
         let connection = self.next_number.fetch_add(1, Ordering::Relaxed);
-        drop(sender.try_send(FromOwner::Heartbeat(
-            self.host.last_heartbeat(self.pool_number).heartbeat,
-        )));
-
-        lock(&self.hosts).insert(
-            name.to_owned(),
-            ConnectedHost {
-                connection,
-                address,
-                processors,
-                link_mbps,
-                sender,
-                heartbeat_received_at: clock::now(),
-                heartbeat_sent_at: 0,
-                store_available_since: None,
-                store_answered_at: 0,
-                store_rtt: u64::MAX,
-                owned_pools: 0,
-                follows_workers: false,
-                is_advisor_proxy: self.is_advisor_proxy_for_pool(name),
-                advisor_proxy: AdvisorProxy::default(),
-            },
+        let host = ConnectedHost {
+            connection,
+            address,
+            processors,
+            link_mbps,
+            sender,
+            heartbeat_received_at: clock::now(),
+            heartbeat_sent_at: sent,
+            store_available_since: None,
+            store_answered_at: 0,
+            store_rtt: u64::MAX,
+            owned_pools: 0,
+            follows_workers: false,
+            is_advisor_proxy: self.is_advisor_proxy_for_pool(name),
+            advisor_proxy: AdvisorProxy::default(),
+        };
+        let last = self.host.last_heartbeat(self.pool_number).heartbeat;
+        drop(
+            host.sender
+                .try_send(FromOwner::Heartbeat(self.heartbeat_to(&host, &last))),
         );
+        lock(&self.hosts).insert(name.to_owned(), host);
         info!(pool = self.pool_number, host = name, epoch = self.epoch; "host connected to the pool owner");
         connection
     }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -103,6 +103,7 @@
         epoch,
         processors: host.settings.processors,
         link_mbps: host.settings.link_mbps,
+        sent: clock::now(),
     });
     let heartbeats = async {
         loop {
@@ -261,7 +262,7 @@
     let (to, from) = mpsc::channel::<FromOwner>(MAX_QUEUED_FRAMES);
     let reads = async {
         let first = receiver.next_within(HEARTBEAT_TIMEOUT).await;
-        let (name, address, resources, owner) = match first {
+        let (name, address, resources, sent, owner) = match first {
             Ok(Some(ToOwner::Hello {
                 host: name,
                 address,
@@ -269,8 +270,9 @@
                 epoch,
                 processors,
                 link_mbps,
+                sent,
             })) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
-                Some(owner) => (name, address, (processors, link_mbps), owner),
+                Some(owner) => (name, address, (processors, link_mbps), sent, owner),
                 None => {
                     drop(
                         to.send(FromOwner::NotOwner {
@@ -293,7 +295,7 @@
             _ => return,
         };
         let since = Instant::now();
-        let connection = owner.host_connected(&name, address, resources, to.clone());
+        let connection = owner.host_connected(&name, address, resources, sent, to.clone());
         loop {
             let Ok(Some(message)) = receiver.next_within(HEARTBEAT_TIMEOUT * 2).await else {
                 break;
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -45,6 +45,9 @@
         /// Bandwidth of the host's network link, in Mbit/s.
         #[serde(rename = "line")]
         link_mbps: f64,
+        /// Time of sending, on the host's clock.
+        #[serde(default)]
+        sent: Ms,
     },
     /// Sent periodically by every connected host.
     #[serde(rename = "Beat")]
