A poll for owners' rows doesn't delay the first read of other pools' rows

Cause: the host follows the rows of unknown owners by a long poll; pools that it learns of meanwhile had to wait for its end. Change: the poll is dropped when there is a pool whose row hasn't been read.

--- a/crates/host/src/owner_rows.rs
+++ b/crates/host/src/owner_rows.rs
@@ -119,6 +119,24 @@
     Some(version)
 }
 
+/// Pools whose owner this host doesn't know and whose rows it hasn't read since it began to follow them.
+fn unread_pools(host: &Host, followed: &[u32]) -> Vec<u32> {
+    let mut unknown = host.pools_without_known_owner();
+    unknown.retain(|pool| !followed.contains(pool));
+    unknown
+}
+
+/// Waits until there is such a pool. A poll for changes must not delay the first read of its row.
+async fn wait_for_unread_pool(host: &Host, followed: &[u32]) {
+    loop {
+        let owner_missing = host.owner_missing.notified();
+        if !unread_pools(host, followed).is_empty() {
+            return;
+        }
+        owner_missing.await;
+    }
+}
+
 /// Follows the owners' rows as long as there is a pool whose owner this host doesn't know. Only the rows of such pools are read: if
 /// one owner is lost, the calls don't grow with the number of pools.
 pub(crate) async fn follow(host: &Arc<Host>) {
@@ -126,8 +144,7 @@
     let mut followed: Vec<u32> = Vec::new();
     loop {
         let owner_missing = host.owner_missing.notified();
-        let unknown = host.pools_without_known_owner();
-        if unknown.is_empty() {
+        if host.pools_without_known_owner().is_empty() {
             // Changes until then don't matter, since the rows are read again.
             after = None;
             owner_missing.await;
@@ -136,10 +153,7 @@
         if after.is_none() {
             followed.clear();
         }
-        let unread: Vec<u32> = unknown
-            .into_iter()
-            .filter(|pool| !followed.contains(pool))
-            .collect();
+        let unread = unread_pools(host, &followed);
         if !unread.is_empty() {
             match read_all(host, &unread).await {
                 Some(version) => {
@@ -151,7 +165,11 @@
             continue;
         }
         let Some(newest) = after else { continue };
-        match host.store.feed(OWNER, newest, POLL_WAIT).await {
+        let polled = tokio::select! {
+            polled = host.store.feed(OWNER, newest, POLL_WAIT) => polled,
+            () = wait_for_unread_pool(host, &followed) => continue,
+        };
+        match polled {
             Ok(feed) => {
                 after = Some(feed.version.max(newest));
                 for row in &feed.rows {
