--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -124,6 +124,11 @@
         )
     };
     match line.message.as_str() {
+        "submit" if attribute("beat_age") == "-1" => format!(
+            "submitted: {} after {} ms (no heartbeat of the owner received yet)",
+            attribute("outcome"),
+            attribute("ms")
+        ),
         "submit" => format!(
             "submitted: {} after {} ms (owner's epoch {}, its latest heartbeat {} ms old)",
             attribute("outcome"),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -136,3 +136,19 @@
         "task 1.0 run 6 lost on w2 without a reported end: lapsed; the worker was up for at least 0 ms after the start command and had 9 runs"
     ));
 }
+
+/// Guards against a missing heartbeat that is shown as one that is hours old.
+#[test]
+fn a_submission_before_the_first_heartbeat_says_so() {
+    let submit = line(
+        "01.000",
+        "submit",
+        r#""job":"j1","outcome":"Accepted","ms":"250","epoch":"0","beat_age":"-1""#,
+    );
+    let report = explain("j1", [submit.as_str()].into_iter()).expect("the job is in the log");
+    assert!(
+        report
+            .contains("submitted: Accepted after 250 ms (no heartbeat of the owner received yet)"),
+        "{report}"
+    );
+}
--- a/crates/host/src/pool_state.rs
+++ b/crates/host/src/pool_state.rs
@@ -26,6 +26,13 @@
     pub heartbeat: Heartbeat,
 }
 
+impl LastHeartbeat {
+    /// Its age at `now`; `None` if there was none.
+    pub(crate) fn age(&self, now: Ms) -> Option<Ms> {
+        (self.received_at > 0).then(|| now.saturating_sub(self.received_at))
+    }
+}
+
 /// What a host knows about the owner of one pool.
 #[derive(Clone, Default)]
 pub(crate) struct PoolState {
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -92,7 +92,7 @@
         metrics::histogram!("lentilyoke_submit_ms", "outcome" => outcome).record(took);
         info!(
             job = &*id, queue = queue, customer = &*customer, outcome:? = submitted, ms = clock::now().saturating_sub(began),
-            pool = pool, epoch = last.heartbeat.epoch, beat_age = began.saturating_sub(last.received_at),
+            pool = pool, epoch = last.heartbeat.epoch, beat_age = last.age(began).map_or(-1, |age| age as i64),
             plan = self.pool_map().version, store_served = self.store_available();
             "submit"
         );
