--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -8,7 +8,7 @@
 use log::{info, warn};
 use pool::{Mechanism, Ms};
 use telemetry::Shutdown;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, broadcast, watch};
 
 use crate::admission::Admission;
 use crate::catalog::{Catalog, CatalogInForce};
@@ -20,14 +20,14 @@
 use crate::pool_state::{LastHeartbeat, PoolState};
 use crate::rows::{COMMON, POOL_MAP};
 use crate::settings::Settings;
+use crate::store_checks::StoreChecks;
 pub(crate) use crate::sync::lock;
 use crate::wire::Heartbeat;
+use crate::worker_feed::WorkerChanges;
 
 /// Share of `catalog_deadline` after which an unconfirmed configuration counts as outdated and no more requests are accepted
 /// under it. The remainder is left for requests that are already being processed.
 const MAX_CATALOG_AGE_SHARE: f64 = 0.88;
-/// The store counts as available if it has answered within this time. Every host polls it for changes more often than that.
-const STORE_ANSWER_VALIDITY: Ms = 2_600;
 
 /// Answers that took longer are left out of the latency statistics: a poll for changes takes as long as nothing changes, which
 /// says nothing about the speed of the store.
@@ -45,6 +45,10 @@
 /// A store that has failed all calls for this long counts as unavailable.
 const STORE_FAILURE_TOLERANCE: Ms = 400;
 
+/// Maximum number of changes of the table of workers that wait for an owner on this host. An owner that falls behind by more
+/// polls the store.
+const MAX_QUEUED_WORKER_CHANGES: usize = 32;
+
 /// A host process: accepts jobs from callers and may own pools of workers.
 pub struct Host {
     pub(crate) settings: Settings,
@@ -59,6 +63,8 @@
     admission: Admission,
     /// How recent the configuration in force is known to be.
     pub(crate) catalog_sync: CatalogSync,
+    /// How often this host checks the store.
+    pub(crate) store_checks: StoreChecks,
     /// Time of the last answer from the store; 0 if there was none.
     last_store_answer: AtomicU64,
     /// Time since which every call to the store has failed; 0 if the last one was answered.
@@ -80,10 +86,14 @@
     pub(crate) probe_requested: Notify,
     /// Notified when that check is done.
     pub(crate) probe_finished: Notify,
+    /// Whether the pool map has been read, or got from an owner, since the start of this process.
+    pub(crate) pool_map_known: watch::Sender<bool>,
     /// Notified when a newer pool map is in force.
     pub(crate) pool_map_changed: Notify,
     /// Whether this host has known the owner of any pool since it started.
     pub(crate) knows_owner: AtomicBool,
+    /// Changes of the table of workers, for the owners on this host.
+    worker_changes: broadcast::Sender<Arc<WorkerChanges>>,
 }
 
 impl Host {
@@ -115,6 +125,7 @@
             catalog,
             admission,
             catalog_sync,
+            store_checks: StoreChecks::default(),
             last_store_answer: AtomicU64::new(0),
             store_failing_since: AtomicU64::new(0),
             min_store_rtt: AtomicU64::new(u64::MAX),
@@ -126,8 +137,10 @@
             store_changed: Notify::new(),
             probe_requested: Notify::new(),
             probe_finished: Notify::new(),
+            pool_map_known: watch::Sender::new(false),
             pool_map_changed: Notify::new(),
             knows_owner: AtomicBool::new(false),
+            worker_changes: broadcast::Sender::new(MAX_QUEUED_WORKER_CHANGES),
         })
     }
 
@@ -230,12 +243,7 @@
     pub(crate) fn receive_heartbeat(&self, heartbeat: Heartbeat) {
         let now = clock::now();
         let mine = self.catalog_version();
-        if let Some(at) = heartbeat.confirmed_at(mine) {
-            self.confirm(at, heartbeat.catalog_as_of);
-            self.catalog_sync
-                .confirmed_by_owner_at
-                .fetch_max(at, Ordering::Relaxed);
-        }
+        self.confirm_by_heartbeat(mine, &heartbeat);
         if heartbeat.store_failing && self.owned_pool_count() == 0 {
             self.probe_requested.notify_one();
         }
@@ -254,6 +262,17 @@
         }
     }
 
+    /// Passes changes of the table of workers to the owners on this host.
+    pub(crate) fn receive_worker_changes(&self, changes: WorkerChanges) {
+        // An error means that this host owns no pool.
+        drop(self.worker_changes.send(Arc::new(changes)));
+    }
+
+    /// Returns a receiver of changes of the table of workers.
+    pub(crate) fn subscribe_worker_changes(&self) -> broadcast::Receiver<Arc<WorkerChanges>> {
+        self.worker_changes.subscribe()
+    }
+
     /// Version of the configuration in force; 0 if there is none.
     pub(crate) fn catalog_version(&self) -> u64 {
         self.catalog.version()
@@ -308,7 +327,7 @@
         let failing_since = self.store_failing_since.load(Ordering::Relaxed);
         (failing_since == 0 || now.saturating_sub(failing_since) < STORE_FAILURE_TOLERANCE)
             && now.saturating_sub(self.last_store_answer.load(Ordering::Relaxed))
-                < STORE_ANSWER_VALIDITY
+                < self.store_checks.validity()
     }
 
     /// Delay before a call to the store that is not answered yet is repeated: a multiple of the usual latency.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,12 +9,14 @@
 //!   refused calls.
 //! * [`PoolMap`]: assignment of workers to pools; [`route`]: choice of the pool for a job.
 //! * [`insert`]: idempotent insertion of a job's row.
-//! * [`follow`]: following the changes of a table.
+//! * [`first_source`]: where a host that starts gets the configuration and the pool map from.
+//! * [`follow`]: following the changes of a table; [`worker_feed`]: those of the workers, which one owner reads for all.
 //! * [`hedge`]: repeated calls for overdue answers.
 //! * [`advisor_proxies`]: choice of the host that queries the advisor.
 //! * [`wire`]: protocol between hosts; [`link`]: a host's connection to an owner.
 //! * [`verdict`]: whether an owner is lost.
 //! * [`suitability`]: suitability of a host as owner of a pool; [`takeover_delay`]: delay before a host takes a pool over.
+//! * [`store_checks`]: how often a host checks the store.
 //! * [`store_outage`]: handover of a pool by an owner that has lost the store; [`lag`]: detection of an overloaded host.
 //! * [`quota_parts`]: a pool's parts of the customers' limits; [`quota_policy`]: how they move by demand; [`quota_keeper`]: the
 //!   store and the messages for both.
@@ -29,6 +31,7 @@
 pub mod clock;
 pub mod confirmation;
 mod election;
+pub mod first_source;
 pub mod follow;
 pub mod hedge;
 mod host;
@@ -54,6 +57,7 @@
 mod rows;
 mod session;
 mod settings;
+pub mod store_checks;
 pub mod store_outage;
 pub mod suitability;
 mod sync;
@@ -62,6 +66,7 @@
 mod transfer;
 pub mod verdict;
 pub mod wire;
+pub mod worker_feed;
 mod writer;
 
 pub use catalog::{Catalog, Customer, Queue};
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -16,7 +15,7 @@
 use crate::link::Link;
 use crate::owner::Owner;
 use crate::verdict::WitnessAnswer;
-use crate::wire::{Call, FromOwner, Receiver, Reply, Sender, ToOwner};
+use crate::wire::{Call, FromOwner, Message, Receiver, Reply, Sender, ToOwner};
 
 /// Time between two heartbeats. A shorter interval would detect the loss of an owner sooner, at the price of more wake-ups on
 /// each host.
@@ -59,7 +58,7 @@
 }
 
 /// Writes the messages of a channel to a connection, several frames at a time.
-async fn write_messages<T: Serialize>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
+async fn write_messages<T: Message>(mut sender: Sender<T>, mut from: mpsc::Receiver<T>) {
     while let Some(message) = from.recv().await {
         if sender.feed(&message).await.is_err() {
             return;
@@ -104,6 +103,7 @@
         epoch,
         processors: host.settings.processors,
         link_mbps: host.settings.link_mbps,
+        sent: clock::now(),
     });
     let heartbeats = async {
         loop {
@@ -115,6 +115,7 @@
                 owned_pools: host.owned_pool_count(),
                 sent: clock::now(),
                 store_answer_age: host.store_answer_age(),
+                follows_workers: pool == 0 && host.owned_pool_count() > 0,
             };
             if !link.send(heartbeat) {
                 return;
@@ -176,6 +177,7 @@
                         link.send(ToOwner::Advised(number, tickets));
                     });
                 }
+                FromOwner::WorkerChanges(changes) => host.receive_worker_changes(changes),
                 FromOwner::TakeOver { .. } | FromOwner::OwnerReachable(_) => {}
             }
         }
@@ -260,7 +262,7 @@
     let (to, from) = mpsc::channel::<FromOwner>(MAX_QUEUED_FRAMES);
     let reads = async {
         let first = receiver.next_within(HEARTBEAT_TIMEOUT).await;
-        let (name, address, resources, owner) = match first {
+        let (name, address, resources, sent, owner) = match first {
             Ok(Some(ToOwner::Hello {
                 host: name,
                 address,
@@ -268,8 +270,9 @@
                 epoch,
                 processors,
                 link_mbps,
+                sent,
             })) => match host.owner(pool).filter(|owner| owner.epoch() == epoch) {
-                Some(owner) => (name, address, (processors, link_mbps), owner),
+                Some(owner) => (name, address, (processors, link_mbps), sent, owner),
                 None => {
                     drop(
                         to.send(FromOwner::NotOwner {
@@ -292,7 +295,7 @@
             _ => return,
         };
         let since = Instant::now();
-        let connection = owner.host_connected(&name, address, resources, to.clone());
+        let connection = owner.host_connected(&name, address, resources, sent, to.clone());
         loop {
             let Ok(Some(message)) = receiver.next_within(HEARTBEAT_TIMEOUT * 2).await else {
                 break;
--- a/crates/host/src/pool_state.rs
+++ b/crates/host/src/pool_state.rs
@@ -26,6 +26,13 @@
     pub heartbeat: Heartbeat,
 }
 
+impl LastHeartbeat {
+    /// Its age at `now`; `None` if there was none.
+    pub(crate) fn age(&self, now: Ms) -> Option<Ms> {
+        (self.received_at > 0).then(|| now.saturating_sub(self.received_at))
+    }
+}
+
 /// What a host knows about the owner of one pool.
 #[derive(Clone, Default)]
 pub(crate) struct PoolState {
@@ -81,15 +88,15 @@
         self.owner_missing.notify_one();
     }
 
-    /// Whether there is a pool whose owner this host neither is nor has a link to.
-    pub(crate) fn has_unknown_owner(&self) -> bool {
-        let pools = self.pool_map.load().pool_count() as usize;
+    /// Pools whose owner this host neither is nor has a link to.
+    pub(crate) fn pools_without_known_owner(&self) -> Vec<u32> {
+        let pools = self.pool_map.load().pool_count();
         let pool_states = lock(&self.pool_states);
-        let states = pool_states.iter().take(pools);
-        states
-            .filter(|state| state.owner.is_some() || state.link.is_some())
-            .count()
-            < pools
+        let has_owner = |pool: &u32| {
+            let state = pool_states.get(*pool as usize);
+            state.is_some_and(|state| state.owner.is_some() || state.link.is_some())
+        };
+        (0..pools).filter(|pool| !has_owner(pool)).collect()
     }
 
     /// Number of pools that this host owns.
@@ -179,6 +186,15 @@
         loads.collect()
     }
 
+    /// Number of hosts of the deployment, as far as owners have told; 0 if none has.
+    pub(crate) fn host_count(&self) -> u32 {
+        let pool_states = lock(&self.pool_states);
+        let counts = pool_states
+            .iter()
+            .map(|state| state.last_heartbeat.heartbeat.hosts);
+        counts.max().unwrap_or(0)
+    }
+
     /// The link to an owner whose last heartbeat is recent and fulfils a condition.
     pub(crate) fn link_to_owner_where(
         &self,
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -22,6 +22,7 @@
 use crate::packed::Packed;
 use crate::quota_policy::{QuotaGiven, QuotaNeeds};
 use crate::timed_reader::TimedReader;
+use crate::worker_feed::WorkerChanges;
 
 /// Maximum size of a frame in bytes: the rows of one transaction, with some margin.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -44,6 +45,9 @@
         /// Bandwidth of the host's network link, in Mbit/s.
         #[serde(rename = "line")]
         link_mbps: f64,
+        /// Time of sending, on the host's clock.
+        #[serde(default)]
+        sent: Ms,
     },
     /// Sent periodically by every connected host.
     #[serde(rename = "Beat")]
@@ -65,6 +69,9 @@
         /// Time since the store last answered the host, in milliseconds; `None` if it never did.
         #[serde(default, rename = "answered")]
         store_answer_age: Option<Ms>,
+        /// The host owns a pool and wants to be told changes of the table of workers.
+        #[serde(default, rename = "follows")]
+        follows_workers: bool,
     },
     /// The host has accepted a job: its row is written, with this pool and version.
     Accepted(Box<Job>, JobLocation),
@@ -197,6 +204,9 @@
     /// Whether the answering host reaches the owner, or is it.
     #[serde(rename = "Hears")]
     OwnerReachable(bool),
+    /// Changes of the table of workers, for a host whose heartbeats ask for them.
+    #[serde(rename = "Workers")]
+    WorkerChanges(WorkerChanges),
 }
 
 /// State that the owner of a pool sends to all connected hosts periodically.
@@ -237,6 +247,9 @@
     pub load: f64,
     /// Labels of the pool's workers.
     pub labels: Vec<String>,
+    /// Number of hosts that are connected to the owner, and the owner's own.
+    #[serde(default)]
+    pub hosts: u32,
 }
 
 impl Heartbeat {
@@ -252,13 +265,47 @@
     }
 }
 
+/// A message between hosts.
+pub trait Message: Serialize {
+    /// Name of its kind, for metrics.
+    fn kind(&self) -> &'static str;
+}
+
+impl Message for ToOwner {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Heartbeat { .. } => "heartbeat_to_owner",
+            Self::Accepted(..) => "accepted",
+            Self::Call(..) => "call",
+            Self::Advised(..) => "advised",
+            Self::OwnerReachable(_) => "owner_reachable",
+            Self::QuotaNeeds(_) => "quota_needs",
+        }
+    }
+}
+
+impl Message for FromOwner {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat_from_owner",
+            Self::NotOwner { .. } => "not_owner",
+            Self::Reply(..) => "reply",
+            Self::Advise { .. } => "advise",
+            Self::TakeOver { .. } => "take_over",
+            Self::OwnerReachable(_) => "owner_reachable_reply",
+            Self::WorkerChanges(_) => "worker_changes",
+        }
+    }
+}
+
 /// Sends messages as frames.
 pub struct Sender<T, W = OwnedWriteHalf> {
     frames: FramedWrite<W, LengthDelimitedCodec>,
     message: std::marker::PhantomData<fn(T)>,
 }
 
-impl<T: Serialize, W: AsyncWrite + Unpin> Sender<T, W> {
+impl<T: Message, W: AsyncWrite + Unpin> Sender<T, W> {
     /// Creates a sender on the write half of a connection.
     #[must_use]
     pub fn new(half: W) -> Self {
@@ -274,6 +321,9 @@
     /// If the connection is broken.
     pub async fn feed(&mut self, message: &T) -> std::io::Result<()> {
         let bytes = serde_json::to_vec(message)?;
+        metrics::counter!("lentilyoke_frames_total", "kind" => message.kind()).increment(1);
+        metrics::counter!("lentilyoke_frame_bytes_total", "kind" => message.kind())
+            .increment(bytes.len() as u64);
         self.frames.feed(Bytes::from(bytes)).await
     }
 
