--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -26,10 +26,6 @@
 /// A ticket that expires sooner than this is not used: the start command needs time to arrive.
 pub(crate) const TICKET_MARGIN: Ms = 120;
 
-/// A step is not queried about ahead of need if steps that go first wait for this share of the capacity or more: it won't start while
-/// its tickets are valid.
-const MAX_AWAITED_SHARE: f64 = 0.7;
-
 /// Number of latency-sensitive and of best-effort tasks on each worker.
 type TaskMix = FxHashMap<WorkerId, (u32, u32)>;
 
@@ -79,27 +75,16 @@
             let capacity = capacities.get(&job.service).copied().unwrap_or_default();
             starts += self.place_stage(now, key, &job, step, &mut mix, &capacity, &quota);
         }
-        // Share of the capacity of each service that is waited for by steps that go first.
-        let mut awaited: FxHashMap<String, f64> = FxHashMap::default();
         for (_, key) in &ranked {
             let Some(live) = self.jobs.get(&key.job) else {
                 continue;
             };
             let job = Arc::clone(&live.job);
-            let Some(step) = job.steps.get(usize::from(key.step)) else {
-                continue;
-            };
-            let allowed = self.startable_within_quota(&quota, key, &job, step);
-            if allowed == 0 {
-                continue;
-            }
-            let awaited = awaited.entry(job.service.clone()).or_default();
-            if *awaited < MAX_AWAITED_SHARE {
+            if let Some(step) = job.steps.get(usize::from(key.step))
+                && self.startable_within_quota(&quota, key, &job, step) > 0
+            {
                 self.query_ahead(now, key, &job, step);
             }
-            let capacity = capacities.get(&job.service).copied().unwrap_or_default();
-            let waiting = self.stage(key).map_or(0, Stage::waiting_count) as u32;
-            *awaited += f64::from(allowed.min(waiting)) * capacity.dominant_share(step.demand());
         }
     }
 
