--- a/crates/host/tests/first_source.rs
+++ b/crates/host/tests/first_source.rs
@@ -18,8 +18,8 @@
     reads
 }
 
-/// Guards against a line between regions that is saturated when all hosts start at once: with 294 far hosts, their reads of the
-/// configuration and of the pool map took it for over a second, and owners lost their workers in that region.
+/// Guards against a line between regions that is saturated by the reads of all far hosts when they start at once, so that owners lose
+/// their workers in that region.
 #[tokio::test(start_paused = true)]
 async fn far_hosts_leave_the_line_to_owners_that_answer() {
     for hosts in [74, 294] {
--- a/crates/host/tests/worker_feed.rs
+++ b/crates/host/tests/worker_feed.rs
@@ -272,8 +272,7 @@
     format!("w{worker:05}")
 }
 
-/// Guards against bytes of the store that grow with the workers times the pools: with eleven owners of 545 workers each, which all
-/// read the rows of all workers, they were the largest part of what a deployment cost.
+/// Guards against bytes of the store that grow with the workers times the pools, because each owner reads the rows of all workers.
 #[tokio::test(start_paused = true)]
 async fn rows_read_grow_as_the_workers_do() {
     let small = Scene::start(500, 2);
@@ -290,8 +289,7 @@
     );
 }
 
-/// Guards against passing on most rows as those of workers that had been silent: a deployment whose workers send a heartbeat each
-/// 3 s doubled its bytes between data centres.
+/// Guards against passing on most rows as those of workers that had been silent, in a deployment whose workers send rare heartbeats.
 #[test]
 fn heartbeats_are_not_passed_on_however_rare_they_are() {
     for heartbeat in [500, 1_500, 3_000, 10_000] {
