--- a/crates/pool/tests/case/mod.rs
+++ b/crates/pool/tests/case/mod.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use pool::{
-    Command, Job, Options, Pool, RunEnd, RunOutcome, RunStatus, Start, StartAnswer, WorkerId,
-    WorkerInfo, WorkerReport,
+    Command, Job, Ms, Options, Pool, Progress, RunEnd, RunOutcome, RunStatus, Start, StartAnswer,
+    WorkerId, WorkerInfo, WorkerReport,
 };
 use resource::Size;
 
@@ -131,3 +131,23 @@
         load: 0,
     }
 }
+
+/// Stores all pending progress; returns the progress of the last job in the batch.
+pub(crate) fn store(pool: &mut Pool) -> Option<Progress> {
+    let batch = pool.batch(80);
+    pool.batch_stored(&batch);
+    batch.rows.last().map(|(_, progress)| progress.clone())
+}
+
+/// A worker reports with its current incarnation: it has no runs, and these have ended.
+pub(crate) fn answer(pool: &mut Pool, now: Ms, id: &WorkerId, ended: Vec<RunEnd>) {
+    let report = WorkerReport {
+        clock: now + 50_000,
+        incarnation: pool.worker(id).map_or(0, |worker| worker.end_cursor().0),
+        lease: now + 55_000,
+        requested_at: now,
+        ended,
+        ..WorkerReport::default()
+    };
+    pool.apply_report(now, UNIX + now, id, &report);
+}
