Reproduce a task that runs on after its job was cancelled, failing

What callers see: a cancellation is acknowledged, and a task of the job runs on for ever (first hypothesis of the incident). Evidence: on the simulated cell, a worker that the former owner couldn't reach has a run of the job, the job is cancelled between the two owners, and the new owner reaches the worker: the run is still there 3.4 s later.

--- a/crates/pool/tests/simulation/mod.rs
+++ b/crates/pool/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 //! when they carry out a command: no task runs twice or again after its end, and no worker's capacity is exceeded.
 //! Each test file uses a part of this module.
 
+mod cancellations;
 mod crashes;
 mod workers;
 
@@ -118,6 +119,8 @@
     pub(crate) crashed_under: BTreeMap<TaskKey, u32>,
     /// Whether workers that are crashed by a task come back under another id.
     pub(crate) replace_crashed: bool,
+    /// When jobs were cancelled.
+    cancelled: BTreeMap<String, Ms>,
 }
 
 /// A job with these steps: number of tasks, millicores and duration in milliseconds of each task.
@@ -190,6 +193,7 @@
             crashers: BTreeMap::new(),
             crashed_under: BTreeMap::new(),
             replace_crashed: false,
+            cancelled: BTreeMap::new(),
         }
     }
 
@@ -216,10 +220,7 @@
         {
             pool.update_worker(self.now, id, self.worker_info(id, worker));
         }
-        for job in self.jobs.values() {
-            let progress = self.stored.get(&*job.id);
-            pool.adopt(self.now, self.unix(), Arc::clone(job), progress, true);
-        }
+        self.load_jobs(&mut pool);
         let present = self
             .workers
             .iter()
@@ -231,6 +232,7 @@
         pool.set_stored_roster(&roster);
         pool.set_customers(self.entitlements());
         pool.inherit(self.now, roster.clone(), &self.unavailable);
+        pool.set_jobs_incomplete(self.now, false);
         self.roster = roster;
         self.owners.push(Owner {
             epoch,
--- a/crates/pool/tests/simulation/workers.rs
+++ b/crates/pool/tests/simulation/workers.rs
@@ -98,6 +98,7 @@
             worker.runs.insert(start.task.clone(), run);
             self.starts += 1;
             let incarnation = worker.incarnation;
+            self.check_not_cancelled(&start.task);
             if self.count_start(&start.task) {
                 let crash = Message::Crash(start.worker.clone(), incarnation, start.task.clone());
                 self.send_after(2 * STEP, crash);
