Stop a run that becomes known after its job was over

What callers saw: a task runs on for ever after the cancellation of its job was acknowledged. Cause: a final state was applied once, to the runs known at that moment. A new owner reads jobs and cancellations first and enters the runs on workers that the former owner couldn't reach, or that are leaving, afterwards; such a run of a cancelled job became `Unconfirmed`, then `Running` with the worker's next report, and kept its lease. Ruled out: skipping such runs when they are entered, since their capacity is taken; stopping them only there, since each report tells the same and later ways in would need it again. Change: a reported run that is the current one of its task is stopped if its job has a final state. Why it works: every run is measured against its job's state with every report of its worker, not only when the state changes.

--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -306,6 +306,10 @@
             if suspect {
                 self.handle_survival(now, key);
             }
+            if closed {
+                // The run may have become known after its job was over.
+                self.stop_run(key);
+            }
             return;
         }
         // An inherited run is known only from the former owner's roster. A reported run with a higher number proves that the former
