Apply a cancellation that is listed before its job

What callers saw: nothing was reported of this; by its effect a job whose cancellation was acknowledged starts and, if it lasts, runs for ever. Cause: when the store no longer has the changes, an owner lists the table of jobs, in the order of keys. The row of a cancellation sorts before that of its job, an owner that had not heard of the job passed the cancellation over, and then adopted the job. Evidence: `a_cancellation_that_is_listed_before_its_job_is_applied` started the job before the change (1 start, 0 expected). Ruled out: changes of the table, which come in the order of transactions, where a cancellation is written after its job; pages of a new owner, which remembers cancellations until it knows all jobs. Change: rows are applied in `host::job_rows`, jobs before cancellations, without network or host, so that orders can be tested. Why it works: a cancellation exists only if its job's row does, in the same part, so a list that has the one has the other.

--- /dev/null
+++ b/crates/host/src/job_rows.rs
@@ -0,0 +1,97 @@
+//! Applies rows of the table of jobs, accepted jobs and cancellations, to a pool.
+
+use std::sync::Arc;
+
+use log::warn;
+use pool::{Cancellation, Job, Ms, Pool, Progress, State};
+use rustc_hash::FxHashMap;
+
+use crate::interfaces::Row;
+use crate::rows::{CANCEL_PREFIX, JobAccess, JobRow, job_row_header};
+
+/// The stored progress of jobs, by id.
+pub type ProgressById = FxHashMap<String, Progress>;
+
+/// Adds the jobs of a page that a new owner reads, with their progress, and applies the cancellations. `report` is called for each
+/// cancellation.
+pub fn load(
+    pool: &mut Pool,
+    pool_number: u32,
+    now: Ms,
+    unix: u64,
+    rows: &[Row],
+    progress: &ProgressById,
+    mut report: impl FnMut(&str, Cancellation),
+) {
+    for row in rows {
+        if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX) {
+            report(id, pool.cancel(unix, id));
+            continue;
+        }
+        let progress = progress.get(&row.key);
+        if let Some(completed) = progress.filter(|it| it.state == State::Completed) {
+            if let Some(job) = completed_job(row) {
+                pool.adopt(now, unix, Arc::new(job), Some(completed), true);
+            }
+        } else if let Some((job, before)) = parse_job(row, pool_number) {
+            pool.adopt(now, unix, Arc::new(job), progress.or(before.as_ref()), true);
+        }
+    }
+}
+
+/// Applies rows that changed, or all rows if the store no longer has the changes. `report` is called for each cancellation.
+///
+/// Jobs come first: a list is in the order of keys, where a cancellation precedes its job.
+pub fn apply(
+    pool: &mut Pool,
+    pool_number: u32,
+    now: Ms,
+    unix: u64,
+    rows: &[Row],
+    mut report: impl FnMut(&str, Cancellation),
+) {
+    let present = rows.iter().filter(|row| row.value.is_some());
+    let (cancellations, jobs): (Vec<&Row>, Vec<&Row>) =
+        present.partition(|row| row.key.starts_with(CANCEL_PREFIX));
+    for row in jobs {
+        if !pool.contains_job(&row.key)
+            && let Some((job, before)) = parse_job(row, pool_number)
+        {
+            pool.adopt(now, unix, Arc::new(job), before.as_ref(), false);
+        }
+    }
+    for row in cancellations {
+        let id = row.key.trim_start_matches(CANCEL_PREFIX);
+        report(id, pool.cancel(unix, id));
+    }
+}
+
+/// Decodes a job's row if the job is in this pool: returns the job, and its progress in another pool if it was transferred.
+fn parse_job(row: &Row, pool_number: u32) -> Option<(Job, Option<Progress>)> {
+    let value = row.value.as_deref()?;
+    match serde_json::from_slice::<JobRow<Job>>(value) {
+        Ok(found) if found.pool != pool_number => None,
+        Ok(found) => Some((found.job, found.moved.map(|moved| moved.progress))),
+        Err(error) => {
+            warn!(row = row.key.as_str(), error:% = error; "job row can't be decoded");
+            None
+        }
+    }
+}
+
+/// A completed job with nothing but its id and who may access it. Nothing of it runs or will run, and callers ask only for its
+/// state. Most rows that a new owner reads are of such jobs, and decoding them whole took half of the time until other jobs were
+/// resumed.
+fn completed_job(row: &Row) -> Option<Job> {
+    let header = job_row_header(row.value.as_deref()?);
+    if header.is_none() {
+        warn!(row = row.key.as_str(); "job row can't be decoded");
+    }
+    let JobAccess { queue, customer } = header?.job;
+    Some(Job {
+        id: row.key.as_str().into(),
+        queue,
+        customer,
+        ..Job::default()
+    })
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,7 +8,7 @@
 //! * [`access`]: which calls may use a queue, by their keys; [`admission`]: carries that out; [`refusals`]: logs and counts of
 //!   refused calls.
 //! * [`PoolMap`]: assignment of workers to pools; [`route`]: choice of the pool for a job.
-//! * [`insert`]: idempotent insertion of a job's row; `cancel`: cancellations.
+//! * [`insert`]: idempotent insertion of a job's row; `cancel`: cancellations; [`job_rows`]: how an owner applies both.
 //! * [`first_source`]: where a host that starts gets the configuration and the pool map from.
 //! * [`follow`]: following the changes of a table; [`worker_feed`]: those of the workers, which one owner reads for all.
 //! * [`hedge`]: repeated calls for overdue answers.
@@ -39,6 +39,7 @@
 pub mod insert;
 mod interfaces;
 mod invalid_catalog;
+pub mod job_rows;
 mod key;
 pub mod lag;
 pub mod link;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -28,6 +28,7 @@
 use crate::hedge::LossRate;
 use crate::host::{Host, lock};
 use crate::interfaces::Page;
+use crate::job_rows::ProgressById;
 use crate::log_sampling::is_logged_in_full;
 use crate::owner_rows;
 use crate::quota_keeper::QuotaKeeper;
@@ -39,7 +40,6 @@
 use customers::AppliedEntitlements;
 use directory::Directory;
 use scheduling_stats::SchedulingStats;
-use store_changes::ProgressById;
 
 /// Pause after each answer with changed jobs. Hosts report accepted jobs to the owner directly; the table is followed for those
 /// jobs whose hosts could not.
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -4,28 +4,23 @@
 use std::time::Duration;
 
 use log::warn;
-use pool::{Job, Progress, State, WorkerId};
-use rustc_hash::{FxHashMap, FxHashSet};
+use pool::WorkerId;
+use rustc_hash::FxHashSet;
 use tokio::sync::mpsc;
 
 use super::Owner;
 use crate::clock;
 use crate::follow::{Change, PollTiming, follow, read, read_each};
 use crate::host::lock;
-use crate::interfaces::{Page, Row};
-use crate::rows::{
-    CANCEL_PREFIX, JOBS, JobAccess, JobRow, PROGRESS, RosterRow, job_parts, job_row_header,
-    pool_part,
-};
+use crate::interfaces::Page;
+use crate::job_rows::{self, ProgressById};
+use crate::rows::{JOBS, PROGRESS, RosterRow, job_parts, pool_part};
 use crate::worker_feed::{ChangeFilter, follow_reader};
 
 /// Pause after each answer with changed workers. The row of a worker changes with each of its heartbeats, which makes some thirty
 /// changes a second for 48 workers. A draining worker must get nothing new from 2.5 s after its row says so.
 const WORKERS_FEED_PAUSE: Duration = Duration::from_millis(350);
 
-/// The stored progress of jobs, by id.
-pub(super) type ProgressById = FxHashMap<String, Progress>;
-
 impl Owner {
     /// Reads the workers and the progress of jobs. `claimed` is the transaction by which this owner claimed the pool.
     pub(super) async fn read_workers(&self, claimed: u64) -> (Page, ProgressById) {
@@ -64,20 +59,16 @@
     pub(super) fn load_jobs(&self, page: &Page, progress: &ProgressById) {
         let (now, unix) = (clock::now(), clock::unix());
         let mut pool = lock(&self.pool);
-        for row in &page.rows {
-            if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX) {
-                self.log_cancellation(id, "takeover", pool.cancel(unix, id));
-                continue;
-            }
-            let progress = progress.get(&row.key);
-            if let Some(completed) = progress.filter(|it| it.state == State::Completed) {
-                if let Some(job) = completed_job(row) {
-                    pool.adopt(now, unix, Arc::new(job), Some(completed), true);
-                }
-            } else if let Some((job, before)) = self.parse_job(row) {
-                pool.adopt(now, unix, Arc::new(job), progress.or(before.as_ref()), true);
-            }
-        }
+        let report = |id: &str, cancellation| self.log_cancellation(id, "takeover", cancellation);
+        job_rows::load(
+            &mut pool,
+            self.pool_number,
+            now,
+            unix,
+            &page.rows,
+            progress,
+            report,
+        );
         drop(pool);
         self.wake.notify_one();
     }
@@ -115,15 +106,8 @@
         }
         let (now, unix) = (clock::now(), clock::unix());
         let mut pool = lock(&self.pool);
-        for row in rows.iter().filter(|row| row.value.is_some()) {
-            if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX) {
-                self.log_cancellation(id, source, pool.cancel(unix, id));
-            } else if !pool.contains_job(&row.key)
-                && let Some((job, before)) = self.parse_job(row)
-            {
-                pool.adopt(now, unix, Arc::new(job), before.as_ref(), false);
-            }
-        }
+        let report = |id: &str, cancellation| self.log_cancellation(id, source, cancellation);
+        job_rows::apply(&mut pool, self.pool_number, now, unix, &rows, report);
         drop(pool);
         self.wake.notify_one();
         self.dirty.notify_one();
@@ -199,34 +183,4 @@
         }
         self.dirty.notify_one();
     }
-
-    /// Decodes a job's row if the job is in this pool: returns the job, and its progress in another pool if it was transferred.
-    fn parse_job(&self, row: &Row) -> Option<(Job, Option<Progress>)> {
-        let value = row.value.as_deref()?;
-        match serde_json::from_slice::<JobRow<Job>>(value) {
-            Ok(found) if found.pool != self.pool_number => None,
-            Ok(found) => Some((found.job, found.moved.map(|moved| moved.progress))),
-            Err(error) => {
-                warn!(row = row.key.as_str(), error:% = error; "job row can't be decoded");
-                None
-            }
-        }
-    }
-}
-
-/// A completed job with nothing but its id and who may access it. Nothing of it runs or will run, and callers ask only for its
-/// state. Most rows that a new owner reads are of such jobs, and decoding them whole took half of the time until other jobs were
-/// resumed.
-fn completed_job(row: &Row) -> Option<Job> {
-    let header = job_row_header(row.value.as_deref()?);
-    if header.is_none() {
-        warn!(row = row.key.as_str(); "job row can't be decoded");
-    }
-    let JobAccess { queue, customer } = header?.job;
-    Some(Job {
-        id: row.key.as_str().into(),
-        queue,
-        customer,
-        ..Job::default()
-    })
 }
--- /dev/null
+++ b/crates/host/tests/job_rows.rs
@@ -0,0 +1,100 @@
+//! Rows of the table of jobs in the orders in which an owner may receive them.
+
+use std::sync::Arc;
+
+use host::Row;
+use host::job_rows::apply;
+use pool::{Command, Job, Options, Pool, State, Step, WorkerId, WorkerInfo, WorkerReport};
+use resource::Size;
+
+const UNIX: u64 = 1_700_000_000_000;
+const NOW: u64 = 1_000;
+const POOL: u32 = 2;
+const JOB: &str = "00000000000000c1";
+
+/// A pool with an idle worker.
+fn pool() -> Pool {
+    let mut pool = Pool::new(Options::default());
+    let id: WorkerId = "w0".into();
+    let info = WorkerInfo {
+        address: id.to_string(),
+        service: "s".into(),
+        capacity: Size::new(4_000, 10_000, 0),
+        incarnation: 1,
+        ..WorkerInfo::default()
+    };
+    pool.update_worker(NOW, &id, info);
+    pool.set_stored_roster(&[Arc::clone(&id)]);
+    let report = WorkerReport {
+        clock: 50_000,
+        incarnation: 1,
+        lease: 55_000,
+        requested_at: NOW,
+        ..WorkerReport::default()
+    };
+    pool.apply_report(NOW, UNIX, &id, &report);
+    pool
+}
+
+fn row(key: &str, version: u64, value: Vec<u8>) -> Row {
+    Row {
+        table: "jobs".into(),
+        part: "jobs-1".into(),
+        key: key.into(),
+        value: Some(value),
+        version,
+    }
+}
+
+/// The row of a job of the pool with one task.
+fn job_row(version: u64) -> Row {
+    let job = Job {
+        id: JOB.into(),
+        queue: "q".into(),
+        service: "s".into(),
+        steps: vec![Step {
+            count: 1,
+            size: Size::new(1_000, 100, 0),
+            estimate: 500,
+            ..Step::default()
+        }],
+        accepted: UNIX,
+        ..Job::default()
+    };
+    let value = serde_json::json!({ "pool": POOL, "job": job });
+    row(JOB, version, value.to_string().into_bytes())
+}
+
+fn cancellation_row(version: u64) -> Row {
+    row(&format!("!{JOB}"), version, b"{}".to_vec())
+}
+
+fn apply_rows(pool: &mut Pool, rows: &[Row]) {
+    apply(pool, POOL, NOW, UNIX, rows, |_, _| {});
+}
+
+/// Number of tasks that the pool starts now.
+fn starts(pool: &mut Pool) -> usize {
+    let commands = pool.schedule(NOW + 10, UNIX + 10);
+    let is_start = |command: &&Command| matches!(command, Command::Start(_));
+    commands.iter().filter(is_start).count()
+}
+
+/// Guards against a cancelled job that runs: its cancellation is listed before the job, which the owner doesn't know yet.
+#[test]
+fn a_cancellation_that_is_listed_before_its_job_is_applied() {
+    let mut pool = pool();
+    apply_rows(&mut pool, &[cancellation_row(12), job_row(11)]);
+    assert_eq!(starts(&mut pool), 0);
+    let batch = pool.batch(80);
+    assert_eq!(batch.rows[0].1.state, State::Cancelled);
+}
+
+/// Guards against a job that never runs: it is accepted after the owner has read the table, and the host that accepted it can't
+/// reach the owner.
+#[test]
+fn a_job_accepted_after_the_takeover_is_taken_from_a_snapshot() {
+    let mut pool = pool();
+    apply_rows(&mut pool, &[job_row(11)]);
+    assert_eq!(starts(&mut pool), 1);
+}
