Leave jobs that a takeover reads to the pages with their progress

What callers saw: nothing was reported of this; by its effect a job that was shown as cancelled or completed runs again from its beginning. Cause: a new owner follows the table of jobs while it still reads the jobs and their progress, for seconds if a part of the store doesn't answer. If the store has dropped its changes meanwhile, the list of all rows arrives without progress: a job of a page that had not been read was adopted as one of which nothing had run, the page that came later was ignored, and the next write replaced the stored final state. Evidence: `a_job_that_the_takeover_still_reads_keeps_its_progress` started a cancelled job before the change. Change: rows that are not newer than the transaction as of which a new owner reads the jobs are left to its pages. Why it works: the pages are at least as new as that transaction, so they have each such row, with the progress as of the same time; what is newer was accepted for this owner or transferred to it, and has its progress in its row if it has any.

--- a/crates/host/src/job_rows.rs
+++ b/crates/host/src/job_rows.rs
@@ -41,28 +41,32 @@
 
 /// Applies rows that changed, or all rows if the store no longer has the changes. `report` is called for each cancellation.
 ///
-/// Jobs come first: a list is in the order of keys, where a cancellation precedes its job.
+/// Jobs come first: a list is in the order of keys, where a cancellation precedes its job. Jobs whose rows are not newer than the
+/// transaction `read_as_of` are left to [`load`], which has their progress.
 pub fn apply(
     pool: &mut Pool,
     pool_number: u32,
     now: Ms,
     unix: u64,
     rows: &[Row],
+    read_as_of: u64,
     mut report: impl FnMut(&str, Cancellation),
 ) {
     let present = rows.iter().filter(|row| row.value.is_some());
     let (cancellations, jobs): (Vec<&Row>, Vec<&Row>) =
         present.partition(|row| row.key.starts_with(CANCEL_PREFIX));
     for row in jobs {
-        if !pool.contains_job(&row.key)
+        if row.version > read_as_of
+            && !pool.contains_job(&row.key)
             && let Some((job, before)) = parse_job(row, pool_number)
         {
             pool.adopt(now, unix, Arc::new(job), before.as_ref(), false);
         }
     }
     for row in cancellations {
-        let id = row.key.trim_start_matches(CANCEL_PREFIX);
-        report(id, pool.cancel(unix, id));
+        if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX) {
+            report(id, pool.cancel(unix, id));
+        }
     }
 }
 
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -1,6 +1,7 @@
 //! Jobs, cancellations and workers that the owner reads from the store.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::warn;
@@ -105,9 +106,18 @@
             return;
         }
         let (now, unix) = (clock::now(), clock::unix());
+        let read_as_of = self.jobs_read_as_of.load(Ordering::Relaxed);
         let mut pool = lock(&self.pool);
         let report = |id: &str, cancellation| self.log_cancellation(id, source, cancellation);
-        job_rows::apply(&mut pool, self.pool_number, now, unix, &rows, report);
+        job_rows::apply(
+            &mut pool,
+            self.pool_number,
+            now,
+            unix,
+            &rows,
+            read_as_of,
+            report,
+        );
         drop(pool);
         self.wake.notify_one();
         self.dirty.notify_one();
--- a/crates/host/tests/job_rows.rs
+++ b/crates/host/tests/job_rows.rs
@@ -3,14 +3,18 @@
 use std::sync::Arc;
 
 use host::Row;
-use host::job_rows::apply;
-use pool::{Command, Job, Options, Pool, State, Step, WorkerId, WorkerInfo, WorkerReport};
+use host::job_rows::{ProgressById, apply, load};
+use pool::{
+    Command, Job, Options, Pool, Progress, State, Step, WorkerId, WorkerInfo, WorkerReport,
+};
 use resource::Size;
 
 const UNIX: u64 = 1_700_000_000_000;
 const NOW: u64 = 1_000;
 const POOL: u32 = 2;
 const JOB: &str = "00000000000000c1";
+/// The transaction as of which the owner has read the jobs.
+const READ_AS_OF: u64 = 10;
 
 /// A pool with an idle worker.
 fn pool() -> Pool {
@@ -70,7 +74,7 @@
 }
 
 fn apply_rows(pool: &mut Pool, rows: &[Row]) {
-    apply(pool, POOL, NOW, UNIX, rows, |_, _| {});
+    apply(pool, POOL, NOW, UNIX, rows, READ_AS_OF, |_, _| {});
 }
 
 /// Number of tasks that the pool starts now.
@@ -90,11 +94,33 @@
     assert_eq!(batch.rows[0].1.state, State::Cancelled);
 }
 
+/// Guards against a job that runs again after its end was shown: a new owner follows the table while it still reads the jobs and
+/// their progress, and a row of a job without its progress would count as a job of which nothing has run.
+#[test]
+fn a_job_that_the_takeover_still_reads_keeps_its_progress() {
+    for state in [State::Cancelled, State::Completed] {
+        let mut pool = pool();
+        pool.set_jobs_incomplete(NOW, true);
+        apply_rows(&mut pool, &[job_row(READ_AS_OF)]);
+        let ended = Progress {
+            state,
+            ..Progress::default()
+        };
+        let progress = ProgressById::from_iter([(JOB.to_owned(), ended)]);
+        let page = [job_row(READ_AS_OF)];
+        load(&mut pool, POOL, NOW, UNIX, &page, &progress, |_, _| {});
+        pool.set_jobs_incomplete(NOW, false);
+        assert_eq!(starts(&mut pool), 0, "{state:?}");
+        assert_eq!(pool.state(JOB), Some(state));
+        assert!(pool.batch(80).rows.is_empty(), "{state:?} is overwritten");
+    }
+}
+
 /// Guards against a job that never runs: it is accepted after the owner has read the table, and the host that accepted it can't
 /// reach the owner.
 #[test]
 fn a_job_accepted_after_the_takeover_is_taken_from_a_snapshot() {
     let mut pool = pool();
-    apply_rows(&mut pool, &[job_row(11)]);
+    apply_rows(&mut pool, &[job_row(READ_AS_OF + 1)]);
     assert_eq!(starts(&mut pool), 1);
 }
