Store and confirm nothing about a job that may be in another pool

What callers saw: nothing was reported of this; by its effect a cancellation is acknowledged, the job shown as cancelled, then as running, and its tasks run to their end, or for ever, in another pool. Cause: if the answer to the write that transfers a job is lost, the owner rewrites its roster and looks at the job's row some passes later. In between, the writer stored a final state of the job in the former pool's part, which its conditions allow, and the owner confirmed it. Ruled out: a transfer that is answered, refused or whose condition fails (the owner knows where the job is); a cancellation before the transfer (the transfer's condition). Change: from the begin of the write until its outcome is known, the job is left out of batches, and the owner tells callers' hosts that it doesn't know the job, so that its row, the next pool and the row of the cancellation decide. Why it works: the row of the cancellation is in the same part as the job's row and precludes the transfer, so one of the two pools sees both.

--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -50,7 +50,8 @@
             {
                 let pool = lock(&self.pool);
                 let is_owner = !self.ended.is_cancelled() && pool.has_quorum(clock::now());
-                let Some(job) = pool.job(id).filter(|_| is_owner) else {
+                let is_here = is_owner && !pool.is_transfer_in_doubt(id);
+                let Some(job) = pool.job(id).filter(|_| is_here) else {
                     return Reply::Unknown;
                 };
                 if !caller.may_access(&job.customer, &job.queue) {
@@ -87,7 +88,7 @@
             let stored = self.stored.notified();
             {
                 let pool = lock(&self.pool);
-                if !pool.contains_job(id) {
+                if !pool.contains_job(id) || pool.is_transfer_in_doubt(id) {
                     return Reply::Unknown;
                 }
                 if pool.state(id).is_some_and(State::is_final) {
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -6,7 +6,8 @@
 //! The writer makes the transfer between two other transactions, so no other write of this owner is in flight.
 //!
 //! After a lost answer it is not known which pool the job is in. The writer then rewrites the roster, after which the lost
-//! transaction can't take effect any more, and reads the job's row. Until then no task of the job runs.
+//! transaction can't take effect any more, and reads the job's row. Until then no task of the job runs, nothing about the job is
+//! stored in this pool, and callers are told what the job's row and its next pool say.
 
 use std::sync::Arc;
 
@@ -62,8 +63,8 @@
     }
     let mut from = header.moved.map_or_else(Vec::new, |moved| moved.from);
     from.push(owner.pool_number());
-    let transferable = lock(&owner.pool).transferable(id);
-    let Some((job, progress)) = transferable else {
+    let begun = lock(&owner.pool).begin_transfer(id);
+    let Some((job, progress)) = begun else {
         lock(&owner.pool).cancel_transfer(id);
         return Ok(());
     };
@@ -81,6 +82,7 @@
         moved: Some(TransferHistory { from, progress }),
     };
     let Ok(value) = serde_json::to_vec(&next) else {
+        lock(&owner.pool).cancel_transfer(id);
         return Ok(());
     };
     let transaction = Transaction {
@@ -99,9 +101,13 @@
         ..Transaction::default()
     };
     if let Err(error) = host.store.commit(&transaction).await {
-        if matches!(error, StoreError::Rejected { .. }) {
-            lock(&owner.pool).cancel_transfer(id);
+        let mut pool = lock(&owner.pool);
+        match error {
+            StoreError::Lost { .. } => {}
+            StoreError::Rejected { .. } => pool.cancel_transfer(id),
+            _ => pool.transfer_failed(id),
         }
+        drop(pool);
         return Err(error);
     }
     info!(job = &**id, from = owner.pool_number(), to = to, epoch = owner.epoch(); "job transferred to another pool");
--- a/crates/pool/src/batch.rs
+++ b/crates/pool/src/batch.rs
@@ -43,8 +43,15 @@
     }
 
     /// Takes up to `max_jobs` jobs. Ends are covered only if no job is left over.
+    ///
+    /// A job that may be in another pool is left over: a final state that this pool stored would be shown to its caller while
+    /// the other pool runs the job.
     pub fn batch(&mut self, max_jobs: usize) -> Batch {
-        let ids: Vec<JobId> = self.dirty.iter().take(max_jobs).cloned().collect();
+        let storable = self
+            .dirty
+            .iter()
+            .filter(|id| !self.is_transfer_in_doubt(id));
+        let ids: Vec<JobId> = storable.take(max_jobs).cloned().collect();
         let mut batch = Batch::default();
         for id in ids {
             self.dirty.remove(&id);
--- a/crates/pool/src/unservable.rs
+++ b/crates/pool/src/unservable.rs
@@ -71,17 +71,33 @@
         false
     }
 
-    /// A job and its progress, if it is still to be transferred and none of its tasks runs here.
-    #[must_use]
-    pub fn transferable(&self, id: &str) -> Option<(Arc<Job>, Progress)> {
-        let live = self.jobs.get(id)?;
+    /// Begins the write that transfers a job: returns the job and its progress, if it is still to be transferred and none of its
+    /// tasks runs here. Until the outcome is known, the job may be in another pool, and nothing about it is stored or reported.
+    pub fn begin_transfer(&mut self, id: &str) -> Option<(Arc<Job>, Progress)> {
+        let live = self.jobs.get_mut(id)?;
         let is_ready = live.transferring && live.is_idle() && !live.state.is_final();
+        live.transfer_in_doubt |= is_ready;
         is_ready.then(|| (Arc::clone(&live.job), live.progress()))
     }
 
+    /// Records that the job is still in this pool: the write that transfers it has certainly not taken effect.
+    pub fn transfer_failed(&mut self, id: &str) {
+        if let Some(live) = self.jobs.get_mut(id) {
+            live.transfer_in_doubt = false;
+        }
+    }
+
+    /// Whether the job may be in another pool, because the outcome of its transfer isn't known.
+    #[must_use]
+    pub fn is_transfer_in_doubt(&self, id: &str) -> bool {
+        let live = self.jobs.get(id);
+        live.is_some_and(|live| live.transfer_in_doubt)
+    }
+
     /// Keeps a job in this pool after all: its caller has cancelled it, or no other pool can take it.
     pub fn cancel_transfer(&mut self, id: &str) {
         if let Some(live) = self.jobs.get_mut(id) {
+            live.transfer_in_doubt = false;
             live.transferring = false;
             live.unservable_since = None;
         }
--- a/crates/pool/tests/unservable.rs
+++ b/crates/pool/tests/unservable.rs
@@ -8,12 +8,11 @@
 use std::sync::Arc;
 
 use case::{pool, report, report_all, starts};
+use pool::{Pool, State};
 use simulation::{UNIX, job};
 
-/// A gang needs all four workers, and one of them is lost. After a delay in which the worker could have come back, the job is
-/// to be transferred to another pool. Once it is transferred, an outdated row of it must not bring it back.
-#[test]
-fn a_job_that_an_empty_pool_could_not_run_is_transferred() {
+/// A pool of which a worker is lost, with a job that needs all four and is to be transferred.
+fn pool_with_unservable_job() -> Pool {
     let mut pool = pool(4);
     let mut wide = job("wide", &[(4, 4_000, 500)]);
     wide.steps[0].gang = true;
@@ -42,6 +41,14 @@
         }
     }
     assert_eq!(leaving, vec!["wide".into()]);
+    pool
+}
+
+/// A gang needs all four workers, and one of them is lost. After a delay in which the worker could have come back, the job is
+/// to be transferred to another pool. Once it is transferred, an outdated row of it must not bring it back.
+#[test]
+fn a_job_that_an_empty_pool_could_not_run_is_transferred() {
+    let mut pool = pool_with_unservable_job();
     pool.remove_transferred(&"wide".into());
     assert!(!pool.contains_job("wide"));
     let outdated = job("wide", &[(1, 1_000, 500)]);
@@ -52,6 +59,20 @@
     );
 }
 
+/// Guards against a cancelled job that runs: this pool stores and confirms the cancellation while another pool has the job.
+#[test]
+fn nothing_is_stored_about_a_job_that_may_be_in_another_pool() {
+    let mut pool = pool_with_unservable_job();
+    assert!(pool.begin_transfer("wide").is_some());
+    pool.cancel(UNIX + 6_000, "wide");
+    assert!(pool.batch(80).rows.is_empty(), "the outcome isn't known");
+    pool.transfer_failed("wide");
+    let batch = pool.batch(80);
+    assert_eq!(batch.rows.len(), 1);
+    assert_eq!(batch.rows[0].1.state, State::Cancelled);
+    assert!(pool.begin_transfer("wide").is_none());
+}
+
 /// A job that would fit into the empty pool stays there while other jobs use the capacity.
 #[test]
 fn a_job_that_only_waits_for_capacity_stays() {
