Ignore a completed job's progress in a pool that no longer has the job

What callers saw: nothing was reported of this; a job would be shown as completed by the next owner of its former pool while another pool runs it. Cause: a new owner reads completed jobs in a short form, and didn't compare the pool of the row as it does for other jobs. Evidence: `progress_of_a_job_in_another_pool_is_ignored` failed before the change. Change: the short form compares the pool too.

--- a/crates/host/src/job_rows.rs
+++ b/crates/host/src/job_rows.rs
@@ -30,7 +30,7 @@
         }
         let progress = progress.get(&row.key);
         if let Some(completed) = progress.filter(|it| it.state == State::Completed) {
-            if let Some(job) = completed_job(row) {
+            if let Some(job) = completed_job(row, pool_number) {
                 pool.adopt(now, unix, Arc::new(job), Some(completed), true);
             }
         } else if let Some((job, before)) = parse_job(row, pool_number) {
@@ -86,12 +86,13 @@
 /// A completed job with nothing but its id and who may access it. Nothing of it runs or will run, and callers ask only for its
 /// state. Most rows that a new owner reads are of such jobs, and decoding them whole took half of the time until other jobs were
 /// resumed.
-fn completed_job(row: &Row) -> Option<Job> {
+fn completed_job(row: &Row, pool_number: u32) -> Option<Job> {
     let header = job_row_header(row.value.as_deref()?);
     if header.is_none() {
         warn!(row = row.key.as_str(); "job row can't be decoded");
     }
-    let JobAccess { queue, customer } = header?.job;
+    let header = header.filter(|header| header.pool == pool_number)?;
+    let JobAccess { queue, customer } = header.job;
     Some(Job {
         id: row.key.as_str().into(),
         queue,
--- a/crates/host/tests/job_rows.rs
+++ b/crates/host/tests/job_rows.rs
@@ -116,6 +116,28 @@
     }
 }
 
+/// Guards against a job that is shown as completed while another pool runs it.
+#[test]
+fn progress_of_a_job_in_another_pool_is_ignored() {
+    let mut pool = pool();
+    let ended = Progress {
+        state: State::Completed,
+        ..Progress::default()
+    };
+    let progress = ProgressById::from_iter([(JOB.to_owned(), ended)]);
+    let other = POOL + 1;
+    load(
+        &mut pool,
+        other,
+        NOW,
+        UNIX,
+        &[job_row(READ_AS_OF)],
+        &progress,
+        |_, _| {},
+    );
+    assert!(!pool.contains_job(JOB));
+}
+
 /// Guards against a job that never runs: it is accepted after the owner has read the table, and the host that accepted it can't
 /// reach the owner.
 #[test]
