A start that only a former owner knew of is a confirmed crash only if its worker was lost

(3) orders carried out twice: ruled out, one start a number. Change: a record of an announced start, or of one by an owner that is lost, is unconfirmed. The start of a suspect on a steady worker is stored with that worker and its incarnation, and the next owner decides by the worker's report: the same incarnation without the run, and the record is dropped; another incarnation, or a worker whose lease has lapsed and that the directory has dropped, and it is confirmed. Tests: two failed before (an_announced_start_is_not_a_confirmed_crash_at_the_next_owner: Failed; starts_that_were_lost_with_their_owners_are_no_crashes: Failed at the fourth owner). starts_of_lost_owners_count_if_their_workers_have_restarted holds before and after. Without either half of the decision crashes_are_known_although_each_owner_is_lost_soon_after_one fails. Why it works: what only the lost owner knew is asked of the one witness that is left, the worker; what nobody can tell blames no one.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -5,7 +5,9 @@
 //! cause of a crash from its neighbours, which run stably elsewhere and lose their records. A task with [`MAX_CRASHES`] records
 //! is abandoned and its job fails.
 //!
-//! The records are stored with the progress of the job, so that the next owner continues from them.
+//! The records are stored with the progress of the job, so that the next owner continues from them. An owner may be lost before it
+//! learns whether a start has crashed its worker, or was carried out at all. So a start of a suspect is stored with its worker, and
+//! the next owner counts it as a confirmed crash only if that worker was lost: it reports another incarnation, or never reports.
 
 use std::sync::Arc;
 
@@ -13,6 +15,8 @@
 
 use crate::loss::Loss;
 use crate::pool::Pool;
+use crate::progress::UnresolvedStart;
+use crate::report::WorkerReport;
 use crate::state::State;
 use crate::task::{Ms, Run, Task, TaskKey, WorkerId};
 use crate::worker::Worker;
@@ -36,14 +40,50 @@
 /// Workers that run suspects still within [`CRASH_WINDOW`], with the highest number of crashes of any such suspect.
 pub(crate) type SuspectsByWorker = FxHashMap<WorkerId, usize>;
 
+/// A worker that had been up for [`STEADY_AFTER`] when a start command was sent to it.
+#[derive(Clone, Debug)]
+pub(crate) struct SteadyWorker {
+    id: WorkerId,
+    incarnation: u64,
+}
+
+impl SteadyWorker {
+    /// Returns `None` if the worker has not been up for [`STEADY_AFTER`]; `unix` is the present time in Unix milliseconds.
+    pub(crate) fn new(worker: &Worker, unix: u64) -> Option<Self> {
+        is_steady(worker, unix).then(|| Self {
+            id: Arc::clone(&worker.id),
+            incarnation: worker.incarnation,
+        })
+    }
+}
+
 /// Record of a run that may have crashed its worker.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Crash {
     /// Number of the run.
     pub run: u32,
     /// Whether the worker was certainly up when the start command was sent, and had been for [`STEADY_AFTER`]. Otherwise it may have
     /// been down already, or restart whatever runs on it.
     pub confirmed: bool,
+    /// The worker that the start command was sent to, if it was steady and the outcome isn't known yet.
+    pub started_on: Option<SteadyWorker>,
+}
+
+impl Crash {
+    const fn new(run: u32, confirmed: bool) -> Self {
+        Self {
+            run,
+            confirmed,
+            started_on: None,
+        }
+    }
+}
+
+/// What became of a start by a former owner.
+enum StartOutcome {
+    Running,
+    NotStarted,
+    WorkerLost,
 }
 
 /// Crash history of a task.
@@ -78,15 +118,11 @@
 }
 
 impl Task {
-    /// Restores the crash records stored by the former owner, some of which are `unconfirmed`. A start that it announced counts as
-    /// confirmed: the owner may have been lost together with the worker.
+    /// Restores the crash records stored by the former owner, some of which are `unconfirmed`.
     pub(crate) fn restore_crashes(&mut self, runs: &[u32], unconfirmed: &[u32]) {
         self.crashed = runs
             .iter()
-            .map(|&run| Crash {
-                run,
-                confirmed: !unconfirmed.contains(&run),
-            })
+            .map(|&run| Crash::new(run, !unconfirmed.contains(&run)))
             .collect();
         self.crashes_stored = runs.len();
         self.highest_run = self
@@ -94,6 +130,30 @@
             .max(runs.iter().max().copied().unwrap_or(0));
     }
 
+    /// Restores the worker of a start whose outcome the former owner didn't know.
+    pub(crate) fn restore_start(&mut self, start: &UnresolvedStart) {
+        let crash = self.crashed.iter_mut().find(|it| it.run == start.run);
+        if let Some(crash) = crash {
+            crash.started_on = Some(SteadyWorker {
+                id: Arc::clone(&start.worker),
+                incarnation: start.incarnation,
+            });
+        }
+    }
+
+    /// The starts whose outcome isn't known, as they are stored; `index` is that of the task.
+    pub(crate) fn unresolved_starts(&self, index: u32) -> impl Iterator<Item = UnresolvedStart> {
+        self.crashed.iter().filter_map(move |crash| {
+            let worker = crash.started_on.as_ref()?;
+            Some(UnresolvedStart {
+                task: index,
+                run: crash.run,
+                worker: Arc::clone(&worker.id),
+                incarnation: worker.incarnation,
+            })
+        })
+    }
+
     /// Number of workers that the task may have crashed, not counting its current run and an announced one.
     pub(crate) fn crashes(&self) -> usize {
         self.past_crashes().count()
@@ -131,6 +191,20 @@
         }
     }
 
+    /// The worker of a start whose outcome isn't known.
+    fn unresolved_start(&self, number: u32) -> Option<&SteadyWorker> {
+        let crash = self.crashed.iter().find(|crash| crash.run == number);
+        crash.and_then(|crash| crash.started_on.as_ref())
+    }
+
+    /// Confirms the record of a start whose worker was lost.
+    fn confirm_crash(&mut self, number: u32) {
+        if let Some(crash) = self.crashed.iter_mut().find(|it| it.run == number) {
+            crash.confirmed = true;
+            crash.started_on = None;
+        }
+    }
+
     /// Drops the record of a run that its worker has survived; returns whether there was one.
     pub(crate) fn clear_crash(&mut self, number: u32) -> bool {
         let before = self.crashed.len();
@@ -147,19 +221,27 @@
         before != self.crashed.len()
     }
 
-    /// Records a start of a suspect as a crash until the worker is known to have survived it. The same applies to a task that a
-    /// former owner may have started, because it may have been lost with a worker that crashed. Returns whether a record was
-    /// made.
-    pub(crate) fn assume_crash(&mut self, number: u32, inherited: bool) -> bool {
+    /// Records a start of a suspect until the worker is known to have survived it, unconfirmed: this owner may be lost before it
+    /// learns the outcome. The same applies to a task that a former owner may have started, because it may have been lost with a
+    /// worker that crashed. Returns whether a record was made.
+    pub(crate) fn assume_crash(
+        &mut self,
+        number: u32,
+        inherited: bool,
+        worker: Option<&SteadyWorker>,
+    ) -> bool {
         if let Some(announced) = self.announced.take() {
             self.clear_crash(announced);
         }
-        if self.crashed.is_empty() && !inherited {
+        let is_suspect = !self.crashed.is_empty();
+        if !is_suspect && !inherited {
             return false;
         }
+        // Most inherited tasks are no suspects, and the workers of all of them would take much of the row.
+        let started_on = worker.filter(|_| is_suspect).cloned();
         self.crashed.push(Crash {
-            run: number,
-            confirmed: true,
+            started_on,
+            ..Crash::new(number, false)
         });
         true
     }
@@ -185,19 +267,17 @@
         if loss == Loss::Missing || was_leaving || !run.is_in_crash_window(last_poll) {
             return;
         }
-        let crash = Crash {
-            run: run.number,
-            confirmed: run.worker_was_up && run.worker_was_steady,
-        };
         let Some(task) = self.task_mut(key) else {
             return;
         };
+        let was_steady = run.worker_was_steady || task.unresolved_start(run.number).is_some();
+        let confirmed = was_steady && (run.worker_was_up || run.inherited);
         task.crashed_at = now;
         if let Some(run) = &mut task.run {
             run.may_have_crashed_worker = true;
         }
         task.clear_crash(run.number);
-        task.crashed.push(crash);
+        task.crashed.push(Crash::new(run.number, confirmed));
         self.suspects.insert(key.clone());
         self.mark_dirty(&key.stage.job);
     }
@@ -225,13 +305,79 @@
         let Some(live) = self.jobs.get(job) else {
             return;
         };
-        let found = live.tasks().filter(|(_, task)| !task.crashed.is_empty());
-        self.suspects.extend(found.map(|(key, _)| key));
+        for (key, task) in live.tasks().filter(|(_, task)| !task.crashed.is_empty()) {
+            for worker in task.crashed.iter().filter_map(|it| it.started_on.as_ref()) {
+                let tasks = self.unresolved_starts.entry(Arc::clone(&worker.id));
+                tasks.or_default().push(key.clone());
+            }
+            self.suspects.insert(key);
+        }
+    }
+
+    /// Decides with a complete report of a worker which starts by a former owner have crashed it. The incarnation that a start was
+    /// sent to is still up: the start was not carried out, unless the report lists it. Another one is: the start is confirmed as
+    /// a crash.
+    pub(crate) fn resolve_starts(&mut self, id: &WorkerId, report: &WorkerReport) {
+        for key in self.unresolved_starts.remove(id).unwrap_or_default() {
+            self.resolve_starts_of(&key, id, |start| {
+                if report.lists(&key, start.run) {
+                    StartOutcome::Running
+                } else if report.incarnation == start.incarnation {
+                    StartOutcome::NotStarted
+                } else {
+                    StartOutcome::WorkerLost
+                }
+            });
+        }
+    }
+
+    /// Confirms the starts by a former owner on workers that are gone: their leases have expired and the directory dropped them.
+    fn resolve_starts_on_lost_workers(&mut self, now: Ms) {
+        let is_lost = |id: &WorkerId| {
+            let worker = self.workers.get(id);
+            !self.unconfirmed_workers.contains(id)
+                && worker.is_none_or(|it| !it.registered && it.lease_expires_at < now)
+        };
+        let lost = self.unresolved_starts.keys().filter(|id| is_lost(id));
+        let lost: Vec<WorkerId> = lost.cloned().collect();
+        for id in lost {
+            for key in self.unresolved_starts.remove(&id).unwrap_or_default() {
+                self.resolve_starts_of(&key, &id, |_| StartOutcome::WorkerLost);
+            }
+        }
+    }
+
+    /// Updates the records of a task's unresolved starts on a worker. The current run is left alone: its end or its loss decides.
+    fn resolve_starts_of(
+        &mut self,
+        key: &TaskKey,
+        id: &WorkerId,
+        outcome: impl Fn(&UnresolvedStart) -> StartOutcome,
+    ) {
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let current = task.run.as_ref().map(|run| run.number);
+        let starts: Vec<UnresolvedStart> = task.unresolved_starts(key.index).collect();
+        for start in starts.iter().filter(|start| start.worker == *id) {
+            if Some(start.run) == current {
+                continue;
+            }
+            match outcome(start) {
+                StartOutcome::Running => {}
+                StartOutcome::NotStarted => {
+                    task.clear_crash(start.run);
+                }
+                StartOutcome::WorkerLost => task.confirm_crash(start.run),
+            }
+        }
+        self.mark_dirty(&key.stage.job);
     }
 
     /// Reviews the suspects that wait for a start: after too many crashes their jobs fail, and from the second crash on the next
     /// start is announced in the store first.
     pub(crate) fn review_suspects(&mut self, now: Ms, unix: u64) {
+        self.resolve_starts_on_lost_workers(now);
         let suspects: Vec<TaskKey> = self.suspects.iter().cloned().collect();
         for key in suspects {
             let live = self.jobs.get(&key.stage.job);
@@ -258,10 +404,7 @@
             {
                 let next = task.highest_run + 1;
                 task.announced = Some(next);
-                task.crashed.push(Crash {
-                    run: next,
-                    confirmed: true,
-                });
+                task.crashed.push(Crash::new(next, false));
                 self.mark_dirty(&key.stage.job);
             }
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -53,7 +53,7 @@
 pub use loss::{Loss, LostRun};
 pub use mechanism::{Mechanism, Switches, UnknownMechanism};
 pub use pool::{Options, Pool};
-pub use progress::{OccurrenceProgress, Progress, StepProgress};
+pub use progress::{OccurrenceProgress, Progress, StepProgress, UnresolvedStart};
 pub use quota::QuotaDemand;
 pub use report::{RunEnd, RunOutcome, RunStatus, WorkerReport};
 pub use state::State;
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -72,6 +72,11 @@
                     task.restore_crashes(runs, unconfirmed);
                 }
             }
+            for start in &progress.unresolved {
+                if let Some(task) = tasks.get_mut(start.task as usize) {
+                    task.restore_start(start);
+                }
+            }
             for (index, checkpoint) in &progress.checkpoints {
                 if let Some(task) = tasks.get_mut(*index as usize) {
                     task.checkpoint.clone_from(checkpoint);
@@ -102,6 +107,9 @@
                 .map(|(index, task)| (index as u32, task.unconfirmed_crashes()))
                 .filter(|(_, runs)| !runs.is_empty())
                 .collect(),
+            unresolved: unfinished()
+                .flat_map(|(index, task)| task.unresolved_starts(index as u32))
+                .collect(),
             checkpoints: unfinished()
                 .filter(|(_, task)| !task.checkpoint.is_empty())
                 .map(|(index, task)| (index as u32, task.checkpoint.clone()))
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -90,12 +90,13 @@
         id: &WorkerId,
         report: &WorkerReport,
     ) {
-        let Some(worker) = self.workers.get(id) else {
-            return;
-        };
         if report.is_truncated() {
             return;
         }
+        self.resolve_starts(id, report);
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         let mut lost = Vec::new();
         for key in keys {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::command::{Command, Start};
-use crate::crash::{MIN_CRASHES_TO_ISOLATE, Suspicion, is_steady};
+use crate::crash::{MIN_CRASHES_TO_ISOLATE, SteadyWorker, Suspicion, is_steady};
 use crate::fit::{self, Context};
 use crate::job::{Job, Step};
 use crate::live::{LiveJob, Stage};
@@ -408,7 +408,7 @@
             return;
         };
         let start_deadline = target.clock(now) + ttl;
-        let worker_was_steady = is_steady(target, self.unix);
+        let steady_worker = SteadyWorker::new(target, self.unix);
         // A start acts as a lease until its deadline, and the worker's clock may be 2% slow. 400 ms cover the network,
         // timers and rounding, as for any lease.
         target.lease_expires_at = target.lease_expires_at.max(now + ttl + ttl / 33 + 400);
@@ -426,11 +426,11 @@
         }
         let checkpoint = task.checkpoint.clone();
         let crashes = task.crashes();
-        let crash_assumed = task.assume_crash(number, inherited);
+        let crash_assumed = task.assume_crash(number, inherited, steady_worker.as_ref());
         task.run = Some(Run {
             // A task with so many crashes starts only on a worker that has answered since the last of them.
             worker_was_up: crashes >= MIN_CRASHES_TO_ISOLATE,
-            worker_was_steady,
+            worker_was_steady: steady_worker.is_some(),
             ..Run::new(number, Arc::clone(worker), now, start_deadline)
         });
         self.reserve_capacity(key, worker, number);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -119,6 +119,8 @@
     pub(crate) jobs_done: Vec<JobTimes>,
     /// Tasks suspected of crashing workers; may contain some whose suspicion has been cleared.
     pub(crate) suspects: BTreeSet<TaskKey>,
+    /// Tasks with starts by a former owner whose outcome only these workers can tell.
+    pub(crate) unresolved_starts: FxHashMap<WorkerId, Vec<TaskKey>>,
     /// Workers with a run of a suspect that may still crash them, as of the current scheduling pass.
     pub(crate) suspects_by_worker: SuspectsByWorker,
     /// Unix time of the latest scheduling pass, in milliseconds.
--- a/crates/pool/src/progress.rs
+++ b/crates/pool/src/progress.rs
@@ -3,6 +3,20 @@
 use serde::{Deserialize, Serialize};
 
 use crate::state::State;
+use crate::task::WorkerId;
+
+/// A start of a suspect on a steady worker, whose outcome wasn't known when the progress was stored.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UnresolvedStart {
+    /// Index of the task.
+    pub task: u32,
+    /// Number of the run.
+    pub run: u32,
+    /// Worker that the start command was sent to.
+    pub worker: WorkerId,
+    /// Incarnation of that worker, in Unix milliseconds.
+    pub incarnation: u64,
+}
 
 /// Progress of one step.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -16,9 +30,13 @@
     /// Indices of tasks with the numbers of their runs that may have crashed their workers.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub crashed: Vec<(u32, Vec<u32>)>,
-    /// Those of these runs that aren't confirmed as crashes. They don't count towards the confirmed ones of the next owner either.
+    /// Those of these runs that aren't confirmed as crashes, including starts that were only announced. They don't count towards
+    /// the confirmed ones of the next owner either.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub unconfirmed: Vec<(u32, Vec<u32>)>,
+    /// Those of the unconfirmed runs that the next owner can still confirm or rule out, once their workers have reported.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub unresolved: Vec<UnresolvedStart>,
     /// Indices of tasks with their newest checkpoints.
     #[serde(rename = "saved")]
     pub checkpoints: Vec<(u32, String)>,
