Stand-alone build: tasks that crash their workers are given up

Callers saw: a job whose task crashes the worker that starts it stayed `queued` or `running` for good, and one worker after the other restarted with all that ran there, until the job was cancelled.

Cause: the job scheduler counted only attempts that reported `failed`. An attempt that ends with its worker reports nothing, its task was queued again and nothing was counted. The rack's owner reported each end without an outcome as `lost`, whether the worker had restarted, could not be reached or had been told to stop it, so the scheduler could not have counted them soundly either.

Change: the rack's owner tells `lost` (the worker restarted within 2 s of the start, and neither leaves nor restarts on its own) from `interrupted` (all else), and reports `stable` when a suspect has outlived the 2 s. The job scheduler counts `lost` in a row per task, stores the counts in the job's row, and fails the job at three. Place requests carry the counts, and the rack's owner (`cell::rack::crash`) starts suspects of different jobs apart; nothing is started beside one that was lost twice, and its last try waits until it has waited 20 s in a rack without unexplained restarts. A restarted worker gets no tasks for 4 s. A task that is turned down goes last in the next pass, so that it keeps no capacity from others.

Why it works: the crash that fails a job follows a start in a rack that was quiet before, beside no other suspect and with nothing started there afterwards.

--- a/crates/cell/src/attempt.rs
+++ b/crates/cell/src/attempt.rs
@@ -73,10 +73,15 @@
     /// Number of usage reports that `peak` is based on.
     pub(crate) usage_reports: u32,
     pub(crate) phase: AttemptPhase,
+    /// When its start command was sent; `None` before that, and if an earlier owner sent it.
+    pub(crate) launched: Option<Now>,
+    /// Number of workers that earlier attempts at the task may have crashed; `None` if unknown,
+    /// because an earlier owner placed it.
+    pub(crate) crashes: Option<u32>,
 }
 
 impl Attempt {
-    pub(crate) fn new(task: Task, worker: &str, phase: AttemptPhase) -> Self {
+    pub(crate) fn new(task: Task, worker: &str, phase: AttemptPhase, crashes: Option<u32>) -> Self {
         let reserved = task.size;
         Self {
             task,
@@ -85,6 +90,8 @@
             peak: Size::ZERO,
             usage_reports: 0,
             phase,
+            launched: None,
+            crashes,
         }
     }
 
@@ -103,6 +110,6 @@
     if preempted {
         AttemptState::Preempted { saved_ms }
     } else {
-        AttemptState::Lost
+        AttemptState::Interrupted
     }
 }
--- a/crates/cell/src/job_scheduler.rs
+++ b/crates/cell/src/job_scheduler.rs
@@ -223,6 +223,7 @@
         };
         match event.state {
             AttemptState::Running => tracked.attempt_running(id.index, id.attempt),
+            AttemptState::Stable => tracked.attempt_stable(id.index, id.attempt),
             AttemptState::Finished => tracked.attempt_finished(id.index, id.attempt),
             state => tracked.attempt_ended(id.index, id.attempt, state),
         }
--- a/crates/cell/src/job_scheduler/job.rs
+++ b/crates/cell/src/job_scheduler/job.rs
@@ -1,6 +1,6 @@
 //! One job and its tasks.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use resource::{Size, id};
 use serde::{Deserialize, Serialize};
@@ -8,6 +8,8 @@
 
 /// A job fails after this many failed attempts per task, counted over all its tasks together.
 const MAX_FAILURES_PER_TASK: u32 = 8;
+/// A job fails once one of its tasks may have crashed this many workers in a row.
+const MAX_CRASHES: u32 = 3;
 
 /// Durable state of a job: its row in the platform's table.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -21,6 +23,9 @@
     pub finished: Vec<(u32, u32)>,
     /// Number of attempts that were lost, failed or preempted.
     pub restarts: u32,
+    /// Index of each task that may have crashed its workers, with the number of crashes in a row.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub crashes: BTreeMap<u32, u32>,
 }
 
 impl SavedJob {
@@ -35,6 +40,7 @@
             phase: Phase::Queued,
             finished: Vec::new(),
             restarts: 0,
+            crashes: BTreeMap::new(),
         }
     }
 
@@ -75,6 +81,10 @@
     pub(super) arrival: u64,
     failures: u32,
     restarts: u32,
+    /// Tasks that may have crashed their workers, with the number of crashes in a row.
+    crashes: BTreeMap<u32, u32>,
+    /// Whether a rack has turned down a task that may have crashed its workers.
+    pub(super) turned_down: bool,
     /// Attempt of a gang whose remaining members must be stopped.
     broken_attempt: Option<u64>,
 }
@@ -90,6 +100,8 @@
             arrival,
             failures: 0,
             restarts: 0,
+            crashes: BTreeMap::new(),
+            turned_down: false,
             broken_attempt: None,
         }
     }
@@ -98,6 +110,7 @@
         let mut tracked = Self::new(saved.job, arrival);
         tracked.phase = saved.phase;
         tracked.restarts = saved.restarts;
+        tracked.crashes = saved.crashes;
         tracked.tasks.fill(TaskState::Unknown);
         tracked.queue.clear();
         for (first, last) in saved.finished {
@@ -127,6 +140,7 @@
             phase,
             finished,
             restarts: self.restarts,
+            crashes: self.crashes.clone(),
         }
     }
 
@@ -182,6 +196,7 @@
             return false;
         }
         self.requeue(index, saved_ms);
+        self.turned_down |= self.crashes.contains_key(&index);
         true
     }
 
@@ -200,6 +215,20 @@
         }
     }
 
+    /// Records that the worker has survived an attempt. A new owner may learn this before it knows
+    /// which attempt is the current one.
+    pub(super) fn attempt_stable(&mut self, index: u32, attempt: u64) {
+        let unknown = self.tasks.get(index as usize) == Some(&TaskState::Unknown);
+        if unknown || self.is_current_attempt(index, attempt) {
+            self.crashes.remove(&index);
+        }
+    }
+
+    /// Number of workers that a task may have crashed in a row.
+    pub(super) fn crashes(&self, index: u32) -> u32 {
+        self.crashes.get(&index).copied().unwrap_or(0)
+    }
+
     /// Records that a rack holds this attempt of a task whose state was unknown; an earlier owner
     /// placed it.
     pub(super) fn attempt_found(&mut self, index: u32, attempt: u64, rack: &str) {
@@ -249,11 +278,21 @@
         };
         self.restarts += 1;
         self.requeue(index, saved_ms);
-        if state == AttemptState::Failed {
-            self.failures += 1;
-            if self.failures >= MAX_FAILURES_PER_TASK * self.job.tasks && !self.phase.is_over() {
-                self.phase = Phase::Failed;
+        let given_up = match state {
+            AttemptState::Failed => {
+                self.crashes.remove(&index);
+                self.failures += 1;
+                self.failures >= MAX_FAILURES_PER_TASK * self.job.tasks
             }
+            AttemptState::Lost => {
+                let crashes = self.crashes.entry(index).or_default();
+                *crashes += 1;
+                *crashes >= MAX_CRASHES
+            }
+            _ => false,
+        };
+        if given_up && !self.phase.is_over() {
+            self.phase = Phase::Failed;
         }
         if self.job.shape == Shape::Gang {
             self.broken_attempt = Some(attempt);
--- a/crates/cell/src/job_scheduler/schedule.rs
+++ b/crates/cell/src/job_scheduler/schedule.rs
@@ -77,18 +77,38 @@
             }
         }
         for (rack, tasks) in requests {
-            let from = self.next_serial();
-            dispatches.push(Dispatch::Start(PlaceRequest {
-                epoch: digests.epoch(&rack),
-                rack,
-                from,
-                mode: Mode::Start,
-                tasks,
-            }));
+            let request = self.place_request(rack, Mode::Start, tasks, digests);
+            dispatches.push(Dispatch::Start(request));
         }
         dispatches
     }
 
+    fn place_request(
+        &mut self,
+        rack: id::Rack,
+        mode: Mode,
+        tasks: Vec<Task>,
+        digests: &Digests,
+    ) -> PlaceRequest {
+        let crashes = |task: &Task| {
+            let name = (task.id.team.clone(), task.id.job.clone());
+            let tracked = self.jobs.get(&name);
+            tracked.map_or(0, |tracked| tracked.crashes(task.id.index))
+        };
+        let mut crashes: Vec<u32> = tasks.iter().map(crashes).collect();
+        if crashes.iter().all(|n| *n == 0) {
+            crashes.clear();
+        }
+        PlaceRequest {
+            epoch: digests.epoch(&rack),
+            rack,
+            from: self.next_serial(),
+            mode,
+            tasks,
+            crashes,
+        }
+    }
+
     /// Jobs with waiting tasks, in the order in which they are tried.
     fn scheduling_order(
         &mut self,
@@ -120,6 +140,9 @@
                 2 if by_size => tracked.job.size.share(cell.worker),
                 _ => 0.0,
             };
+            // A rack turns a task down that may have crashed its workers, although it has capacity.
+            // In the next pass that capacity is offered to others first.
+            let class = (tracked.turned_down, class);
             Some((class, share(&name.0), -size, tracked.arrival, name.clone()))
         };
         let mut ranked: Vec<_> = self.waiting.iter().filter_map(rank).collect();
@@ -129,7 +152,13 @@
                 .then(a.2.total_cmp(&b.2))
                 .then(a.3.cmp(&b.3))
         });
-        ranked.into_iter().map(|(.., name)| name).collect()
+        let order: Vec<JobKey> = ranked.into_iter().map(|(.., name)| name).collect();
+        for name in &order {
+            if let Some(tracked) = self.jobs.get_mut(name) {
+                tracked.turned_down = false;
+            }
+        }
+        order
     }
 
     fn is_overtaken(&self, name: &JobKey) -> bool {
@@ -216,17 +245,10 @@
             job: name.1.clone(),
             attempt,
         };
-        let request = |(rack, tasks): (id::Rack, Vec<Task>)| {
-            let from = self.next_serial();
-            PlaceRequest {
-                epoch: digests.epoch(&rack),
-                rack,
-                from,
-                mode: Mode::Hold,
-                tasks,
-            }
-        };
-        let requests = by_rack.into_iter().map(request).collect();
+        let requests = by_rack
+            .into_iter()
+            .map(|(rack, tasks)| self.place_request(rack, Mode::Hold, tasks, digests))
+            .collect();
         Some(Dispatch::Gang { gang, requests })
     }
 
--- a/crates/cell/src/rack.rs
+++ b/crates/cell/src/rack.rs
@@ -1,5 +1,6 @@
 //! One rack as seen by its owner: workers, quick requests, tasks.
 
+mod crash;
 mod heartbeat;
 mod place;
 mod quick_requests;
@@ -67,6 +68,10 @@
     authority: Authority,
     active: bool,
     hosts: BTreeMap<id::Worker, WorkerState>,
+    /// Workers whose last known incarnation has ended and that were not adopted since.
+    restarted: BTreeMap<id::Worker, crash::Restart>,
+    /// Tasks whose next crash fails their job, and since when each waits to be started here.
+    last_tries: BTreeMap<crash::TaskKey, Now>,
     quick: QuickQueue,
     attempts: u64,
     /// Runs that may still be going on, and when each has certainly ended. Its slot counts as used
@@ -90,6 +95,8 @@
             authority: Authority::new(roster),
             active: false,
             hosts: BTreeMap::new(),
+            restarted: BTreeMap::new(),
+            last_tries: BTreeMap::new(),
             quick: QuickQueue::default(),
             attempts: 0,
             unresolved_runs: Vec::new(),
@@ -190,6 +197,10 @@
         } else {
             self.remove_worker(worker);
             let mut host = WorkerState::new(address, incarnation, adopted, sent, received);
+            if let Some(restart) = self.restarted.remove(worker) {
+                host.restarted_at = Some(received);
+                host.own_restart = restart.own;
+            }
             for run in &adopted.report.runs {
                 let until = clock.latest_time(run.until);
                 self.quick.block_key(&run.key, until);
@@ -206,18 +217,19 @@
     /// A worker's current incarnation has ended, and with it everything that ran on it.
     pub fn remove_worker(&mut self, worker: &str) {
         self.authority.revoke(worker);
-        if self.hosts.remove(worker).is_none() {
+        let Some(host) = self.hosts.remove(worker) else {
             return;
-        }
+        };
+        let unsteady = self.is_unsteady(&host);
+        let restart = self.restart(worker, &host);
+        self.restarted.insert(worker.to_owned(), restart);
         self.unresolved_runs.retain(|(_, name, _)| name != worker);
-        let ended: Vec<TaskId> = self
-            .tasks
-            .values()
-            .filter(|t| t.worker == worker)
-            .map(|t| t.id().clone())
+        let on_worker = self.tasks.values().filter(|t| t.worker == worker);
+        let ended: Vec<(TaskId, AttemptState)> = on_worker
+            .map(|t| (t.id().clone(), t.state_after_restart(&host, unsteady)))
             .collect();
-        for id in ended {
-            self.end_attempt(&id, AttemptState::Lost);
+        for (id, state) in ended {
+            self.end_attempt(&id, state);
         }
     }
 
@@ -266,7 +278,7 @@
         let accepting = || {
             self.hosts
                 .iter()
-                .filter(|(_, h)| self.active && h.accepts_work(now))
+                .filter(|(_, h)| self.active && h.accepts_tasks(now))
         };
         Digest {
             rack: self.name.clone(),
@@ -366,8 +378,24 @@
             .sum()
     }
 
-    fn candidates(&self, now: Now, siblings_of: &TaskId) -> (Vec<id::Worker>, Vec<Capacity>) {
-        let accepting = self.hosts.iter().filter(|(_, host)| host.accepts_work(now));
+    /// Workers that a task may be started on.
+    fn accepting(
+        &self,
+        task: &TaskId,
+        crashes: u32,
+        now: Now,
+    ) -> impl Iterator<Item = (&id::Worker, &WorkerState)> {
+        self.hosts.iter().filter(move |(name, host)| {
+            host.accepts_tasks(now) && self.may_start(name, host, task, crashes, now)
+        })
+    }
+
+    fn candidates(
+        &self,
+        now: Now,
+        siblings_of: &TaskId,
+        crashes: u32,
+    ) -> (Vec<id::Worker>, Vec<Capacity>) {
         let candidate = |(name, host): (&id::Worker, &WorkerState)| {
             let sibling = |t: &&Attempt| {
                 t.worker == *name
@@ -384,7 +412,9 @@
                 },
             )
         };
-        accepting.map(candidate).unzip()
+        self.accepting(siblings_of, crashes, now)
+            .map(candidate)
+            .unzip()
     }
 
     /// Removes an attempt that can't run any longer, and records an event for its job's owner.
--- a/crates/cell/src/rack/heartbeat.rs
+++ b/crates/cell/src/rack/heartbeat.rs
@@ -62,6 +62,7 @@
             self.authority.acknowledge(worker, sent);
         }
         self.reconcile(worker, report, sent, now);
+        self.report_stable(worker);
         let mut commands = self.relieve_overload(worker);
         commands.extend(self.launch_awaiting(worker, now));
         commands
@@ -96,7 +97,7 @@
                     self.end_attempt(&id, AttemptState::NotStarted);
                 }
                 AttemptPhase::Running { since } if since < sent => {
-                    self.end_attempt(&id, AttemptState::Lost);
+                    self.end_attempt(&id, AttemptState::Interrupted);
                 }
                 AttemptPhase::Stopping { since, preempted } if since < sent => {
                     self.end_attempt(&id, state_after_stop(preempted, 0));
@@ -119,8 +120,13 @@
                 _ => {}
             }
         }
+        // The worker has not restarted, so the attempt did not crash it.
+        let state = match ended.state {
+            AttemptState::Lost => AttemptState::Interrupted,
+            state => state,
+        };
         if known || !recorded {
-            self.record_event(ended.home.clone(), ended.task.clone(), ended.state);
+            self.record_event(ended.home.clone(), ended.task.clone(), state);
         }
     }
 
@@ -130,7 +136,7 @@
             let phase = AttemptPhase::Running { since: now };
             self.tasks.insert(
                 id.clone(),
-                Attempt::new(running.task.clone(), worker, phase),
+                Attempt::new(running.task.clone(), worker, phase, None),
             );
             self.record_event(running.task.home.clone(), id.clone(), AttemptState::Running);
         }
@@ -188,7 +194,7 @@
         commands
     }
 
-    /// Ends, as lost, all attempts on the workers that have not answered until their task leases
+    /// Ends, as interrupted, all attempts on the workers that have not answered until their task leases
     /// expired, also held and awaiting ones that never started.
     fn end_expired_attempts(&mut self, now: Now) {
         let expired = |renewed: Now| now > renewed + TASK_LEASE + TASK_LEASE / 50;
@@ -201,7 +207,7 @@
             let on_worker = self.tasks.values().filter(|t| t.worker == worker);
             let ids: Vec<TaskId> = on_worker.map(|t| t.id().clone()).collect();
             for id in ids {
-                self.end_attempt(&id, AttemptState::Lost);
+                self.end_attempt(&id, AttemptState::Interrupted);
             }
         }
     }
--- a/crates/cell/src/rack/place.rs
+++ b/crates/cell/src/rack/place.rs
@@ -35,9 +35,10 @@
                 Vec::new(),
             );
         }
+        self.note_last_tries(request, now);
         let (placements, commands) = match request.mode {
-            Mode::Start => self.start_tasks(&request.tasks, now),
-            Mode::Hold => (self.hold_tasks(&request.tasks, now), Vec::new()),
+            Mode::Start => self.start_tasks(request, now),
+            Mode::Hold => (self.hold_tasks(request, now), Vec::new()),
         };
         let digest: Digest = self.digest(now);
         (
@@ -157,20 +158,20 @@
         }
     }
 
-    fn start_tasks(&mut self, tasks: &[Task], now: Now) -> (Vec<Placement>, Vec<Command>) {
+    fn start_tasks(&mut self, request: &PlaceRequest, now: Now) -> (Vec<Placement>, Vec<Command>) {
         let mut commands = Vec::new();
-        let mut place = |task: &Task| {
+        let mut place = |(task, crashes): (&Task, u32)| {
             if self.tasks.contains_key(&task.id) {
                 return Placement::Placed;
             }
-            if let Some(worker) = self.choose_worker(task, now) {
+            if let Some(worker) = self.choose_worker(task, crashes, now) {
                 let phase = AttemptPhase::Awaiting { until: now };
-                self.tasks
-                    .insert(task.id.clone(), Attempt::new(task.clone(), &worker, phase));
+                let attempt = Attempt::new(task.clone(), &worker, phase, Some(crashes));
+                self.tasks.insert(task.id.clone(), attempt);
                 commands.extend(self.launch(&task.id, now));
                 return Placement::Placed;
             }
-            match self.evict_for(task, now) {
+            match self.evict_for(task, crashes, now) {
                 Some(stops) => {
                     commands.extend(stops);
                     Placement::Placed
@@ -178,15 +179,17 @@
                 None => Placement::Full,
             }
         };
-        (tasks.iter().map(&mut place).collect(), commands)
+        let placements = request.tasks_with_crashes().map(&mut place).collect();
+        (placements, commands)
     }
 
-    fn hold_tasks(&mut self, tasks: &[Task], now: Now) -> Vec<Placement> {
-        for task in tasks {
+    fn hold_tasks(&mut self, request: &PlaceRequest, now: Now) -> Vec<Placement> {
+        let tasks = &request.tasks;
+        for (task, crashes) in request.tasks_with_crashes() {
             if self.tasks.contains_key(&task.id) {
                 continue;
             }
-            let Some(worker) = self.choose_worker(task, now) else {
+            let Some(worker) = self.choose_worker(task, crashes, now) else {
                 for task in tasks {
                     self.tasks.remove(&task.id);
                 }
@@ -195,28 +198,28 @@
             let phase = AttemptPhase::Held {
                 until: now + GANG_HOLD_TIMEOUT,
             };
-            self.tasks
-                .insert(task.id.clone(), Attempt::new(task.clone(), &worker, phase));
+            let attempt = Attempt::new(task.clone(), &worker, phase, Some(crashes));
+            self.tasks.insert(task.id.clone(), attempt);
         }
         vec![Placement::Placed; tasks.len()]
     }
 
-    fn choose_worker(&self, task: &Task, now: Now) -> Option<id::Worker> {
+    fn choose_worker(&self, task: &Task, crashes: u32, now: Now) -> Option<id::Worker> {
         let rule = match task.shape {
             Shape::Service => Rule::Spread,
             Shape::Batch => self.settings.batch,
             Shape::Gang => Rule::BestFit,
         };
-        let (names, candidates) = self.candidates(now, &task.id);
+        let (names, candidates) = self.candidates(now, &task.id, crashes);
         choose::place(rule, &candidates, task.size).map(|index| names[index].clone())
     }
 
     /// Stops batch tasks of lower bands on one worker so that `task` fits there.
-    fn evict_for(&mut self, task: &Task, now: Now) -> Option<Vec<Command>> {
+    fn evict_for(&mut self, task: &Task, crashes: u32, now: Now) -> Option<Vec<Command>> {
         if task.band == Band::Borrowed {
             return None;
         }
-        let accepting = self.hosts.iter().filter(|(_, host)| host.accepts_work(now));
+        let accepting = self.accepting(&task.id, crashes, now);
         let eviction = |worker: &id::Worker, free| {
             let lower = self.tasks.values().filter(|t| {
                 t.worker == *worker
@@ -247,8 +250,8 @@
         let phase = AttemptPhase::Awaiting {
             until: now + EVICTION_TIMEOUT,
         };
-        self.tasks
-            .insert(task.id.clone(), Attempt::new(task.clone(), &worker, phase));
+        let attempt = Attempt::new(task.clone(), &worker, phase, Some(crashes));
+        self.tasks.insert(task.id.clone(), attempt);
         Some(
             ids.iter()
                 .filter_map(|id| self.stop_attempt(id, true, true, now))
@@ -268,6 +271,7 @@
             not_after,
             sent: now,
         };
+        attempt.launched = Some(now);
         let start = Start {
             epoch: self.epoch,
             incarnation: host.incarnation,
--- a/crates/cell/src/worker_state.rs
+++ b/crates/cell/src/worker_state.rs
@@ -53,6 +53,10 @@
     pub leases_renewed: Now,
     /// Ended attempts that it may forget.
     pub forget: Vec<TaskId>,
+    /// When it was adopted after a restart; `None` if this owner has seen no restart of it.
+    pub restarted_at: Option<Now>,
+    /// When it last restarted although nothing had been started there shortly before.
+    pub own_restart: Option<Now>,
     failure_detector: Cusum,
 }
 
@@ -79,6 +83,8 @@
             last_answer: sent,
             leases_renewed: received,
             forget: Vec::new(),
+            restarted_at: None,
+            own_restart: None,
             failure_detector: Cusum::new(FAILURE_THRESHOLD),
         }
     }
@@ -95,6 +101,20 @@
         trusted && !silent && !self.listed_leaving && !self.reports_leaving
     }
 
+    /// Whether it may be given tasks: it accepts new work, and has not restarted recently. One that
+    /// restarts again and again would otherwise take one task after the other, and its restarts
+    /// could not be told from those that a task causes.
+    #[must_use]
+    pub fn accepts_tasks(&self, now: Now) -> bool {
+        let steady = self
+            .restarted_at
+            .is_none_or(|restarted| now >= restarted + Self::STEADY_AFTER);
+        steady && self.accepts_work(now)
+    }
+
+    /// A worker that has restarted gets no tasks before this time has passed.
+    pub const STEADY_AFTER: Duration = Duration::from_secs(4);
+
     /// A worker that has not answered for longer than this gets no new work.
     pub const MAX_SILENCE: Duration = Duration::from_millis(1_500);
 
--- a/crates/cell/tests/rack.rs
+++ b/crates/cell/tests/rack.rs
@@ -61,6 +61,7 @@
         from,
         mode: Mode::Start,
         tasks,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -10,6 +10,9 @@
 pub enum AttemptState {
     /// The worker started the attempt.
     Running,
+    /// The attempt has run for so long that it is not suspected of crashing its worker. Reported only for tasks
+    /// that may have crashed workers before.
+    Stable,
     /// The attempt completed its work.
     Finished,
     /// The attempt ended by itself without completing its work.
@@ -21,15 +24,17 @@
         /// Work saved, in milliseconds.
         saved_ms: u64,
     },
-    /// The attempt has ended, and whether it completed its work is unknown.
+    /// The worker restarted shortly after the start of the attempt, which may be the cause.
     Lost,
+    /// The attempt has ended for another reason, and whether it completed its work is unknown.
+    Interrupted,
 }
 
 impl AttemptState {
     /// Whether the attempt has ended and can't run any more.
     #[must_use]
     pub const fn is_over(self) -> bool {
-        !matches!(self, Self::Running)
+        !matches!(self, Self::Running | Self::Stable)
     }
 }
 
--- a/crates/wire/src/place.rs
+++ b/crates/wire/src/place.rs
@@ -57,6 +57,17 @@
     pub mode: Mode,
     /// The tasks; for [`Mode::Hold`], all of one gang.
     pub tasks: Vec<Task>,
+    /// Number of workers that each of the tasks may have crashed, in the order of the tasks; empty if none has.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<u32>,
+}
+
+impl PlaceRequest {
+    /// The tasks, each with the number of workers that it may have crashed.
+    pub fn tasks_with_crashes(&self) -> impl Iterator<Item = (&Task, u32)> {
+        let crashes = self.crashes.iter().copied().chain(std::iter::repeat(0));
+        self.tasks.iter().zip(crashes)
+    }
 }
 
 /// What the owner of a rack did with one task.
