A transfer in doubt delays no other job and ends in time; cancellations are logged where they apply

By their effect callers would have seen, while the outcome of one transfer is unknown, workers that keep the ends of all runs of a pool, smaller writes, and after a deleted row a doubt that never ends. Cause: a job in doubt stayed among those to be stored, which holds back all ends and keeps the writer awake; its row was looked at only with the scan for unservable jobs; a missing row was taken for a store without an answer, an unreadable one for a job that is still here; a run that was reported meanwhile kept its capacity when the job was removed. Change: jobs in doubt are a set of their own, left out wherever it is asked what can be stored; ends of such a job wait at their worker like those of an unknown job; the writer looks at the rows of jobs in doubt every 200 ms; a missing row means that the next pool has finished the job, an unreadable one leaves the doubt. Logs: `cancellation received` was written for each old cancellation that a new owner reads, and not where a remembered one applies. It is `cancellation applied` now, once, with the number of runs to stop, so `Pool::cancel` returns that number; a transfer without an answer has a line.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -143,11 +143,10 @@
             attribute("evidence"),
             attribute("pool")
         ),
-        "cancellation received" => format!(
-            "the owner of pool {} received the cancellation by {}: {}, {} runs to stop (epoch {})",
+        "cancellation applied" => format!(
+            "cancelled by the owner of pool {}, which learned of it by {}: {} runs to stop (epoch {})",
             attribute("pool"),
             attribute("source"),
-            attribute("outcome"),
             attribute("runs"),
             attribute("epoch")
         ),
--- a/crates/host/src/job_rows.rs
+++ b/crates/host/src/job_rows.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use log::warn;
-use pool::{Cancellation, Job, Ms, Pool, Progress, State};
+use pool::{Job, Ms, Pool, Progress, State};
 use rustc_hash::FxHashMap;
 
 use crate::interfaces::Row;
@@ -13,7 +13,7 @@
 pub type ProgressById = FxHashMap<String, Progress>;
 
 /// Adds the jobs of a page that a new owner reads, with their progress, and applies the cancellations. `report` is called for each
-/// cancellation.
+/// job that is cancelled by that, with the number of its runs that are to be stopped.
 pub fn load(
     pool: &mut Pool,
     pool_number: u32,
@@ -21,11 +21,13 @@
     unix: u64,
     rows: &[Row],
     progress: &ProgressById,
-    mut report: impl FnMut(&str, Cancellation),
+    mut report: impl FnMut(&str, usize),
 ) {
     for row in rows {
         if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX) {
-            report(id, pool.cancel(unix, id));
+            if let Some(runs) = pool.cancel(unix, id) {
+                report(id, runs);
+            }
             continue;
         }
         let progress = progress.get(&row.key);
@@ -34,12 +36,16 @@
                 pool.adopt(now, unix, Arc::new(job), Some(completed), true);
             }
         } else if let Some((job, before)) = parse_job(row, pool_number) {
-            pool.adopt(now, unix, Arc::new(job), progress.or(before.as_ref()), true);
+            let progress = progress.or(before.as_ref());
+            if let Some(runs) = pool.adopt(now, unix, Arc::new(job), progress, true) {
+                report(&row.key, runs);
+            }
         }
     }
 }
 
-/// Applies rows that changed, or all rows if the store no longer has the changes. `report` is called for each cancellation.
+/// Applies rows that changed, or all rows if the store no longer has the changes. `report` is called for each job that is
+/// cancelled by that, with the number of its runs that are to be stopped.
 ///
 /// Jobs come first: a list is in the order of keys, where a cancellation precedes its job. Jobs whose rows are not newer than the
 /// transaction `read_as_of` are left to [`load`], which has their progress.
@@ -50,7 +56,7 @@
     unix: u64,
     rows: &[Row],
     read_as_of: u64,
-    mut report: impl FnMut(&str, Cancellation),
+    mut report: impl FnMut(&str, usize),
 ) {
     let present = rows.iter().filter(|row| row.value.is_some());
     let (cancellations, jobs): (Vec<&Row>, Vec<&Row>) =
@@ -59,13 +65,16 @@
         if row.version > read_as_of
             && !pool.contains_job(&row.key)
             && let Some((job, before)) = parse_job(row, pool_number)
+            && let Some(runs) = pool.adopt(now, unix, Arc::new(job), before.as_ref(), false)
         {
-            pool.adopt(now, unix, Arc::new(job), before.as_ref(), false);
+            report(&row.key, runs);
         }
     }
     for row in cancellations {
-        if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX) {
-            report(id, pool.cancel(unix, id));
+        if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX)
+            && let Some(runs) = pool.cancel(unix, id)
+        {
+            report(id, runs);
         }
     }
 }
@@ -84,8 +93,7 @@
 }
 
 /// A completed job with nothing but its id and who may access it. Nothing of it runs or will run, and callers ask only for its
-/// state. Most rows that a new owner reads are of such jobs, and decoding them whole took half of the time until other jobs were
-/// resumed.
+/// state. Only the header is decoded: most rows that a new owner reads are of completed jobs.
 fn completed_job(row: &Row, pool_number: u32) -> Option<Job> {
     let header = job_row_header(row.value.as_deref()?);
     if header.is_none() {
--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use log::info;
-use pool::{Cancellation, Job, State};
+use pool::{Job, State};
 use tokio::time::Instant;
 
 use super::Owner;
@@ -38,7 +38,8 @@
         self.wake.notify_one();
     }
 
-    /// The state of a job, unless this owner doesn't know the job, can't tell its state, or may have been replaced. Waits while the
+    /// The state of a job, unless this owner doesn't know the job, can't tell its state, may have been replaced, or may have
+    /// transferred the job to another pool. Waits while the
     /// final state is being stored.
     ///
     /// An owner that resumes after a pause would return states from before the pause: a caller that has seen "completed" would
@@ -50,8 +51,8 @@
             {
                 let pool = lock(&self.pool);
                 let is_owner = !self.ended.is_cancelled() && pool.has_quorum(clock::now());
-                let is_here = is_owner && !pool.is_transfer_in_doubt(id);
-                let Some(job) = pool.job(id).filter(|_| is_here) else {
+                let may_answer = is_owner && !pool.is_transfer_in_doubt(id);
+                let Some(job) = pool.job(id).filter(|_| may_answer) else {
                     return Reply::Unknown;
                 };
                 if !caller.may_access(&job.customer, &job.queue) {
@@ -67,7 +68,7 @@
         }
     }
 
-    /// Cancels a job; replies when the cancellation is stored.
+    /// Cancels a job; replies when the cancellation is stored, or at once if the job may be in another pool.
     ///
     /// A job that is not loaded yet is left alone: it is not known who may access it.
     pub(crate) async fn cancel(&self, id: &str, caller: &Caller) -> Reply {
@@ -79,7 +80,9 @@
             if !caller.may_access(&job.customer, &job.queue) {
                 return Reply::Inaccessible;
             }
-            self.log_cancellation(id, "call", pool.cancel(clock::unix(), id));
+            if let Some(runs) = pool.cancel(clock::unix(), id) {
+                self.log_cancellation(id, "call", runs);
+            }
         }
         self.wake.notify_one();
         self.dirty.notify_one();
@@ -101,20 +104,12 @@
         }
     }
 
-    /// Logs what a cancellation did. `source` says how the owner learned of it: from a call, while it took over the pool, or
-    /// from an update or a snapshot of the table of jobs.
-    pub(super) fn log_cancellation(&self, id: &str, source: &str, cancellation: Cancellation) {
-        let (outcome, runs) = match cancellation {
-            // The rows of old cancellations are read again by each new owner.
-            Cancellation::AlreadyOver => return,
-            Cancellation::Unknown => ("unknown", 0),
-            Cancellation::Remembered => ("remembered", 0),
-            Cancellation::Cancelled { runs } => ("cancelled", runs),
-        };
+    /// Logs that a job was cancelled and how many of its runs are to be stopped. `source` says how the owner learned of it: from a
+    /// call, while it took over the pool, or from an update or a snapshot of the table of jobs.
+    pub(super) fn log_cancellation(&self, id: &str, source: &str, runs: usize) {
         info!(
-            job = id, source = source, outcome = outcome, runs = runs, pool = self.pool_number,
-            epoch = self.epoch;
-            "cancellation received"
+            job = id, source = source, runs = runs, pool = self.pool_number, epoch = self.epoch;
+            "cancellation applied"
         );
     }
 
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -60,7 +60,7 @@
     pub(super) fn load_jobs(&self, page: &Page, progress: &ProgressById) {
         let (now, unix) = (clock::now(), clock::unix());
         let mut pool = lock(&self.pool);
-        let report = |id: &str, cancellation| self.log_cancellation(id, "takeover", cancellation);
+        let report = |id: &str, runs| self.log_cancellation(id, "takeover", runs);
         job_rows::load(
             &mut pool,
             self.pool_number,
@@ -108,7 +108,7 @@
         let (now, unix) = (clock::now(), clock::unix());
         let read_as_of = self.jobs_read_as_of.load(Ordering::Relaxed);
         let mut pool = lock(&self.pool);
-        let report = |id: &str, cancellation| self.log_cancellation(id, source, cancellation);
+        let report = |id: &str, runs| self.log_cancellation(id, source, runs);
         job_rows::apply(
             &mut pool,
             self.pool_number,
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -7,7 +7,7 @@
 //!
 //! After a lost answer it is not known which pool the job is in. The writer then rewrites the roster, after which the lost
 //! transaction can't take effect any more, and reads the job's row. Until then no task of the job runs, nothing about the job is
-//! stored in this pool, and callers are told what the job's row and its next pool say.
+//! stored in this pool, and calls about the job are answered from its row and by the owner of its next pool.
 
 use std::sync::Arc;
 
@@ -37,7 +37,10 @@
     for id in jobs {
         match transfer(owner, version, id).await {
             Ok(()) => {}
-            Err(StoreError::Lost { .. }) => return TransferOutcome::Unsure,
+            Err(error @ StoreError::Lost { .. }) => {
+                warn!(job = &**id, error:% = error; "outcome of a job transfer unknown");
+                return TransferOutcome::Unsure;
+            }
             Err(error) => warn!(job = &**id, error:% = error; "job transfer failed"),
         }
     }
@@ -47,13 +50,23 @@
 async fn transfer(owner: &Owner, version: ClaimVersion, id: &JobId) -> Result<(), StoreError> {
     let host = owner.host();
     let part = job_part(id);
-    let row = host.read_current(JOBS, &part, id).await;
-    let Ok(Some(row)) = row else {
-        // The store didn't answer, or the row was deleted; the next pass tries again.
+    let in_doubt = lock(&owner.pool).is_transfer_in_doubt(id);
+    let Ok(row) = host.read_current(JOBS, &part, id).await else {
+        // The next pass tries again.
+        return Ok(());
+    };
+    let Some(row) = row else {
+        if in_doubt {
+            // Only the next pool can have deleted the row, long after it finished the job.
+            lock(&owner.pool).remove_transferred(id);
+        }
         return Ok(());
     };
     let Some(header) = row.value.as_deref().and_then(job_row_header) else {
-        lock(&owner.pool).cancel_transfer(id);
+        warn!(job = &**id, in_doubt = in_doubt; "row of a job to be transferred can't be decoded");
+        if !in_doubt {
+            lock(&owner.pool).cancel_transfer(id);
+        }
         return Ok(());
     };
     if header.pool != owner.pool_number() {
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pool::{Batch, WorkerId};
+use pool::{Batch, JobId, WorkerId};
 
 use crate::claim::{Claim, ClaimVersion};
 use crate::clock;
@@ -29,6 +29,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Delay after a rejected write of the roster alone, and time after which a rejected progress row is written again.
 const REJECTED_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Minimum time between two attempts to learn the outcome of a transfer.
+const DOUBT_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time between two scans for old jobs whose rows may be deleted.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Maximum number of jobs that are deleted in one transaction; each has two rows in the table of jobs.
@@ -43,7 +45,8 @@
     let mut unsure = false;
     let mut swept = tokio::time::Instant::now();
     let mut successors_written = swept;
-    let mut old_jobs: Vec<pool::JobId> = Vec::new();
+    let mut resolved = swept;
+    let mut old_jobs: Vec<JobId> = Vec::new();
     let mut max_rows = MAX_PROGRESS_ROWS;
     let mut rejected: Vec<(tokio::time::Instant, Batch)> = Vec::new();
     loop {
@@ -56,9 +59,9 @@
             old_jobs = lock(&owner.pool).remove_expired_jobs(clock::unix());
             old_jobs = delete_job_rows(owner, &old_jobs).await;
         }
-        if !unsure && owner.host().pool_map().pool_count() > 1 {
-            let unservable = lock(&owner.pool).unservable_jobs(clock::now());
-            if transfer::run(owner, version, &unservable).await == TransferOutcome::Unsure {
+        if !unsure {
+            let jobs = jobs_to_transfer(owner, &mut resolved);
+            if transfer::run(owner, version, &jobs).await == TransferOutcome::Unsure {
                 unsure = true;
                 continue;
             }
@@ -191,10 +194,30 @@
     }
 }
 
+/// Jobs to be transferred to other pools, and those whose earlier transfers have no known outcome yet. `resolved` is the time at
+/// which the latter were last returned.
+fn jobs_to_transfer(owner: &Owner, resolved: &mut tokio::time::Instant) -> Vec<JobId> {
+    let mut pool = lock(&owner.pool);
+    let mut jobs = Vec::new();
+    if owner.host().pool_map().pool_count() > 1 {
+        jobs = pool.unservable_jobs(clock::now());
+    }
+    if resolved.elapsed() > DOUBT_RETRY_DELAY {
+        let in_doubt = pool.transfers_in_doubt();
+        if !in_doubt.is_empty() {
+            *resolved = tokio::time::Instant::now();
+        }
+        jobs.extend(in_doubt);
+        jobs.sort();
+        jobs.dedup();
+    }
+    jobs
+}
+
 /// Deletes the rows of old jobs; returns the jobs whose rows are deleted. Their progress may be deleted only after that,
 /// because a job without progress looks like one that was never started. The next owner finds rows that could not be deleted.
-async fn delete_job_rows(owner: &Owner, old_jobs: &[pool::JobId]) -> Vec<pool::JobId> {
-    let mut parts: BTreeMap<String, Vec<&pool::JobId>> = BTreeMap::new();
+async fn delete_job_rows(owner: &Owner, old_jobs: &[JobId]) -> Vec<JobId> {
+    let mut parts: BTreeMap<String, Vec<&JobId>> = BTreeMap::new();
     for id in old_jobs {
         parts.entry(job_part(id)).or_default().push(id);
     }
@@ -249,7 +272,7 @@
     batch: &Batch,
     claim: Option<(&Claim, bool)>,
     version: ClaimVersion,
-    old_jobs: &[pool::JobId],
+    old_jobs: &[JobId],
 ) -> Transaction {
     let mut transaction = Transaction {
         part: pool_part(owner.pool_number()),
--- a/crates/pool/src/batch.rs
+++ b/crates/pool/src/batch.rs
@@ -25,7 +25,7 @@
     /// Whether there is progress to be stored.
     #[must_use]
     pub fn has_unstored(&self) -> bool {
-        !self.dirty.is_empty()
+        self.storable().next().is_some()
             || self
                 .workers
                 .values()
@@ -35,23 +35,23 @@
     /// Whether a caller waits for progress to be stored.
     #[must_use]
     pub fn urgent(&self) -> bool {
-        self.dirty.iter().any(|id| {
+        self.storable().any(|id| {
             self.jobs
                 .get(id)
                 .is_some_and(|live| live.state.is_final() && !live.stored_state.is_final())
         })
     }
 
+    /// Jobs whose progress can be stored. A job whose transfer is in doubt is left out: a final state stored here would be shown
+    /// while another pool runs the job.
+    fn storable(&self) -> impl Iterator<Item = &JobId> {
+        let jobs = self.dirty.iter();
+        jobs.filter(|id| !self.is_transfer_in_doubt(id))
+    }
+
     /// Takes up to `max_jobs` jobs. Ends are covered only if no job is left over.
-    ///
-    /// A job that may be in another pool is left over: a final state that this pool stored would be shown to its caller while
-    /// the other pool runs the job.
     pub fn batch(&mut self, max_jobs: usize) -> Batch {
-        let storable = self
-            .dirty
-            .iter()
-            .filter(|id| !self.is_transfer_in_doubt(id));
-        let ids: Vec<JobId> = storable.take(max_jobs).cloned().collect();
+        let ids: Vec<JobId> = self.storable().take(max_jobs).cloned().collect();
         let mut batch = Batch::default();
         for id in ids {
             self.dirty.remove(&id);
@@ -66,7 +66,7 @@
                 batch.rows.push((id, live.progress()));
             }
         }
-        if self.dirty.is_empty() {
+        if self.storable().next().is_none() {
             batch.ends = self
                 .workers
                 .values()
--- a/crates/pool/src/cancel.rs
+++ b/crates/pool/src/cancel.rs
@@ -1,4 +1,4 @@
-//! Final states that the owner gives to jobs, and the runs that have to stop because of them.
+//! Final states of jobs, and the stops that follow from them.
 
 use std::sync::Arc;
 
@@ -6,25 +6,9 @@
 use crate::state::State;
 use crate::task::{JobId, Ms, Phase, StageKey, TaskKey, WorkerId};
 
-/// Time after which a run of a job in a final state is reported as overdue: two stop commands and their answers have had time.
+/// Time after which a run of a finished job is reported as overdue; a stop may need a second attempt.
 const STOP_OVERDUE_AFTER: Ms = 2_000;
 
-/// What a cancellation did to a job.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Cancellation {
-    /// The job isn't known.
-    Unknown,
-    /// The job isn't known yet; it is cancelled as soon as it is.
-    Remembered,
-    /// The job had a final state already.
-    AlreadyOver,
-    /// The job is cancelled, and this many runs of it are to be stopped.
-    Cancelled {
-        /// Number of runs.
-        runs: usize,
-    },
-}
-
 /// A run of a job in a final state that has not stopped in time.
 #[derive(Clone, Debug)]
 pub struct OverdueRun {
@@ -43,21 +27,20 @@
 }
 
 impl Pool {
-    /// Cancels a job.
-    pub fn cancel(&mut self, unix: u64, id: &str) -> Cancellation {
+    /// Cancels a job. Returns the number of its runs that are to be stopped, or `None` if it was over already or isn't known. If
+    /// jobs may be missing, an unknown job is cancelled as soon as it is added.
+    pub fn cancel(&mut self, unix: u64, id: &str) -> Option<usize> {
         let Some(live) = self.jobs.get(id) else {
-            if !self.jobs_incomplete {
-                return Cancellation::Unknown;
+            if self.jobs_incomplete {
+                self.early_cancels.insert(id.into());
             }
-            self.early_cancels.insert(id.into());
-            return Cancellation::Remembered;
+            return None;
         };
         if live.state.is_final() {
-            return Cancellation::AlreadyOver;
+            return None;
         }
         let id = Arc::clone(&live.job.id);
-        let runs = self.finalize_job(unix, &id, State::Cancelled);
-        Cancellation::Cancelled { runs }
+        Some(self.finalize_job(unix, &id, State::Cancelled))
     }
 
     /// Gives a job a final state and stops its runs; returns how many there are.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -46,7 +46,7 @@
 
 pub use answer::{StartAnswer, StopAnswer};
 pub use batch::Batch;
-pub use cancel::{Cancellation, OverdueRun};
+pub use cancel::OverdueRun;
 pub use command::{AdvisorQuery, Command, Pace, Start, Stop};
 pub use crash::{AbandonedTask, Suspicion};
 pub use customer::{CustomerId, CustomerPolicy, Entitlement, Limit};
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -229,8 +229,6 @@
     pub unservable_since: Option<Ms>,
     /// Whether the job is being transferred to another pool; no task of it is started here.
     pub transferring: bool,
-    /// Whether a write that transfers the job was sent and its outcome isn't known, so the job may be in another pool.
-    pub transfer_in_doubt: bool,
     /// When the job was accepted, on this process's clock.
     pub accepted_at: Ms,
     /// Whether its customer is owed it; otherwise the customer has sent more jobs a second than its weight.
@@ -259,7 +257,6 @@
             awaited_workers: 0,
             unservable_since: None,
             transferring: false,
-            transfer_in_doubt: false,
             accepted_at: now.saturating_sub(unix.saturating_sub(job.accepted)),
             is_owed: true,
             dirty: false,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -109,6 +109,8 @@
     pub(crate) early_cancels: FxHashSet<JobId>,
     /// Runs that may exist on workers that the former owner could not reach.
     pub(crate) unavailable: Vec<UnavailableWorker>,
+    /// Jobs that may be in other pools: writes that transfer them were sent, and the outcomes aren't known.
+    pub(crate) transfers_in_doubt: BTreeSet<JobId>,
     /// Jobs that were transferred to other pools.
     pub(crate) transferred_jobs: FxHashSet<JobId>,
     /// When the jobs were last scanned for unservable ones.
@@ -156,7 +158,8 @@
         self.options.max_queries = max_queries.max(1);
     }
 
-    /// Adds a job. Does nothing if the job is known already or was transferred to another pool.
+    /// Adds a job. Does nothing if the job is known already or was transferred to another pool. If the job was cancelled before it
+    /// became known, returns the number of its runs that are to be stopped.
     pub fn adopt(
         &mut self,
         now: Ms,
@@ -164,15 +167,15 @@
         job: Arc<Job>,
         progress: Option<&Progress>,
         inherited: bool,
-    ) {
+    ) -> Option<usize> {
         let id = Arc::clone(&job.id);
         if self.jobs.contains_key(&id) || self.transferred_jobs.contains(&id) {
-            return;
+            return None;
         }
         if job.epoch > self.options.epoch && self.options.epoch > 0 {
             // The host that accepted the job knows a newer owner.
             self.deposed = true;
-            return;
+            return None;
         }
         let accepted_for_us = job.epoch == self.options.epoch && job.epoch > 0;
         let mut live = LiveJob::new(job, progress, now, unix);
@@ -190,9 +193,10 @@
         self.adopt_observed_runs(now, &id);
         // The former owner may have stored the last end without the state that follows from it.
         self.complete_or_advance(now, unix, &id);
-        if self.early_cancels.remove(&id) {
-            self.cancel(unix, &id);
+        if !self.early_cancels.remove(&id) {
+            return None;
         }
+        self.cancel(unix, &id)
     }
 
     /// Opens the occurrences that are due and the steps whose dependencies are complete.
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -70,7 +70,8 @@
     }
 
     /// Applies new ends. An end of an unknown job, and all ends after it, are not acknowledged: the row of the job is still to
-    /// come, and an end that was skipped would be lost. The later ends are applied nevertheless.
+    /// come, and an end that was skipped would be lost. The later ends are applied nevertheless. The same holds for a job whose
+    /// transfer is in doubt, which is not stored here until the outcome is known.
     fn apply_ends(&mut self, now: Ms, unix: u64, id: &WorkerId, report: &WorkerReport) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -81,7 +82,8 @@
         let mut unknown: Option<UnknownEnds> = None;
         for end in report.ended.iter().filter(|end| end.number > applied) {
             let job = &end.task.stage.job;
-            if !self.jobs.contains_key(job) {
+            let in_doubt = self.is_transfer_in_doubt(job);
+            if in_doubt || !self.jobs.contains_key(job) {
                 let found = unknown.get_or_insert_with(|| UnknownEnds {
                     first: end.number,
                     since: previous
@@ -90,7 +92,10 @@
                         .map_or(now, |previous| previous.since),
                     jobs: Vec::new(),
                 });
-                if self.jobs_incomplete || now.saturating_sub(found.since) < UNKNOWN_JOB_TIMEOUT {
+                if in_doubt
+                    || self.jobs_incomplete
+                    || now.saturating_sub(found.since) < UNKNOWN_JOB_TIMEOUT
+                {
                     found.jobs.push(Arc::clone(job));
                     continue;
                 }
@@ -307,7 +312,7 @@
                 self.handle_survival(now, key);
             }
             if closed {
-                // The run may have become known after its job was over.
+                // `finalize_job` stops only the runs that are known at that time.
                 self.stop_run(key);
             }
             return;
--- a/crates/pool/src/unservable.rs
+++ b/crates/pool/src/unservable.rs
@@ -11,7 +11,7 @@
 use crate::job::{Job, Step};
 use crate::pool::Pool;
 use crate::progress::Progress;
-use crate::task::{JobId, Ms};
+use crate::task::{JobId, Ms, Task, TaskKey, WorkerId};
 use crate::worker::Worker;
 
 /// Time for which a job has to be unservable before it is transferred: workers that crash are back after a few seconds,
@@ -74,30 +74,35 @@
     /// Begins the write that transfers a job: returns the job and its progress, if it is still to be transferred and none of its
     /// tasks runs here. Until the outcome is known, the job may be in another pool, and nothing about it is stored or reported.
     pub fn begin_transfer(&mut self, id: &str) -> Option<(Arc<Job>, Progress)> {
-        let live = self.jobs.get_mut(id)?;
-        let is_ready = live.transferring && live.is_idle() && !live.state.is_final();
-        live.transfer_in_doubt |= is_ready;
-        is_ready.then(|| (Arc::clone(&live.job), live.progress()))
+        let live = self.jobs.get(id)?;
+        if !live.transferring || !live.is_idle() || live.state.is_final() {
+            return None;
+        }
+        self.transfers_in_doubt.insert(Arc::clone(&live.job.id));
+        Some((Arc::clone(&live.job), live.progress()))
     }
 
     /// Records that the job is still in this pool: the write that transfers it has certainly not taken effect.
     pub fn transfer_failed(&mut self, id: &str) {
-        if let Some(live) = self.jobs.get_mut(id) {
-            live.transfer_in_doubt = false;
-        }
+        self.transfers_in_doubt.remove(id);
     }
 
     /// Whether the job may be in another pool, because the outcome of its transfer isn't known.
     #[must_use]
     pub fn is_transfer_in_doubt(&self, id: &str) -> bool {
-        let live = self.jobs.get(id);
-        live.is_some_and(|live| live.transfer_in_doubt)
+        self.transfers_in_doubt.contains(id)
+    }
+
+    /// The jobs that may be in other pools.
+    #[must_use]
+    pub fn transfers_in_doubt(&self) -> Vec<JobId> {
+        self.transfers_in_doubt.iter().cloned().collect()
     }
 
     /// Keeps a job in this pool after all: its caller has cancelled it, or no other pool can take it.
     pub fn cancel_transfer(&mut self, id: &str) {
+        self.transfers_in_doubt.remove(id);
         if let Some(live) = self.jobs.get_mut(id) {
-            live.transfer_in_doubt = false;
             live.transferring = false;
             live.unservable_since = None;
         }
@@ -105,7 +110,17 @@
 
     /// Removes a job that is now in another pool. Information about it that arrives later is outdated and ignored.
     pub fn remove_transferred(&mut self, id: &JobId) {
+        let live = self.jobs.get(id);
+        let runs: Vec<(TaskKey, WorkerId)> = live.map_or_else(Vec::new, |live| {
+            let run =
+                |(key, task): (TaskKey, &Task)| Some((key, Arc::clone(&task.run.as_ref()?.worker)));
+            live.tasks().filter_map(run).collect()
+        });
+        for (key, worker) in runs {
+            self.release_capacity(&key, &worker);
+        }
         self.jobs.remove(id);
+        self.transfers_in_doubt.remove(id);
         self.open_steps.retain(|key| key.job != *id);
         self.open_queries.retain(|key| key.job != *id);
         self.overdue_queries.retain(|key| key.job != *id);
--- a/crates/pool/tests/unservable.rs
+++ b/crates/pool/tests/unservable.rs
@@ -7,8 +7,8 @@
 
 use std::sync::Arc;
 
-use case::{pool, report, report_all, starts};
-use pool::{Pool, State};
+use case::{end, pool, report, report_all, run, starts};
+use pool::{Pool, RunOutcome, RunStatus, StageKey, State};
 use simulation::{UNIX, job};
 
 /// A pool of which a worker is lost, with a job that needs all four and is to be transferred.
@@ -73,6 +73,54 @@
     assert!(pool.begin_transfer("wide").is_none());
 }
 
+/// Guards against workers that keep the ends of all their runs, and a writer that never waits, while the outcome of one transfer is
+/// unknown.
+#[test]
+fn a_transfer_in_doubt_delays_no_other_job() {
+    let mut pool = pool_with_unservable_job();
+    assert!(pool.begin_transfer("wide").is_some());
+    pool.cancel(UNIX + 6_000, "wide");
+    for id in ["w00", "w01", "w02"] {
+        report(&mut pool, 6_000, &id.into(), vec![], vec![]);
+    }
+    let started = run(&mut pool, 6_010);
+    assert_eq!(started.len(), 1, "the other job runs");
+    let worker = started[0].worker.clone();
+    let done = end(&started[0], 1, RunOutcome::Done);
+    report(&mut pool, 6_100, &worker, vec![], vec![done]);
+    let batch = pool.batch(80);
+    assert_eq!(batch.rows.len(), 1);
+    assert_eq!(batch.ends.len(), 1);
+    pool.batch_stored(&batch);
+    assert!(!pool.has_unstored());
+    assert!(!pool.urgent());
+}
+
+/// Guards against capacity that stays reserved for a run of a job that is now in another pool. The start command was carried out
+/// late, after the write of the transfer was sent.
+#[test]
+fn a_run_of_a_transferred_job_keeps_no_capacity() {
+    let mut pool = pool_with_unservable_job();
+    assert!(pool.begin_transfer("wide").is_some());
+    let stage = StageKey {
+        job: "wide".into(),
+        occurrence: 0,
+        step: 0,
+    };
+    let late = RunStatus {
+        task: stage.task(0),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 0,
+        load: 0,
+    };
+    report(&mut pool, 6_000, &"w00".into(), vec![late], vec![]);
+    let free = |pool: &Pool| pool.worker("w00").map(|it| it.free_capacity().millicores);
+    assert_eq!(free(&pool), Some(0));
+    pool.remove_transferred(&"wide".into());
+    assert_eq!(free(&pool), Some(4_000));
+}
+
 /// A job that would fit into the empty pool stays there while other jobs use the capacity.
 #[test]
 fn a_job_that_only_waits_for_capacity_stays() {
