A row of a removed job is not taken for a new job

Cause: a job is removed from memory after its retention period, before its rows are deleted. If the deletion fails, or a list of all rows was read before it, a later change brings the row of a job that the owner doesn't know, and it was adopted without progress. Ruled out: remembering ids for a fixed time, since a later job may have the same id, and would never run. Change: `host::swept_jobs` keeps removed jobs until the transaction that deleted their rows is behind the owner's follower; rows that could not be deleted are tried again with the next scan. Why it works: a row from before the deletion has a smaller version, a job that is handed in again a larger one, and a follower never goes back.

--- a/crates/host/src/job_rows.rs
+++ b/crates/host/src/job_rows.rs
@@ -8,6 +8,7 @@
 
 use crate::interfaces::Row;
 use crate::rows::{CANCEL_PREFIX, JobAccess, JobRow, job_row_header};
+use crate::swept_jobs::SweptJobs;
 
 /// The stored progress of jobs, by id.
 pub type ProgressById = FxHashMap<String, Progress>;
@@ -44,27 +45,42 @@
     }
 }
 
+/// The jobs of the table that an owner takes from changes.
+#[derive(Clone, Copy, Debug)]
+pub struct Filter<'a> {
+    /// Number of the owner's pool.
+    pub pool_number: u32,
+    /// Jobs whose rows are not newer than this transaction are left to [`load`], which has their progress.
+    pub read_as_of: u64,
+    /// Jobs that the owner has removed.
+    pub swept: &'a SweptJobs,
+}
+
+impl Filter<'_> {
+    fn accepts(&self, row: &Row) -> bool {
+        row.version > self.read_as_of && !self.swept.contains(&row.key, row.version)
+    }
+}
+
 /// Applies rows that changed, or all rows if the store no longer has the changes. `report` is called for each job that is
 /// cancelled by that, with the number of its runs that are to be stopped.
 ///
-/// Jobs come first: a list is in the order of keys, where a cancellation precedes its job. Jobs whose rows are not newer than the
-/// transaction `read_as_of` are left to [`load`], which has their progress.
+/// Jobs come first: a list is in the order of keys, where a cancellation precedes its job.
 pub fn apply(
     pool: &mut Pool,
-    pool_number: u32,
+    filter: Filter<'_>,
     now: Ms,
     unix: u64,
     rows: &[Row],
-    read_as_of: u64,
     mut report: impl FnMut(&str, usize),
 ) {
     let present = rows.iter().filter(|row| row.value.is_some());
     let (cancellations, jobs): (Vec<&Row>, Vec<&Row>) =
         present.partition(|row| row.key.starts_with(CANCEL_PREFIX));
     for row in jobs {
-        if row.version > read_as_of
+        if filter.accepts(row)
             && !pool.contains_job(&row.key)
-            && let Some((job, before)) = parse_job(row, pool_number)
+            && let Some((job, before)) = parse_job(row, filter.pool_number)
             && let Some(runs) = pool.adopt(now, unix, Arc::new(job), before.as_ref(), false)
         {
             report(&row.key, runs);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,7 +8,8 @@
 //! * [`access`]: which calls may use a queue, by their keys; [`admission`]: carries that out; [`refusals`]: logs and counts of
 //!   refused calls.
 //! * [`PoolMap`]: assignment of workers to pools; [`route`]: choice of the pool for a job.
-//! * [`insert`]: idempotent insertion of a job's row; `cancel`: cancellations; [`job_rows`]: how an owner applies both.
+//! * [`insert`]: idempotent insertion of a job's row; `cancel`: cancellations; [`job_rows`]: how an owner applies both;
+//!   [`swept_jobs`]: removed jobs.
 //! * [`first_source`]: where a host that starts gets the configuration and the pool map from.
 //! * [`follow`]: following the changes of a table; [`worker_feed`]: those of the workers, which one owner reads for all.
 //! * [`hedge`]: repeated calls for overdue answers.
@@ -62,6 +63,7 @@
 pub mod store_checks;
 pub mod store_outage;
 pub mod suitability;
+pub mod swept_jobs;
 mod sync;
 pub mod takeover_delay;
 mod timed_reader;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -34,6 +34,7 @@
 use crate::quota_keeper::QuotaKeeper;
 use crate::rows::{JOBS, job_parts};
 use crate::store_outage::StoreOutage;
+use crate::swept_jobs::SweptJobs;
 use crate::writer;
 use advice::PendingQuery;
 use connected_hosts::ConnectedHost;
@@ -87,6 +88,8 @@
     loaded: AtomicBool,
     /// The transaction as of which the jobs were read.
     jobs_read_as_of: AtomicU64,
+    /// Jobs that were removed after their retention period.
+    pub(crate) swept_jobs: Mutex<SweptJobs>,
     /// The present outage of the store for this owner's writes; `None` if the last write succeeded.
     pub(crate) store_outage: Mutex<Option<StoreOutage>>,
     /// The share of polls of workers whose answers were lost.
@@ -128,6 +131,7 @@
             advisor_proxy: Mutex::default(),
             loaded: AtomicBool::new(false),
             jobs_read_as_of: AtomicU64::new(0),
+            swept_jobs: Mutex::default(),
             store_outage: Mutex::default(),
             answer_loss: Mutex::default(),
             repeat_budget: Mutex::default(),
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -14,7 +14,7 @@
 use crate::follow::{Change, PollTiming, follow, read, read_each};
 use crate::host::lock;
 use crate::interfaces::Page;
-use crate::job_rows::{self, ProgressById};
+use crate::job_rows::{self, Filter, ProgressById};
 use crate::rows::{JOBS, PROGRESS, RosterRow, job_parts, pool_part};
 use crate::worker_feed::{ChangeFilter, follow_reader};
 
@@ -94,31 +94,30 @@
 
     /// Handles changes of the table of jobs.
     pub(super) fn jobs_changed(&self, change: Change) {
-        let (rows, source) = match change {
-            Change::Snapshot(page) => (page.rows, "snapshot"),
-            Change::Update(feed) => (feed.rows, "update"),
+        let (rows, version, source) = match change {
+            Change::Snapshot(page) => (page.rows, page.version, "snapshot"),
+            Change::Update(feed) => (feed.rows, feed.version, "update"),
             Change::Failed(error) => {
                 warn!(error:% = error; "following jobs failed; retrying");
                 return;
             }
         };
+        let mut swept = lock(&self.swept_jobs);
+        swept.forget_until(version);
         if rows.is_empty() {
             return;
         }
         let (now, unix) = (clock::now(), clock::unix());
-        let read_as_of = self.jobs_read_as_of.load(Ordering::Relaxed);
+        let filter = Filter {
+            pool_number: self.pool_number,
+            read_as_of: self.jobs_read_as_of.load(Ordering::Relaxed),
+            swept: &swept,
+        };
         let mut pool = lock(&self.pool);
         let report = |id: &str, runs| self.log_cancellation(id, source, runs);
-        job_rows::apply(
-            &mut pool,
-            self.pool_number,
-            now,
-            unix,
-            &rows,
-            read_as_of,
-            report,
-        );
+        job_rows::apply(&mut pool, filter, now, unix, &rows, report);
         drop(pool);
+        drop(swept);
         self.wake.notify_one();
         self.dirty.notify_one();
     }
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -56,8 +56,9 @@
         }
         if old_jobs.is_empty() && swept.elapsed() > SWEEP_INTERVAL {
             swept = tokio::time::Instant::now();
-            old_jobs = lock(&owner.pool).remove_expired_jobs(clock::unix());
-            old_jobs = delete_job_rows(owner, &old_jobs).await;
+            let expired = lock(&owner.pool).remove_expired_jobs(clock::unix());
+            lock(&owner.swept_jobs).add(expired);
+            old_jobs = delete_job_rows(owner).await;
         }
         if !unsure {
             let jobs = jobs_to_transfer(owner, &mut resolved);
@@ -214,12 +215,14 @@
     jobs
 }
 
-/// Deletes the rows of old jobs; returns the jobs whose rows are deleted. Their progress may be deleted only after that,
-/// because a job without progress looks like one that was never started. The next owner finds rows that could not be deleted.
-async fn delete_job_rows(owner: &Owner, old_jobs: &[JobId]) -> Vec<JobId> {
-    let mut parts: BTreeMap<String, Vec<&JobId>> = BTreeMap::new();
-    for id in old_jobs {
-        parts.entry(job_part(id)).or_default().push(id);
+/// Deletes the rows of removed jobs; returns the jobs whose rows are deleted. Their progress may be deleted only after that,
+/// because a job without progress looks like one that was never started. Rows that could not be deleted are tried again with
+/// the next scan.
+async fn delete_job_rows(owner: &Owner) -> Vec<JobId> {
+    let mut parts: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
+    let undeleted = lock(&owner.swept_jobs).undeleted();
+    for id in undeleted {
+        parts.entry(job_part(&id)).or_default().push(id);
     }
     let mut deleted = Vec::new();
     for (part, ids) in parts {
@@ -233,7 +236,10 @@
                 ..Transaction::default()
             };
             match owner.host().store.commit(&transaction).await {
-                Ok(_) => deleted.extend(ids.iter().map(|id| Arc::clone(id))),
+                Ok(version) => {
+                    lock(&owner.swept_jobs).rows_deleted(ids, version);
+                    deleted.extend_from_slice(ids);
+                }
                 Err(error) => warn!(error:% = error; "deleting rows of old jobs failed"),
             }
         }
--- a/crates/host/tests/job_rows.rs
+++ b/crates/host/tests/job_rows.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use host::Row;
-use host::job_rows::{ProgressById, apply, load};
+use host::job_rows::{Filter, ProgressById, apply, load};
+use host::swept_jobs::SweptJobs;
 use pool::{
     Command, Job, Options, Pool, Progress, State, Step, WorkerId, WorkerInfo, WorkerReport,
 };
@@ -74,7 +75,17 @@
 }
 
 fn apply_rows(pool: &mut Pool, rows: &[Row]) {
-    apply(pool, POOL, NOW, UNIX, rows, READ_AS_OF, |_, _| {});
+    apply_rows_but(&SweptJobs::default(), pool, rows);
+}
+
+/// Applies rows except those of removed jobs.
+fn apply_rows_but(swept: &SweptJobs, pool: &mut Pool, rows: &[Row]) {
+    let filter = Filter {
+        pool_number: POOL,
+        read_as_of: READ_AS_OF,
+        swept,
+    };
+    apply(pool, filter, NOW, UNIX, rows, |_, _| {});
 }
 
 /// Number of tasks that the pool starts now.
@@ -146,3 +157,38 @@
     apply_rows(&mut pool, &[job_row(READ_AS_OF + 1)]);
     assert_eq!(starts(&mut pool), 1);
 }
+
+/// Guards against a job that runs again long after its end: it was removed after its retention period, and a list of all rows that
+/// was read before the deletion of its row arrives, or the deletion failed.
+#[test]
+fn a_row_of_a_removed_job_is_not_taken_for_a_new_job() {
+    let (accepted, deleted) = (READ_AS_OF + 1, READ_AS_OF + 9);
+    let mut swept = SweptJobs::default();
+    swept.add(vec![JOB.into()]);
+    assert_eq!(swept.undeleted(), vec![JOB.into()]);
+    let mut pool = pool();
+    apply_rows_but(&swept, &mut pool, &[job_row(accepted)]);
+    assert!(!pool.contains_job(JOB), "the deletion failed");
+    swept.rows_deleted(&[JOB.into()], deleted);
+    assert!(swept.undeleted().is_empty());
+    swept.forget_until(deleted - 1);
+    apply_rows_but(&swept, &mut pool, &[job_row(accepted)]);
+    assert!(
+        !pool.contains_job(JOB),
+        "the list is older than the deletion"
+    );
+    apply_rows_but(&swept, &mut pool, &[job_row(deleted + 1)]);
+    assert!(pool.contains_job(JOB), "a later job has the same id");
+}
+
+/// Guards against memory that grows with each job that ever was.
+#[test]
+fn removed_jobs_are_forgotten_once_no_older_row_can_arrive() {
+    let mut swept = SweptJobs::default();
+    swept.add(vec![JOB.into()]);
+    swept.forget_until(u64::MAX);
+    assert!(swept.contains(JOB, 1), "its row is not deleted");
+    swept.rows_deleted(&[JOB.into()], 20);
+    swept.forget_until(20);
+    assert!(!swept.contains(JOB, 1));
+}
