Log long-running tasks that are down, suspected workers, and the crash records of lost runs

The log could not tell apart why a long-running task waits beside free capacity, nor which crashes count towards giving a task up. New lines, without a change of logic:

- `long-running tasks are down`, once a second, eight steps at most: the workers of the service by what keeps the task from starting there.
The same check decides placement (`fit::check`), so the counts can't differ from it.
- `worker suspected: runs fail there` and `worker cleared of suspicion`, with score, runs and cause.
What raises the score moved to its own module (`failure_score`); the three amounts stay.
- `run lost` says whether the loss was recorded as a crash, confirmed or not, whether the worker had been steady, and how many of the task's records aren't stored.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -5,6 +5,7 @@
 mod connected_hosts;
 mod customers;
 mod directory;
+mod events;
 mod quota;
 mod scheduling_stats;
 mod store_changes;
@@ -15,7 +16,7 @@
 
 use log::{info, warn};
 use pool::repeat::Budget;
-use pool::{AbandonedTask, Command, LostRun, Mechanism, Ms, Pool, StepTimes, WaitReason, WorkerId};
+use pool::{Command, Mechanism, Ms, Pool, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -40,6 +41,7 @@
 use connected_hosts::ConnectedHost;
 use customers::AppliedEntitlements;
 use directory::Directory;
+use events::Events;
 use scheduling_stats::SchedulingStats;
 
 /// Pause after each answer with changed jobs. Hosts report accepted jobs to the owner directly; the table is followed for those
@@ -57,6 +59,8 @@
 const LOAD_LOG_INTERVAL: Ms = 1_000;
 /// Maximum number of log lines about runs that have not stopped in time, per interval.
 const MAX_OVERDUE_RUNS_LOGGED: usize = 20;
+/// Maximum number of log lines about long-running steps with tasks that are down, per interval.
+const MAX_DOWN_STEPS_LOGGED: usize = 8;
 
 /// The owner of a pool.
 pub struct Owner {
@@ -277,17 +281,11 @@
             }
             self.update_entitlements(&mut entitlements);
             let began = Instant::now();
-            let (commands, unstored, deposed, steps, lost, abandoned) = {
+            let (commands, unstored, deposed, events) = {
                 let mut pool = lock(&self.pool);
                 let commands = pool.schedule(clock::now(), clock::unix());
-                (
-                    commands,
-                    pool.has_unstored(),
-                    pool.deposed(),
-                    pool.take_steps_done(),
-                    pool.take_lost_runs(),
-                    pool.take_abandoned_tasks(),
-                )
+                let events = Events::take(&mut pool);
+                (commands, pool.has_unstored(), pool.deposed(), events)
             };
             let took = began.elapsed();
             metrics::histogram!("lentilyoke_plan_ms").record(took.as_secs_f64() * 1_000.0);
@@ -296,6 +294,7 @@
                 logged_at = clock::now();
                 self.log_unconfirmed_workers();
                 self.log_overdue_runs();
+                self.log_down_steps();
                 self.log_load(std::mem::take(&mut stats));
                 self.log_customers();
             }
@@ -310,9 +309,7 @@
             if unstored {
                 self.dirty.notify_one();
             }
-            steps.iter().for_each(log_step);
-            lost.iter().for_each(log_lost_run);
-            abandoned.iter().for_each(log_abandoned_task);
+            events.log();
             self.expire_advisor_queries();
             tokio::time::sleep(MIN_PASS_INTERVAL).await;
         }
@@ -363,6 +360,12 @@
         }
     }
 
+    /// Logs the long-running tasks that wait to be started again, and why no worker takes them.
+    fn log_down_steps(&self) {
+        let down = lock(&self.pool).down_steps(clock::now(), MAX_DOWN_STEPS_LOGGED);
+        down.iter().for_each(events::log_down_step);
+    }
+
     /// The address of a worker, if the pool knows it.
     fn address(&self, id: &str) -> Option<String> {
         let pool = lock(&self.pool);
@@ -438,44 +441,3 @@
         }
     }
 }
-
-/// Logs the times of a completed step; -1 stands for an event that did not happen under this owner.
-fn log_step(step: &StepTimes) {
-    let key = &step.stage;
-    let time = |time: Option<Ms>| time.map_or(-1, |time| time as i64);
-    let waited = |reason: WaitReason| step.waited[reason as usize];
-    info!(
-        job = &*key.job, occurrence = key.occurrence, step = key.step, queue = step.queue.as_str(),
-        tasks = step.tasks, estimate = step.estimate, age = step.age,
-        asked = time(step.first_query), advised = time(step.first_answer),
-        first_start = time(step.first_start), last_start = time(step.last_start),
-        done = step.done, questions = step.queries, starts = step.starts,
-        customer = &*step.customer, owed = step.owed, waited_capacity = waited(WaitReason::Capacity),
-        waited_quota = waited(WaitReason::Quota), waited_share = waited(WaitReason::Share),
-        waited_advice = waited(WaitReason::Advice);
-        "step"
-    );
-}
-
-/// Logs and counts a run that was lost without a reported end.
-fn log_lost_run(lost: &LostRun) {
-    metrics::counter!("lentilyoke_runs_lost_total", "loss" => lost.loss.name()).increment(1);
-    let key = &lost.task;
-    info!(
-        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
-        task = key.index, run = lost.run, worker = &*lost.worker, loss = lost.loss.name(),
-        confirmed = lost.confirmed, survived = lost.survived, runs = lost.runs;
-        "run lost"
-    );
-}
-
-/// Logs and counts a task that was abandoned because its runs crashed their workers.
-fn log_abandoned_task(abandoned: &AbandonedTask) {
-    metrics::counter!("lentilyoke_tasks_given_up_total").increment(1);
-    let key = &abandoned.task;
-    warn!(
-        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
-        task = key.index, crashed:? = abandoned.crashed;
-        "task given up: it crashes its workers"
-    );
-}
--- /dev/null
+++ b/crates/host/src/owner/events.rs
@@ -0,0 +1,94 @@
+//! What the pool has decided or found out since the last scheduling pass, for the log and the metrics.
+
+use log::{info, warn};
+use pool::{AbandonedTask, DownStep, LostRun, Ms, Pool, StepTimes, SuspicionChange, WaitReason};
+
+/// Events of a pool since the last call of [`Events::take`].
+pub(super) struct Events {
+    steps: Vec<StepTimes>,
+    lost: Vec<LostRun>,
+    abandoned: Vec<AbandonedTask>,
+    suspicions: Vec<SuspicionChange>,
+}
+
+impl Events {
+    pub(super) fn take(pool: &mut Pool) -> Self {
+        Self {
+            steps: pool.take_steps_done(),
+            lost: pool.take_lost_runs(),
+            abandoned: pool.take_abandoned_tasks(),
+            suspicions: pool.take_suspicion_changes(),
+        }
+    }
+
+    pub(super) fn log(&self) {
+        self.steps.iter().for_each(log_step);
+        self.lost.iter().for_each(log_lost_run);
+        self.abandoned.iter().for_each(log_abandoned_task);
+        self.suspicions.iter().for_each(log_suspicion_change);
+    }
+}
+
+/// Logs the times of a completed step; -1 stands for an event that did not happen under this owner.
+fn log_step(step: &StepTimes) {
+    let key = &step.stage;
+    let time = |time: Option<Ms>| time.map_or(-1, |time| time as i64);
+    let waited = |reason: WaitReason| step.waited[reason as usize];
+    info!(
+        job = &*key.job, occurrence = key.occurrence, step = key.step, queue = step.queue.as_str(),
+        tasks = step.tasks, estimate = step.estimate, age = step.age,
+        asked = time(step.first_query), advised = time(step.first_answer),
+        first_start = time(step.first_start), last_start = time(step.last_start),
+        done = step.done, questions = step.queries, starts = step.starts,
+        customer = &*step.customer, owed = step.owed, waited_capacity = waited(WaitReason::Capacity),
+        waited_quota = waited(WaitReason::Quota), waited_share = waited(WaitReason::Share),
+        waited_advice = waited(WaitReason::Advice);
+        "step"
+    );
+}
+
+/// Logs and counts a run that was lost without a reported end.
+fn log_lost_run(lost: &LostRun) {
+    metrics::counter!("lentilyoke_runs_lost_total", "loss" => lost.loss.name()).increment(1);
+    let key = &lost.task;
+    info!(
+        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
+        task = key.index, run = lost.run, worker = &*lost.worker, loss = lost.loss.name(),
+        confirmed = lost.confirmed, survived = lost.survived, runs = lost.runs, steady = lost.steady,
+        crash = lost.crash.name(), crashes = lost.crashes, unstored = lost.unstored;
+        "run lost"
+    );
+}
+
+/// Logs and counts a task that was abandoned because its runs crashed their workers.
+fn log_abandoned_task(abandoned: &AbandonedTask) {
+    metrics::counter!("lentilyoke_tasks_given_up_total").increment(1);
+    let key = &abandoned.task;
+    warn!(
+        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
+        task = key.index, crashed:? = abandoned.crashed;
+        "task given up: it crashes its workers"
+    );
+}
+
+/// Logs that a worker has come under suspicion of failing what it starts, or has been cleared of it.
+fn log_suspicion_change(change: &SuspicionChange) {
+    let (worker, score, runs) = (&*change.worker, change.score, change.runs);
+    if let Some(cause) = change.cause {
+        warn!(worker = worker, score = score, runs = runs, cause = cause.name(); "worker suspected: runs fail there");
+    } else {
+        info!(worker = worker, score = score, runs = runs; "worker cleared of suspicion");
+    }
+}
+
+/// Logs a long-running step with tasks that wait to be started again.
+pub(super) fn log_down_step(down: &DownStep) {
+    let (key, workers) = (&down.stage, &down.workers);
+    info!(
+        job = &*key.job, occurrence = key.occurrence, step = key.step, tasks = down.tasks, since = down.since,
+        full = workers.full, unavailable = workers.unavailable, per_worker = workers.per_worker,
+        crashes = workers.crashes, suspected = workers.failure_score, denied = workers.denied,
+        unadvised = workers.unadvised, usable = workers.usable;
+        "long-running tasks are down"
+    );
+}
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -79,6 +79,29 @@
     }
 }
 
+/// Whether the loss of a run was recorded as a crash of its task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashRecord {
+    /// The run isn't the cause.
+    None,
+    /// The run may be the cause, or the worker may have been down already or restart whatever runs on it.
+    Unconfirmed,
+    /// The run may be the cause, and the worker was up and steady.
+    Confirmed,
+}
+
+impl CrashRecord {
+    /// Short name for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Unconfirmed => "unconfirmed",
+            Self::Confirmed => "confirmed",
+        }
+    }
+}
+
 /// What became of a start by a former owner.
 enum StartOutcome {
     Running,
@@ -249,26 +272,31 @@
     /// Whether the next start must be stored before its command is sent, and isn't yet. If the owner were lost together with the
     /// worker, the next owner would not count that start.
     pub(crate) fn awaits_storing(&self) -> bool {
-        self.crashed.len() >= MIN_CRASHES_TO_ISOLATE && self.crashes_stored < self.crashed.len()
+        self.crashed.len() >= MIN_CRASHES_TO_ISOLATE && self.unstored_crashes() > 0
+    }
+
+    /// Number of crash records that aren't stored.
+    pub(crate) fn unstored_crashes(&self) -> usize {
+        self.crashed.len().saturating_sub(self.crashes_stored)
     }
 }
 
 impl Pool {
     /// Records a crash for the current run of a task whose worker was lost, if the run may be the cause.
-    pub(crate) fn record_crash(&mut self, now: Ms, key: &TaskKey, loss: Loss) {
+    pub(crate) fn record_crash(&mut self, now: Ms, key: &TaskKey, loss: Loss) -> CrashRecord {
         let Some(run) = self.task_mut(key).and_then(|task| task.run.clone()) else {
-            return;
+            return CrashRecord::None;
         };
         let Some(worker) = self.workers.get(&run.worker) else {
-            return;
+            return CrashRecord::None;
         };
         let was_leaving = worker.leaves_at.is_some();
         let last_poll = worker.last_poll_before(loss);
         if loss == Loss::Missing || was_leaving || !run.is_in_crash_window(last_poll) {
-            return;
+            return CrashRecord::None;
         }
         let Some(task) = self.task_mut(key) else {
-            return;
+            return CrashRecord::None;
         };
         let was_steady = run.worker_was_steady || task.unresolved_start(run.number).is_some();
         let confirmed = was_steady && (run.worker_was_up || run.inherited);
@@ -280,6 +308,11 @@
         task.crashed.push(Crash::new(run.number, confirmed));
         self.suspects.insert(key.clone());
         self.mark_dirty(&key.stage.job);
+        if confirmed {
+            CrashRecord::Confirmed
+        } else {
+            CrashRecord::Unconfirmed
+        }
     }
 
     /// Handles a report of the current run of a suspect. When the run has outlived [`CRASH_WINDOW`], its crash record is dropped;
--- a/crates/pool/src/fit.rs
+++ b/crates/pool/src/fit.rs
@@ -16,6 +16,21 @@
 /// Cost, for a suspect, of a worker that has not answered since the suspect's last crash, or that started recently.
 const UNPROVEN_WORKER_COST: f64 = 2.0;
 
+/// Why a task can't be started on a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unfit {
+    /// The worker has too little free capacity.
+    Capacity,
+    /// The worker takes no starts: see [`Worker::accepts_starts`].
+    Unavailable,
+    /// The worker runs as many tasks of the step as it may.
+    PerWorker,
+    /// The task or a task on the worker has crashed workers, and the two must be kept apart.
+    Crashes,
+    /// The worker has a high failure score, and gets one task at a time.
+    FailureScore,
+}
+
 /// What the cost depends on besides worker and step.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Context {
@@ -50,31 +65,51 @@
         && (step.label.is_empty() || worker.info.labels.contains(&step.label))
 }
 
-/// Cost of starting the task on a worker with the capacity `free` left; the worker with the lowest cost is chosen.
-/// `None` if the task can't start there.
-#[must_use]
-pub fn cost(worker: &Worker, step: &Step, free: Size, context: &Context) -> Option<f64> {
+/// Whether the task can be started on a worker with the capacity `free` left.
+///
+/// # Errors
+///
+/// Fails with the first reason why it can't.
+pub fn check(worker: &Worker, step: &Step, free: Size, context: &Context) -> Result<(), Unfit> {
     let size: Size = step.demand();
-    if !size.fits(free) || !worker.accepts_starts(context.now) {
-        return None;
+    if !size.fits(free) {
+        return Err(Unfit::Capacity);
+    }
+    if !worker.accepts_starts(context.now) {
+        return Err(Unfit::Unavailable);
     }
     if step.per_worker > 0 && context.same_step >= step.per_worker {
-        return None;
+        return Err(Unfit::PerWorker);
     }
     if context.suspect_crashes >= MIN_CRASHES_TO_ISOLATE {
-        return None;
+        return Err(Unfit::Crashes);
     }
     let suspicion = context.suspicion;
-    // The worker may have been lost in the same event as the one that the task ran on.
-    let unproven = worker.last_poll <= suspicion.since;
     if suspicion.crashes >= MIN_CRASHES_TO_ISOLATE
-        && (context.suspect_crashes > 0 || unproven || context.just_restarted)
+        && (context.suspect_crashes > 0
+            || is_unproven(worker, &suspicion)
+            || context.just_restarted)
     {
-        return None;
+        return Err(Unfit::Crashes);
     }
-    if worker.failure_score >= SUSPECT_SCORE && (context.assigned > 0 || !worker.runs.is_empty()) {
-        return None;
+    if worker.is_suspect() && (context.assigned > 0 || !worker.runs.is_empty()) {
+        return Err(Unfit::FailureScore);
     }
+    Ok(())
+}
+
+/// Whether the worker may have been lost in the same event as the one that the suspect ran on.
+fn is_unproven(worker: &Worker, suspicion: &Suspicion) -> bool {
+    worker.last_poll <= suspicion.since
+}
+
+/// Cost of starting the task on a worker with the capacity `free` left; the worker with the lowest cost is chosen.
+/// `None` if the task can't start there.
+#[must_use]
+pub fn cost(worker: &Worker, step: &Step, free: Size, context: &Context) -> Option<f64> {
+    check(worker, step, free, context).ok()?;
+    let size: Size = step.demand();
+    let suspicion = context.suspicion;
     if context.first_fit {
         return Some(0.0);
     }
@@ -105,7 +140,8 @@
         cost += SUSPECT_COLOCATION_COST * context.suspect_crashes as f64;
         let recently_started = context.now.saturating_sub(worker.incarnation_since) < STABLE_AFTER;
         cost += UNPROVEN_WORKER_COST
-            * (f64::from(u8::from(unproven)) + f64::from(u8::from(recently_started)));
+            * (f64::from(u8::from(is_unproven(worker, &suspicion)))
+                + f64::from(u8::from(recently_started)));
         cost += 1.0 - free.millicores as f64 / worker.info.capacity.millicores.max(1) as f64;
     }
     if step.long_running {
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::crash::CrashRecord;
 use crate::pool::Pool;
 use crate::report::WorkerReport;
 use crate::task::{Ms, Phase, TaskKey, WorkerId};
@@ -47,6 +48,14 @@
     pub survived: Ms,
     /// Number of runs that the worker had, including this one.
     pub runs: usize,
+    /// Whether the worker had been up for some time when the start command was sent.
+    pub steady: bool,
+    /// Whether the loss was recorded as a crash of the task.
+    pub crash: CrashRecord,
+    /// Number of crash records of the task, including this one.
+    pub crashes: usize,
+    /// Number of those that aren't stored.
+    pub unstored: usize,
 }
 
 impl Pool {
@@ -62,19 +71,30 @@
         };
         let (number, id, requested_at) = (run.number, Arc::clone(&run.worker), run.requested_at);
         let confirmed = !matches!(run.phase, Phase::Starting | Phase::Unconfirmed);
+        let steady = run.worker_was_steady;
         let Some(worker) = self.workers.get(&id) else {
             return;
         };
+        let survived = worker.last_poll_before(loss).saturating_sub(requested_at);
+        let runs = worker.runs.len();
+        let crash = self.record_crash(now, key, loss);
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let (crashes, unstored) = (task.crashed.len(), task.unstored_crashes());
         self.lost_runs.push(LostRun {
             task: key.clone(),
             run: number,
+            worker: id,
             loss,
             confirmed,
-            survived: worker.last_poll_before(loss).saturating_sub(requested_at),
-            runs: worker.runs.len(),
-            worker: id,
+            survived,
+            runs,
+            steady,
+            crash,
+            crashes,
+            unstored,
         });
-        self.record_crash(now, key, loss);
     }
 
     /// Ends the runs that were lost when the worker restarted, given a report of the new incarnation.
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -351,21 +351,10 @@
             let counts = mix.and_then(|mix| mix.get(&worker.id)).copied();
             let (latency_sensitive, best_effort) = counts.unwrap_or_default();
             let context = Context {
-                now,
-                remote_penalty: self.options.remote_penalty,
-                same_step: same_step.get(&worker.id).copied().unwrap_or(0),
-                assigned: 0,
                 latency_sensitive,
                 best_effort,
-                suspicion: Suspicion::default(),
-                suspect_crashes: self
-                    .suspects_by_worker
-                    .get(&worker.id)
-                    .copied()
-                    .unwrap_or(0),
-                just_restarted: !is_steady(worker, self.unix),
                 service_capacity: *capacity,
-                first_fit: !self.has(Mechanism::BestFit),
+                ..self.placement_context(now, worker, &same_step)
             };
             candidates.push((worker, worker.free_capacity(), context));
         }
@@ -391,6 +380,25 @@
         assign_greedily(&mut candidates, step, suspicions)
     }
 
+    /// What the choice of a worker depends on for any task of a step that has `same_step` tasks on each worker.
+    pub(crate) fn placement_context(
+        &self,
+        now: Ms,
+        worker: &Worker,
+        same_step: &FxHashMap<WorkerId, u32>,
+    ) -> Context {
+        let suspect_crashes = self.suspects_by_worker.get(&worker.id);
+        Context {
+            now,
+            remote_penalty: self.options.remote_penalty,
+            same_step: same_step.get(&worker.id).copied().unwrap_or(0),
+            suspect_crashes: suspect_crashes.copied().unwrap_or(0),
+            just_restarted: !is_steady(worker, self.unix),
+            first_fit: !self.has(Mechanism::BestFit),
+            ..Context::default()
+        }
+    }
+
     /// Records a run of a task and queues the command that starts it.
     fn start_task(
         &mut self,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -9,6 +9,7 @@
 use crate::accounts::Accounts;
 use crate::command::Command;
 use crate::crash::{AbandonedTask, SuspectsByWorker};
+use crate::failure_score::SuspicionChange;
 use crate::job::Job;
 use crate::live::LiveJob;
 use crate::loss::LostRun;
@@ -131,6 +132,8 @@
     pub(crate) abandoned: Vec<AbandonedTask>,
     /// Runs that workers have lost, to be logged.
     pub(crate) lost_runs: Vec<LostRun>,
+    /// Workers that have come under suspicion or have been cleared of it, to be logged.
+    pub(crate) suspicion_changes: Vec<SuspicionChange>,
     /// Commands collected since the last scheduling pass; the next one returns them.
     pub(crate) commands: Vec<Command>,
     /// An owner with a higher epoch exists.
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{StartAnswer, StopAnswer};
 use crate::command::{AdvisorQuery, Start, Stop};
+use crate::failure_score::FailureCause;
 use crate::live::Ticket;
 use crate::pool::Pool;
 use crate::repeat;
@@ -76,8 +77,8 @@
             StartAnswer::Unwell | StartAnswer::Away => {
                 if let Some(worker) = self.workers.get_mut(&start.worker) {
                     worker.paused_until = now + UNHEALTHY_PAUSE;
-                    worker.failure_score += 0.5;
                 }
+                self.add_failure(now, &start.worker, FailureCause::Refused, false);
             }
             StartAnswer::Room => {
                 if let Some(worker) = self.workers.get_mut(&start.worker) {
