Log runs that are stopped because they make no progress

The line `worker suspected` names the cause `stalled`, but not which runs stalled, for how long, and whether they belonged to one gang. So the line `run stalled` has task, run, worker, idle time, percentage and whether it is a member of a gang.

No logic changed.

--- a/crates/host/src/owner/events.rs
+++ b/crates/host/src/owner/events.rs
@@ -1,13 +1,16 @@
 //! What the pool has decided or found out since the last scheduling pass, for the log and the metrics.
 
 use log::{info, warn};
-use pool::{AbandonedTask, DownStep, LostRun, Ms, Pool, StepTimes, SuspicionChange, WaitReason};
+use pool::{
+    AbandonedTask, DownStep, LostRun, Ms, Pool, StalledRun, StepTimes, SuspicionChange, WaitReason,
+};
 
 /// Events of a pool since the last call of [`Events::take`].
 pub(super) struct Events {
     steps: Vec<StepTimes>,
     lost: Vec<LostRun>,
     abandoned: Vec<AbandonedTask>,
+    stalled: Vec<StalledRun>,
     suspicions: Vec<SuspicionChange>,
 }
 
@@ -17,6 +20,7 @@
             steps: pool.take_steps_done(),
             lost: pool.take_lost_runs(),
             abandoned: pool.take_abandoned_tasks(),
+            stalled: pool.take_stalled_runs(),
             suspicions: pool.take_suspicion_changes(),
         }
     }
@@ -25,6 +29,7 @@
         self.steps.iter().for_each(log_step);
         self.lost.iter().for_each(log_lost_run);
         self.abandoned.iter().for_each(log_abandoned_task);
+        self.stalled.iter().for_each(log_stalled_run);
         self.suspicions.iter().for_each(log_suspicion_change);
     }
 }
@@ -71,6 +76,17 @@
     );
 }
 
+/// Logs a run that was stopped because it made no progress.
+fn log_stalled_run(stalled: &StalledRun) {
+    let key = &stalled.task;
+    info!(
+        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step, task = key.index,
+        run = stalled.run, worker = &*stalled.worker, idle = stalled.idle, percent = stalled.percent,
+        gang = stalled.gang;
+        "run stalled"
+    );
+}
+
 /// Logs that a worker has come under suspicion of failing what it starts, or has been cleared of it.
 fn log_suspicion_change(change: &SuspicionChange) {
     let (worker, score, runs) = (&*change.worker, change.score, change.runs);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -58,6 +58,7 @@
 pub use load::Load;
 pub use loss::{Loss, LostRun};
 pub use mechanism::{Mechanism, Switches, UnknownMechanism};
+pub use monitor::StalledRun;
 pub use pool::{Options, Pool};
 pub use progress::{OccurrenceProgress, Progress, StepProgress, UnresolvedStart};
 pub use quota::QuotaDemand;
--- a/crates/pool/src/monitor.rs
+++ b/crates/pool/src/monitor.rs
@@ -6,7 +6,7 @@
 use crate::failure_score::FailureCause;
 use crate::mechanism::Mechanism;
 use crate::pool::Pool;
-use crate::task::{Ms, Phase};
+use crate::task::{Ms, Phase, TaskKey, WorkerId};
 
 /// Minimum time between two checks: on most workers, reports don't arrive more often.
 const CHECK_INTERVAL: Ms = 200;
@@ -20,7 +20,29 @@
 const POLL_DELAY_DIVISOR: Ms = 10;
 /// Maximum time that the next poll waits for further ends.
 const MAX_POLL_DELAY: Ms = 200;
+/// A run that was stopped because it made no progress.
+#[derive(Clone, Debug)]
+pub struct StalledRun {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// The worker that it is on.
+    pub worker: WorkerId,
+    /// Time without progress, in milliseconds.
+    pub idle: Ms,
+    /// Progress in percent.
+    pub percent: u32,
+    /// Whether it is a member of a gang.
+    pub gang: bool,
+}
+
 impl Pool {
+    /// Returns and clears the runs that were stopped without progress since the last call.
+    pub fn take_stalled_runs(&mut self) -> Vec<StalledRun> {
+        std::mem::take(&mut self.stalled_runs)
+    }
+
     /// How long to wait with the next poll of a worker that has reported ends, so that it reports several ends at once.
     ///
     /// Without the wait, a worker whose tasks end one after the other is polled once for each of them. Callers don't notice
@@ -85,8 +107,16 @@
                     let timeout = STALL_TIMEOUT.max(step.estimate / 10);
                     let doublings = stalls.saturating_sub(STALLS_OF_WORKERS);
                     let timeout = timeout.saturating_mul(2_u64.saturating_pow(doublings));
-                    if now.saturating_sub(run.progressed_at) > timeout {
-                        stalled.push((key.clone(), Arc::clone(&worker.id)));
+                    let idle = now.saturating_sub(run.progressed_at);
+                    if idle > timeout {
+                        stalled.push(StalledRun {
+                            task: key.clone(),
+                            run: run.number,
+                            worker: Arc::clone(&worker.id),
+                            idle,
+                            percent: run.percent,
+                            gang: step.gang,
+                        });
                     }
                 }
             }
@@ -100,14 +130,15 @@
         if !self.has(Mechanism::Pace) {
             paces.clear();
         }
-        for (key, id) in stalled {
-            self.stop_run(&key);
-            let stalls = self.task_mut(&key).map_or(0, |task| {
+        for run in stalled {
+            self.stop_run(&run.task);
+            let stalls = self.task_mut(&run.task).map_or(0, |task| {
                 task.stalls += 1;
                 task.stalls
             });
             let is_repeated = stalls > STALLS_OF_WORKERS;
-            self.add_failure(now, &id, FailureCause::Stalled, is_repeated);
+            self.add_failure(now, &run.worker, FailureCause::Stalled, is_repeated);
+            self.stalled_runs.push(run);
         }
         for (id, max_ratio, best_effort) in paces {
             let percent = self.pace_controller.update(now, &id, max_ratio);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::live::LiveJob;
 use crate::loss::LostRun;
 use crate::mechanism::{Mechanism, Switches};
+use crate::monitor::StalledRun;
 use crate::pace::PaceController;
 use crate::progress::Progress;
 use crate::rank::QueueStats;
@@ -132,6 +133,8 @@
     pub(crate) abandoned: Vec<AbandonedTask>,
     /// Runs that workers have lost, to be logged.
     pub(crate) lost_runs: Vec<LostRun>,
+    /// Runs that were stopped because they made no progress, to be logged.
+    pub(crate) stalled_runs: Vec<StalledRun>,
     /// Workers that have come under suspicion or have been cleared of it, to be logged.
     pub(crate) suspicion_changes: Vec<SuspicionChange>,
     /// Commands collected since the last scheduling pass; the next one returns them.
