Order a worker's reports by its clock alone: after a silence its first one was dropped

What callers saw: tasks in the middle of their work were stopped and started again, and their workers, sound ones, came under suspicion, when a worker could be reached again after some seconds.

Cause: `apply_report` took a report for an older one if the worker's clock read less than the owner's estimate of it, which grows with the owner's clock. A worker's clock may be 2% slow: 70 ms after 3.5 s. The report was dropped, but the time of its poll counted as contact, so until the next one the worker's finite runs looked like runs without progress (`check_runs`), each of which is stopped and adds 1.5 to the worker's score.

The new test fails without the change: two runs are stopped 0.2 s after the report.

Ruled out: answers that were long in transit (the time of their poll is old, so the check skips the worker); real standstill (all runs of the worker, at 1 to 65 percent, at the same moment).

Change: a report is the newest one if its clock isn't below that of the newest applied one. Why it works: reports of one incarnation carry its own clock, which orders them exactly; no report that was requested after the newest one arrived can be older.

--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -32,7 +32,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let newest = report.clock >= worker.clock(report.requested_at).saturating_sub(1);
+        // The worker's clock may be slow, so only what it has reported tells the order of reports, not the time that has passed here.
+        let newest = report.clock >= worker.clock.0;
         if !worker.fenced {
             worker.lease_expires_at = 0;
         }
--- a/crates/pool/tests/late_reports.rs
+++ b/crates/pool/tests/late_reports.rs
@@ -66,3 +66,43 @@
     pool.apply_report(1_510, UNIX + 1_510, &first.worker, &restarted);
     assert_eq!(run(&mut pool, 1_520).len(), 0, "the task is done");
 }
+
+/// Guards against taking the runs of a worker for stalled that couldn't be reached for some seconds: its clock is 2% slow, so its first
+/// report reads earlier than expected.
+#[test]
+fn runs_of_a_worker_with_a_slow_clock_are_not_stalled_after_a_silence() {
+    let mut pool = pool(3);
+    let task = job("00000000000000d3", &[(2, 1_000, 20_000)]);
+    adopt(&mut pool, 1_000, task);
+    let started = run(&mut pool, 1_010);
+    let id = started[0].worker.clone();
+    let others: Vec<_> = pool.workers().map(|worker| worker.id.clone()).collect();
+    let report_at = |pool: &mut pool::Pool, now: u64| {
+        let running = started.iter().filter(|start| start.worker == id);
+        let status = running.map(|start| pool::RunStatus {
+            percent: (now / 200) as u32,
+            ..case::running(start)
+        });
+        let report = WorkerReport {
+            clock: 50_000 + now * 98 / 100,
+            incarnation: 1,
+            lease: 56_000 + now,
+            requested_at: now,
+            running: status.collect(),
+            ended: vec![],
+        };
+        pool.apply_report(now, UNIX + now, &id, &report);
+    };
+    report_at(&mut pool, 1_500);
+    pool.mark_unresponsive(&id);
+    for now in (1_700..5_000).step_by(200) {
+        for other in others.iter().filter(|other| **other != id) {
+            report(&mut pool, now, other, vec![], vec![]);
+        }
+        assert_eq!(case::stops(&pool.schedule(now, UNIX + now)), 0);
+    }
+    report_at(&mut pool, 5_000);
+    assert_eq!(case::stops(&pool.schedule(5_200, UNIX + 5_200)), 0);
+    let suspected = pool.take_suspicion_changes();
+    assert!(suspected.is_empty(), "{suspected:?}");
+}
