Long-running tasks pass the tests of suspected workers: some stayed down beside free capacity

Cause: a worker whose failure score is 3 or more gets one task at a time, and the score falls when a finite task succeeds. A long-running task never does. A suspected worker with one, however well it ran, was given nothing more, with most of its processors free.

Evidence: `long-running tasks are down` on the unchanged logic: from 36 s on 346 or 347 workers full, three suspected, at most one denied or unadvised, none usable or unavailable.

Ruled out by the same lines: order, advice, workers that take no starts, and slow passes, as each would show workers in another column.

Change: a long-running task that has run for a second has passed its test: it counts as a success and keeps nothing else away. One that fails before that pauses the worker as any failed test does. A suspicion without a failure for 10 s and without a test in progress ends, since a gang that needs two places there can't be a test.

Tests, failing before: the four of suspected_workers.rs that have a long-running task or a gang beside the suspicion; the fifth is a guard.

Why it works: every suspicion now ends by what the worker can be given, whatever that is, or by time.

--- a/crates/pool/src/fit.rs
+++ b/crates/pool/src/fit.rs
@@ -42,6 +42,8 @@
     pub same_step: u32,
     /// Number of tasks of the step that this scheduling pass has assigned to the worker.
     pub assigned: u32,
+    /// The worker is suspected of failing what it starts, and has a run that may still show it.
+    pub being_tested: bool,
     /// Number of latency-sensitive tasks on the worker.
     pub latency_sensitive: u32,
     /// Number of best-effort tasks on the worker.
@@ -92,7 +94,7 @@
     {
         return Err(Unfit::Crashes);
     }
-    if worker.is_suspect() && (context.assigned > 0 || !worker.runs.is_empty()) {
+    if worker.is_suspect() && (context.assigned > 0 || context.being_tested) {
         return Err(Unfit::FailureScore);
     }
     Ok(())
--- a/crates/pool/src/monitor.rs
+++ b/crates/pool/src/monitor.rs
@@ -71,6 +71,7 @@
         }
         self.checked_at = now;
         self.evacuate(now);
+        self.review_suspected_workers(now);
         let mut stalled = Vec::new();
         let mut paces = Vec::new();
         for worker in self.workers.values() {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -394,6 +394,7 @@
             same_step: same_step.get(&worker.id).copied().unwrap_or(0),
             suspect_crashes: suspect_crashes.copied().unwrap_or(0),
             just_restarted: !is_steady(worker, self.unix),
+            being_tested: worker.is_suspect() && self.is_being_tested(now, worker),
             first_fit: !self.has(Mechanism::BestFit),
             ..Context::default()
         }
@@ -417,6 +418,7 @@
         };
         let start_deadline = target.clock(now) + ttl;
         let steady_worker = SteadyWorker::new(target, self.unix);
+        let is_test = target.is_suspect();
         // A start acts as a lease until its deadline, and the worker's clock may be 2% slow. 400 ms cover the network,
         // timers and rounding, as for any lease.
         target.lease_expires_at = target.lease_expires_at.max(now + ttl + ttl / 33 + 400);
@@ -439,6 +441,7 @@
             // A task with so many crashes starts only on a worker that has answered since the last of them.
             worker_was_up: crashes >= MIN_CRASHES_TO_ISOLATE,
             worker_was_steady: steady_worker.is_some(),
+            is_test,
             ..Run::new(number, Arc::clone(worker), now, start_deadline)
         });
         self.reserve_capacity(key, worker, number);
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -97,6 +97,9 @@
     /// Whether the worker's incarnation had been up for [`crate::crash::STEADY_AFTER`] when the start command was sent; `false` if
     /// that isn't known.
     pub worker_was_steady: bool,
+    /// Whether the worker was suspected of failing what it starts when the start command was sent, and the run hasn't shown yet
+    /// that it doesn't.
+    pub is_test: bool,
     /// Whether the worker was lost and this run may be the cause.
     pub may_have_crashed_worker: bool,
     /// Whether the worker has restarted since the start command was sent, and it isn't known yet which incarnation carried the
@@ -125,6 +128,7 @@
             inherited: false,
             worker_was_up: false,
             worker_was_steady: false,
+            is_test: false,
             may_have_crashed_worker: false,
             may_be_of_former_incarnation: false,
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -123,6 +123,8 @@
     pub(crate) paused_until: Ms,
     /// Evidence that runs fail because of the worker; see [`crate::fit::SUSPECT_SCORE`].
     pub(crate) failure_score: f64,
+    /// When a failure last counted as such evidence.
+    pub(crate) failed_at: Ms,
     /// Ratio of observed run time to the estimate as corrected per queue; 1 is as expected.
     pub(crate) slowness: f64,
 }
