Gangs raise no suspicion against workers: their members wait for one that can't be reached

What callers saw: workers on which everything ran well got one task at a time, so others waited longer.

Cause: the members of a gang wait for each other. When one can't be reached, all others stand still, and each counted 1.5 against its own worker; two on one worker are enough for suspicion.

Change: a stalled member is stopped as before, and counts against no worker.

Test: `a_gang_with_an_unreachable_member_raises_no_suspicion` fails without the change: two workers with a score of 3.0.

--- a/crates/pool/src/monitor.rs
+++ b/crates/pool/src/monitor.rs
@@ -138,7 +138,10 @@
                 task.stalls
             });
             let is_repeated = stalls > STALLS_OF_WORKERS;
-            self.add_failure(now, &run.worker, FailureCause::Stalled, is_repeated);
+            // The members of a gang wait for each other, so the cause may be on the worker of another member.
+            if !run.gang {
+                self.add_failure(now, &run.worker, FailureCause::Stalled, is_repeated);
+            }
             self.stalled_runs.push(run);
         }
         for (id, max_ratio, best_effort) in paces {
--- a/crates/pool/tests/stalls.rs
+++ b/crates/pool/tests/stalls.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use case::{adopt, end, pool, report};
+use case::{adopt, end, pool, report, running, starts, stops};
 use pool::{Command, Ms, RunOutcome, RunStatus, Start, StartAnswer, StopAnswer, WorkerId};
 use simulation::{UNIX, job};
 
@@ -94,3 +94,35 @@
     assert_eq!(times.len(), 3, "{times:?}");
     assert!(times[2] < 8_500, "{times:?}");
 }
+
+/// Guards against blaming workers for a gang that can't go on: its members stand still until one answers whose worker can't be reached.
+#[test]
+fn a_gang_with_an_unreachable_member_raises_no_suspicion() {
+    let mut pool = pool(4);
+    let mut gang = job("00000000000000g1", &[(7, 2_000, 5_000)]);
+    gang.steps[0].gang = true;
+    adopt(&mut pool, 1_000, gang);
+    let started = starts(pool.schedule(1_000, UNIX + 1_000));
+    assert_eq!(started.len(), 7);
+    let unreachable = started[0].worker.clone();
+    for start in &started {
+        let answer = if start.worker == unreachable {
+            StartAnswer::Lost
+        } else {
+            StartAnswer::Running
+        };
+        pool.start_answered(1_010, start, answer);
+    }
+    let ids: Vec<WorkerId> = pool.workers().map(|worker| worker.id.clone()).collect();
+    let mut stopped = 0;
+    for now in (1_100..4_500).step_by(100) {
+        for id in ids.iter().filter(|id| **id != unreachable) {
+            let runs = started.iter().filter(|start| start.worker == *id);
+            report(&mut pool, now, id, runs.map(running).collect(), vec![]);
+        }
+        stopped += stops(&pool.schedule(now, UNIX + now));
+    }
+    assert!(stopped > 0, "the members don't wait for ever");
+    let changes = pool.take_suspicion_changes();
+    assert!(changes.is_empty(), "{changes:?}");
+}
