Hand over crashes that the store doesn't have: a crashing task was started a sixth time

Cause: crash records reach the next owner by the progress row alone. An owner without the store has them in memory, and its request to take over carried the epoch alone. All else that isn't stored is found out again, as workers report runs and repeat unstored ends; a crash takes its witness with it.

Ruled out: copies of a start (each number of h1 on one incarnation); unconfirmed records alone (they were right not to count: those workers restarted several times a second).

Change: the request carries the unstored histories, at most 64, the longest first; the new owner applies them as it adds the jobs. Where the store has a run too, the handed-over record counts, once.

Why it works: the owner that hands over is alive and connected to the heir, so what only it knows can go with the request that ends its ownership.

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pool::Mechanism;
+use pool::{CrashHistory, Mechanism};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -27,7 +27,6 @@
 use crate::interfaces::{StoreError, Transaction};
 use crate::owner::Owner;
 use crate::owner_rows::{self, KnownRow};
-use crate::peers::LinkEnd;
 use crate::pool_map::PoolMap;
 use crate::rows::{COMMON, OWNER, OwnerRow, POOL_MAP, ROSTER, RosterRow, pool_part};
 use crate::suitability::Suitability;
@@ -112,7 +111,7 @@
             KnownRow::Absent => {
                 tokio::time::sleep(FIRST_CLAIM_DELAY).await;
                 if wait_before_takeover(host, pool, None, &mut rows).await {
-                    claim_and_own(host, pool, None, TakeoverReason::NoOwnerYet).await;
+                    claim_and_own(host, pool, None, TakeoverReason::NoOwnerYet, Vec::new()).await;
                     wait_before_retry(&mut rows).await;
                 }
             }
@@ -122,7 +121,7 @@
                     participant
                         .take_over_if_lost(host, pool, &row, &mut rows)
                         .await;
-                } else if participant.follow(host, pool, &row).await == LinkEnd::Stopped {
+                } else if !participant.follow(host, pool, &row).await {
                     return;
                 }
             }
@@ -180,12 +179,13 @@
     Claim::find(&[owner.ok()?.rows, roster.ok()?.rows].concat())
 }
 
-/// Claims the pool, and owns it until another host does or this host leaves.
+/// Claims the pool, and owns it until another host does or this host leaves. `crashes` is what the former owner has handed over.
 async fn claim_and_own(
     host: &Arc<Host>,
     pool: u32,
     mut previous: Option<(Claim, ClaimVersion)>,
     reason: TakeoverReason,
+    crashes: Vec<CrashHistory>,
 ) {
     let began = clock::now();
     for _ in 0..CLAIM_ATTEMPTS {
@@ -197,11 +197,11 @@
         match write_claim(host, pool, &claim, version).await {
             ClaimOutcome::Written(version) => {
                 let former = previous.map(|(claim, _)| claim);
-                info!(pool = pool, epoch = claim.owner.epoch, before = former.as_ref().map_or("", |claim| claim.owner.host.as_str()), workers = claim.roster.roster.len(), grounds:% = reason, ms = clock::now().saturating_sub(began); "pool ownership acquired");
+                info!(pool = pool, epoch = claim.owner.epoch, before = former.as_ref().map_or("", |claim| claim.owner.host.as_str()), workers = claim.roster.roster.len(), grounds:% = reason, crashes = crashes.len(), ms = clock::now().saturating_sub(began); "pool ownership acquired");
                 host.owner_rows
                     .record(pool, Some((claim.owner.clone(), version)));
                 let roster = former.map_or_else(Vec::new, |claim| claim.roster.roster);
-                Owner::run(host, pool, claim, roster, version).await;
+                Owner::run(host, pool, claim, roster, crashes, version).await;
                 return;
             }
             // Reads may return old data. With an unchanged epoch, the former owner has written its rows since, and the claim is
--- a/crates/host/src/election/participant.rs
+++ b/crates/host/src/election/participant.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use log::info;
-use pool::Mechanism;
+use pool::{CrashHistory, Mechanism};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
@@ -36,6 +36,8 @@
 pub(super) struct Participant {
     /// The owner that requested that this host take over.
     requested_by: Option<u64>,
+    /// The owner that has handed over crashes that it could not store, and these.
+    former_crashes: Option<(u64, Vec<CrashHistory>)>,
     /// The owner to which the link was lost.
     lost: Option<u64>,
     /// The owner whose process has ended, as a new incarnation of its host has answered.
@@ -63,12 +65,15 @@
     }
 
     /// Connects to the owner and keeps the link until it ends.
-    pub(super) async fn follow(&mut self, host: &Arc<Host>, pool: u32, row: &OwnerRow) -> LinkEnd {
-        let ended = peers::join(host, pool, row.address, row.epoch).await;
-        match ended {
-            LinkEnd::Stopped => {}
+    /// Returns `false` if this host is stopping.
+    pub(super) async fn follow(&mut self, host: &Arc<Host>, pool: u32, row: &OwnerRow) -> bool {
+        match peers::join(host, pool, row.address, row.epoch).await {
+            LinkEnd::Stopped => return false,
             // An owner that was replaced but doesn't know it may send the request too, hence its epoch is recorded.
-            LinkEnd::TakeOver => self.requested_by = Some(row.epoch),
+            LinkEnd::TakeOver(crashes) => {
+                self.requested_by = Some(row.epoch);
+                self.former_crashes = Some((row.epoch, crashes));
+            }
             LinkEnd::NotOwner { incarnation }
                 if (incarnation == row.incarnation || !host.has(Mechanism::Restart))
                     && self.may_be_starting(row.epoch) =>
@@ -85,7 +90,7 @@
                 info!(pool = pool, owner = row.host.as_str(), epoch = row.epoch, why:? = loss; "link to the pool owner lost");
             }
         }
-        ended
+        true
     }
 
     /// Whether an owner that doesn't serve the pool may still be starting.
@@ -140,11 +145,19 @@
         if let Some((claim, version)) = read_claim(host, pool).await
             && claim.owner.epoch == row.epoch
         {
-            claim_and_own(host, pool, Some((claim, version)), reason).await;
+            let crashes = self.take_former_crashes(row.epoch);
+            claim_and_own(host, pool, Some((claim, version)), reason, crashes).await;
         }
         wait_before_retry(rows).await;
     }
 
+    /// The crashes that the owner with this epoch has handed over.
+    fn take_former_crashes(&mut self, epoch: u64) -> Vec<CrashHistory> {
+        let crashes = self.former_crashes.take();
+        let of_owner = crashes.filter(|(by, _)| *by == epoch);
+        of_owner.map_or_else(Vec::new, |(_, crashes)| crashes)
+    }
+
     /// Makes this host connect to the owner again, whichever host that is.
     fn follow_again(&mut self) {
         self.lost = None;
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -16,7 +16,7 @@
 
 use log::{info, warn};
 use pool::repeat::Budget;
-use pool::{Command, Mechanism, Ms, Pool, WorkerId};
+use pool::{Command, CrashHistory, Mechanism, Ms, Pool, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -114,6 +114,7 @@
         pool_number: u32,
         claim: Claim,
         former_roster: Vec<String>,
+        former_crashes: Vec<CrashHistory>,
         version: u64,
     ) {
         let owner = Arc::new(Self {
@@ -143,6 +144,7 @@
             directory: Mutex::default(),
             quota: QuotaKeeper::new(pool_number, host.settings.max_row_bytes),
         });
+        lock(&owner.pool).set_former_crashes(former_crashes);
         host.set_owner(pool_number, Some(Arc::clone(&owner)));
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&owner).send_heartbeats());
--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -43,6 +43,8 @@
 const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// A host that was asked to take the pool over has this long to do so before another host is asked.
 const TAKEOVER_REQUEST_TIMEOUT: Ms = 1_000;
+/// Maximum number of tasks whose crash records are handed over with a takeover request, which goes over the hosts' thin links.
+const MAX_CRASHES_HANDED_OVER: usize = 64;
 /// Number of successors that an owner names: enough that some remain when a data centre fails together with the owner.
 const MAX_SUCCESSORS: usize = 8;
 /// A host from which no heartbeat was received for this long gets no advisor queries and isn't considered for a handover.
@@ -187,6 +189,7 @@
             None if !draining => host.has_store(now, MIN_STORE_AVAILABILITY),
             _ => true,
         };
+        let crashes = lock(&self.pool).unstored_crashes(MAX_CRASHES_HANDED_OVER);
         let hosts = lock(&self.hosts);
         let (name, host) = hosts
             .iter()
@@ -202,11 +205,9 @@
                     .then_with(|| score(b).total_cmp(&score(a)))
                     .then_with(|| self.tie_break(a_name).cmp(&self.tie_break(b_name)))
             })?;
-        info!(pool = self.pool_number, heir = name.as_str(), epoch = self.epoch, unserved = store_outage.is_some(), overloaded = overloaded, suits = own.is_sufficient(workers); "requested that another host take over the pool");
-        drop(
-            host.sender
-                .try_send(FromOwner::TakeOver { epoch: self.epoch }),
-        );
+        info!(pool = self.pool_number, heir = name.as_str(), epoch = self.epoch, unserved = store_outage.is_some(), overloaded = overloaded, suits = own.is_sufficient(workers), crashes = crashes.len(); "requested that another host take over the pool");
+        let epoch = self.epoch;
+        drop(host.sender.try_send(FromOwner::TakeOver { epoch, crashes }));
         Some(name.clone())
     }
 
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use pool::CrashHistory;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -29,7 +30,7 @@
 const MAX_QUEUED_FRAMES: usize = 4_096;
 
 /// Why a link to the owner ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum LinkEnd {
     /// The connection failed or was not established.
     Lost(LinkLoss),
@@ -38,8 +39,8 @@
         /// Incarnation of that host: the start of its process in Unix milliseconds.
         incarnation: u64,
     },
-    /// The owner requests that this host take over the pool.
-    TakeOver,
+    /// The owner requests that this host take over the pool, and hands over the crashes that it could not store.
+    TakeOver(Vec<CrashHistory>),
     /// This host is stopping.
     Stopped,
 }
@@ -146,7 +147,10 @@
                 FromOwner::NotOwner { incarnation } => {
                     return LinkEnd::NotOwner { incarnation };
                 }
-                FromOwner::TakeOver { epoch: taken } if taken == epoch => return LinkEnd::TakeOver,
+                FromOwner::TakeOver {
+                    epoch: taken,
+                    crashes,
+                } if taken == epoch => return LinkEnd::TakeOver(crashes),
                 FromOwner::Reply(number, reply) => {
                     if let Some(late) = link.deliver_reply(number, reply) {
                         warn!(pool = pool, owner:% = address, reply = late.name(); "reply received after its call timed out");
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt as _};
-use pool::{CustomerId, Job, Ms, State};
+use pool::{CrashHistory, CustomerId, Job, Ms, State};
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -200,6 +200,9 @@
     TakeOver {
         /// The owner's epoch.
         epoch: u64,
+        /// Crashes of workers that the owner has recorded and not stored.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        crashes: Vec<CrashHistory>,
     },
     /// Whether the answering host reaches the owner, or is it.
     #[serde(rename = "Hears")]
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -70,7 +70,7 @@
 }
 
 impl Crash {
-    const fn new(run: u32, confirmed: bool) -> Self {
+    pub(crate) const fn new(run: u32, confirmed: bool) -> Self {
         Self {
             run,
             confirmed,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::command::Command;
 use crate::crash::{AbandonedTask, SuspectsByWorker};
 use crate::failure_score::SuspicionChange;
+use crate::handover::CrashHistory;
 use crate::job::Job;
 use crate::live::LiveJob;
 use crate::loss::LostRun;
@@ -127,6 +128,8 @@
     pub(crate) unresolved_starts: FxHashMap<WorkerId, Vec<TaskKey>>,
     /// Workers with a run of a suspect that may still crash them, as of the current scheduling pass.
     pub(crate) suspects_by_worker: SuspectsByWorker,
+    /// Crash records that the former owner could not store, by job, of jobs that aren't known yet.
+    pub(crate) former_crashes: FxHashMap<JobId, Vec<CrashHistory>>,
     /// Unix time of the latest scheduling pass, in milliseconds.
     pub(crate) unix: u64,
     /// Tasks that were abandoned, to be logged.
@@ -193,8 +196,9 @@
         live.inherited = !accepted_for_us
             && (inherited || former_may_act && !self.unconfirmed_workers.is_empty());
         self.jobs.insert(Arc::clone(&id), live);
-        self.find_suspects(&id);
         self.advance(&id, now, unix);
+        self.apply_former_crashes(&id);
+        self.find_suspects(&id);
         self.assume_unreported_runs(now, &id);
         self.adopt_observed_runs(now, &id);
         // The former owner may have stored the last end without the state that follows from it.
