Hand over the crashes of cancelled jobs too, as long as the cancellation isn't stored

Cause: only the tasks in `Pool::suspects` were looked through, and a job that is over leaves that set. A job that is cancelled at an owner without the store is over there alone: the caller is told `unsure`, and the next owner starts it again.

Evidence: h1 (epoch 4) recorded runs 1 and 2 of a7, `unstored` 2, and applied a cancellation from a call at 16.752 (answer at 18.252: `unsure`). Its request to take over had the crashes of 21 tasks; h2 began with run 1 and gave the task up after four starts of its own. The test `crashes_of_a_job_whose_cancellation_is_not_stored_are_handed_over` fails without the change (0 histories instead of 1).

Ruled out: the bound of 64 tasks (21), a takeover by another host (`requested by the owner`), records that the heir dropped (crashes 21 there).

Change: all jobs whose final state isn't stored are looked through, once the heir is chosen, so that owners don't do it at each check.

--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -189,9 +189,8 @@
             None if !draining => host.has_store(now, MIN_STORE_AVAILABILITY),
             _ => true,
         };
-        let crashes = lock(&self.pool).unstored_crashes(MAX_CRASHES_HANDED_OVER);
         let hosts = lock(&self.hosts);
-        let (name, host) = hosts
+        let (name, sender) = hosts
             .iter()
             .filter(|(_, host)| host.has_store(now, 0) && is_eligible(host))
             .filter(|(_, host)| {
@@ -204,11 +203,14 @@
                 (requested_at(*a_name).cmp(&requested_at(*b_name)))
                     .then_with(|| score(b).total_cmp(&score(a)))
                     .then_with(|| self.tie_break(a_name).cmp(&self.tie_break(b_name)))
-            })?;
+            })
+            .map(|(name, host)| (name.clone(), host.sender.clone()))?;
+        drop(hosts);
+        let crashes = lock(&self.pool).unstored_crashes(MAX_CRASHES_HANDED_OVER);
         info!(pool = self.pool_number, heir = name.as_str(), epoch = self.epoch, unserved = store_outage.is_some(), overloaded = overloaded, suits = own.is_sufficient(workers), crashes = crashes.len(); "requested that another host take over the pool");
         let epoch = self.epoch;
-        drop(host.sender.try_send(FromOwner::TakeOver { epoch, crashes }));
-        Some(name.clone())
+        drop(sender.try_send(FromOwner::TakeOver { epoch, crashes }));
+        Some(name)
     }
 
     /// Size of the largest pool that this host or one of the connected hosts should own, in workers.
--- a/crates/pool/src/handover.rs
+++ b/crates/pool/src/handover.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::Crash;
+use crate::live::LiveJob;
 use crate::pool::Pool;
 use crate::progress::UnresolvedStart;
 use crate::task::{Task, TaskKey};
@@ -64,16 +65,17 @@
 }
 
 impl Pool {
-    /// The crash histories of tasks with records that aren't stored, those with the most records first, at most `limit`.
+    /// The crash histories of tasks with records that aren't stored, those with the most records first, at most `limit`. A job that is
+    /// over counts until that is stored: the next owner starts it again.
     #[must_use]
     pub fn unstored_crashes(&self, limit: usize) -> Vec<CrashHistory> {
-        let suspects = self.suspects.iter().filter_map(|key| {
-            let stage = self.stage(&key.stage)?;
-            let task = stage.tasks.get(key.index as usize)?;
-            (task.unstored_crashes() > 0).then(|| CrashHistory::new(key, task))
-        });
-        let mut histories: Vec<CrashHistory> = suspects.filter(|it| !it.runs.is_empty()).collect();
-        histories.sort_by_key(|it| std::cmp::Reverse(it.runs.len()));
+        let jobs = self.jobs.values();
+        let jobs = jobs.filter(|live| !live.stored_state.is_final());
+        let tasks = jobs.flat_map(LiveJob::tasks);
+        let unstored = tasks.filter(|(_, task)| !task.done && task.unstored_crashes() > 0);
+        let histories = unstored.map(|(key, task)| CrashHistory::new(&key, task));
+        let mut histories: Vec<CrashHistory> = histories.filter(|it| !it.runs.is_empty()).collect();
+        histories.sort_by(|a, b| (b.runs.len(), &a.task).cmp(&(a.runs.len(), &b.task)));
         histories.truncate(limit);
         histories
     }
--- a/crates/pool/tests/handover.rs
+++ b/crates/pool/tests/handover.rs
@@ -120,3 +120,15 @@
     assert_eq!(handed_over.len(), 2);
     assert_eq!(&*handed_over[0].task.stage.job, JOB);
 }
+
+/// Guards against forgetting the crashes of a cancelled job: its cancellation isn't stored either, so the next owner starts it again.
+#[test]
+fn crashes_of_a_job_whose_cancellation_is_not_stored_are_handed_over() {
+    let mut first = owner(vec![], 1_000);
+    let (_, now) = crash_workers(&mut first, 1_000, 2, false);
+    let _cancelled = first.cancel(UNIX + now, JOB);
+    drop(first.schedule(now + 100, UNIX + now + 100));
+    assert_eq!(first.unstored_crashes(MAX_HISTORIES).len(), 1);
+    drop(store(&mut first));
+    assert_eq!(first.unstored_crashes(MAX_HISTORIES), vec![]);
+}
