--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -6,6 +6,7 @@
 mod customers;
 mod directory;
 mod events;
+mod handover;
 mod quota;
 mod scheduling_stats;
 mod store_changes;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -41,6 +41,7 @@
 mod report;
 mod schedule;
 pub mod service_capacity;
+mod start;
 mod state;
 mod task;
 mod timeline;
