--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use log::info;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::host::lock;
 use crate::wire::{Call, Reply, ToOwner};
@@ -55,9 +56,17 @@
 
     /// Calls the owner; `None` if there is no reply within `limit`.
     pub async fn call(&self, call: Call, limit: Duration) -> Option<Reply> {
+        let began = Instant::now();
+        let name = call.name();
         let (number, reply) = self.send_call(call)?;
         let reply = timeout(limit, reply).await.ok().and_then(Result::ok);
         lock(&self.calls).remove(&number);
+        if reply.is_none() {
+            info!(
+                call = name, link_ended = self.to.is_closed(), ms = began.elapsed().as_millis() as u64;
+                "no reply of the pool owner"
+            );
+        }
         reply
     }
 
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -109,6 +109,22 @@
     QuotaGiven(QuotaGiven),
 }
 
+impl Call {
+    /// Name of its kind for logs.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::State(..) => "state",
+            Self::Cancel(..) => "cancel",
+            Self::Insert(..) => "insert",
+            Self::Catalog => "configuration",
+            Self::CatalogVersion => "version of the configuration",
+            Self::PoolMap => "plan",
+            Self::QuotaGiven(_) => "units given",
+        }
+    }
+}
+
 /// Owner's reply to a [`Call`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Reply {
