--- a/crates/host/tests/links.rs
+++ b/crates/host/tests/links.rs
@@ -207,3 +207,20 @@
     assert_eq!(began.elapsed().as_millis(), connection_lifetime.as_millis());
     assert!(link.fetch(Call::Catalog).await.is_none());
 }
+
+/// Guards against a call that waits for its whole timeout although its connection has ended and no reply can arrive.
+#[tokio::test(start_paused = true)]
+async fn a_call_ends_with_its_connection() {
+    let (to, calls) = mpsc::channel(16);
+    let link = Link::new(to);
+    let connection_lifetime = Duration::from_millis(100);
+    let connection = async {
+        sleep(connection_lifetime).await;
+        drop(calls);
+    };
+    let began = Instant::now();
+    let call = link.call(Call::PoolMap, Duration::from_secs(5));
+    let (reply, ()) = tokio::join!(call, connection);
+    assert!(reply.is_none());
+    assert_eq!(began.elapsed().as_millis(), connection_lifetime.as_millis());
+}
