End the connections of clients before the links and owners that their calls wait for

What callers saw: a cancellation (DELETE) that its host had read got no response around the host's SIGTERM. Cause: at the end of the grace period everything ended in the same moment, links to owners and the host's own owners among it. A call that waited for an owner's reply waited for nothing from then on, and its connection was dropped 0.7 s later. The class: a shutdown without an order, in which what is served and what it depends on end together. Change: Shutdown has a phase Closing between Draining and Ended. Connections of clients are spawned as such and end first; everything else goes on until they have. Why it works: while a call is in progress the links, owners and the writer that could answer it live.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`logs`]: logs as JSON lines, bounded in volume.
 //! * [`exposition`]: metrics as text.
 //! * [`Health`]: metrics, health and readiness over HTTP.
-//! * [`Shutdown`]: graceful shutdown on SIGTERM, which waits for every task.
+//! * [`Shutdown`]: graceful shutdown on SIGTERM in [`Phase`]s, which waits for every task.
 //! * [`Uptime`]: time since the start of the process.
 
 pub mod exposition;
@@ -16,5 +16,5 @@
 
 pub use health::Health;
 pub use settings::Settings;
-pub use shutdown::Shutdown;
+pub use shutdown::{Phase, Shutdown};
 pub use uptime::Uptime;
--- a/crates/telemetry/src/shutdown.rs
+++ b/crates/telemetry/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown that waits for every task.
+//! Graceful shutdown in phases, which waits for every task.
 
 use std::future::Future;
 
@@ -6,14 +6,57 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// How far the shutdown of a program has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// No shutdown was requested.
+    Running,
+    /// No new work should be sent here; what is sent nevertheless is done.
+    Draining,
+    /// No connections are accepted, and those of clients end after the call in progress. All else goes on, since these calls
+    /// depend on it.
+    Closing,
+    /// All tasks end.
+    Ended,
+}
+
+impl Phase {
+    /// Name for logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Draining => "draining",
+            Self::Closing => "closing",
+            Self::Ended => "ended",
+        }
+    }
+}
+
 /// Signals every task of a program to end, and waits until all have ended.
 ///
-/// Shutdown has two phases: while draining ([`Shutdown::draining`]), no new work is accepted and work in
-/// progress is finished; then all tasks end ([`Shutdown::ended`]).
+/// The phases follow one another as [`Phase`] lists them. [`Shutdown::join`] goes through those that are left.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+/// use telemetry::{Phase, Shutdown};
+///
+/// let shutdown = Shutdown::default();
+/// let stop = shutdown.clone();
+/// shutdown.spawn_connection(async move {
+///     stop.closing().await;
+///     assert_eq!(stop.phase(), Phase::Closing, "tasks go on until connections have ended");
+/// });
+/// shutdown.join().await;
+/// assert_eq!(shutdown.phase(), Phase::Ended);
+/// # });
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
     drain: CancellationToken,
+    close: CancellationToken,
     end: CancellationToken,
+    connections: TaskTracker,
     tasks: TaskTracker,
 }
 
@@ -27,6 +70,16 @@
         drop(self.tasks.spawn(task));
     }
 
+    /// Spawns a task that serves a connection of a client, or accepts such connections. It has to end by itself soon after
+    /// [`Shutdown::closing`]; all other tasks go on until it has.
+    pub fn spawn_connection<F>(&self, task: F)
+    where
+        F: Future + Send + 'static,
+        F::Output: Send + 'static,
+    {
+        drop(self.connections.spawn(task));
+    }
+
     /// Starts draining when the process receives SIGTERM or SIGINT.
     pub fn drain_on_signal(&self) {
         let shutdown = self.clone();
@@ -62,12 +115,26 @@
         });
     }
 
+    /// The present phase.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        if self.end.is_cancelled() {
+            Phase::Ended
+        } else if self.close.is_cancelled() {
+            Phase::Closing
+        } else if self.drain.is_cancelled() {
+            Phase::Draining
+        } else {
+            Phase::Running
+        }
+    }
+
     /// Starts draining.
     pub fn drain(&self) {
         self.drain.cancel();
     }
 
-    /// Whether draining has started, so that no new work may be accepted.
+    /// Whether draining has started, so that no new work should be sent here.
     #[must_use]
     pub fn is_draining(&self) -> bool {
         self.drain.is_cancelled()
@@ -78,6 +145,11 @@
         self.drain.cancelled().await;
     }
 
+    /// Waits until connections of clients have to end after the call in progress.
+    pub async fn closing(&self) {
+        self.close.cancelled().await;
+    }
+
     /// Whether all tasks have to end.
     #[must_use]
     pub fn is_ended(&self) -> bool {
@@ -97,9 +169,17 @@
         }
     }
 
-    /// Signals all tasks to end and waits for them.
-    pub async fn join(&self) {
+    /// Closes the connections of clients and waits until they have ended. All other tasks go on.
+    pub async fn close(&self) {
         self.drain.cancel();
+        self.close.cancel();
+        self.connections.close();
+        self.connections.wait().await;
+    }
+
+    /// Closes the connections of clients, then signals all tasks to end and waits for them.
+    pub async fn join(&self) {
+        self.close().await;
         self.end.cancel();
         self.tasks.close();
         self.tasks.wait().await;
