Calls to an owner end with their link

Cause: a call to an owner waited for its whole timeout although the connection that would have brought the reply had ended. fetch, beside it, had watched for that end. The class: a wait that isn't told that what it waits for can't come. Change: the call ends with its link, and the host goes on by the store at once. A reply that has arrived counts first. Why it works: the receiver of the link's queue is dropped whenever peers::join returns, for whichever reason.

--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -54,12 +54,16 @@
         self.to.try_send(message).is_ok()
     }
 
-    /// Calls the owner; `None` if there is no reply within `limit`.
+    /// Calls the owner; `None` if there is no reply within `limit`, or the connection ends before it arrives.
     pub async fn call(&self, call: Call, limit: Duration) -> Option<Reply> {
         let began = Instant::now();
         let name = call.name();
         let (number, reply) = self.send_call(call)?;
-        let reply = timeout(limit, reply).await.ok().and_then(Result::ok);
+        let reply = tokio::select! {
+            biased;
+            reply = timeout(limit, reply) => reply.ok().and_then(Result::ok),
+            () = self.to.closed() => None,
+        };
         lock(&self.calls).remove(&number);
         if reply.is_none() {
             info!(
