Handle signals before clients can connect

What callers saw: a process that gets SIGHUP or SIGTERM shortly after its start ends at once, with connections of clients in its queue. Cause: the handlers were installed by tasks that first ran after the listeners had been bound; until then a signal has its default effect. A handler that couldn't be installed was ignored. Evidence: a_hangup_at_the_start_does_not_end_the_process (a hang-up as soon as the host accepts a connection) fails on the code before, the process is gone; it passes now. Change: the handlers are installed when they are asked for, and a failure ends the program with an error.

--- a/crates/entry/src/bin/lentilyoke-entry.rs
+++ b/crates/entry/src/bin/lentilyoke-entry.rs
@@ -14,7 +14,9 @@
     let settings = Settings::parse();
     logs::init(&settings.telemetry.log)?;
     let shutdown = Shutdown::default();
-    shutdown.drain_on_signal();
+    shutdown
+        .drain_on_signal()
+        .whatever_context("signals can't be handled")?;
     let placers = settings.placers.iter().map(SocketAddr::to_string).collect();
     let entry = Entry::new(&settings.name, placers, shutdown.clone());
     let metrics = entry
--- a/crates/placer/src/bin/lentilyoke-placer.rs
+++ b/crates/placer/src/bin/lentilyoke-placer.rs
@@ -17,7 +17,9 @@
     let settings = Settings::parse();
     logs::init(&settings.telemetry.log)?;
     let shutdown = Shutdown::default();
-    shutdown.drain_on_signal();
+    shutdown
+        .drain_on_signal()
+        .whatever_context("signals can't be handled")?;
     let config = ServerConfig::builder()
         .max_connections(MAX_CONNECTIONS)
         .set_tcp_no_delay(true)
--- a/crates/standin/src/bin/lentilyoke-standin.rs
+++ b/crates/standin/src/bin/lentilyoke-standin.rs
@@ -102,7 +102,8 @@
 #[tokio::main]
 async fn main() -> Result<(), Whatever> {
     let stop = Shutdown::default();
-    stop.drain_on_signal();
+    stop.drain_on_signal()
+        .whatever_context("signals can't be handled")?;
     match Settings::parse().role {
         Role::Platform {
             listen,
--- a/crates/telemetry/src/shutdown.rs
+++ b/crates/telemetry/src/shutdown.rs
@@ -80,16 +80,16 @@
         drop(self.connections.spawn(task));
     }
 
-    /// Starts draining when the process receives SIGTERM or SIGINT.
-    pub fn drain_on_signal(&self) {
+    /// Starts draining when the process receives SIGTERM or SIGINT. Has to be called within a runtime, before clients can connect:
+    /// until then these signals end the process at once.
+    ///
+    /// # Errors
+    /// If the signals can't be handled.
+    pub fn drain_on_signal(&self) -> std::io::Result<()> {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
         let shutdown = self.clone();
         self.spawn(async move {
-            let (Ok(mut term), Ok(mut int)) = (
-                signal(SignalKind::terminate()),
-                signal(SignalKind::interrupt()),
-            ) else {
-                return;
-            };
             tokio::select! {
                 _ = term.recv() => {}
                 _ = int.recv() => {}
@@ -97,15 +97,18 @@
             }
             shutdown.drain.cancel();
         });
+        Ok(())
     }
 
-    /// Calls `reload` whenever the process receives SIGHUP, which would otherwise terminate the process.
-    pub fn on_hangup(&self, reload: impl Fn() + Send + 'static) {
+    /// Calls `reload` whenever the process receives SIGHUP. Has to be called within a runtime, before clients can connect: until
+    /// then the signal ends the process.
+    ///
+    /// # Errors
+    /// If the signal can't be handled.
+    pub fn on_hangup(&self, reload: impl Fn() + Send + 'static) -> std::io::Result<()> {
+        let mut hangup = signal(SignalKind::hangup())?;
         let shutdown = self.clone();
         self.spawn(async move {
-            let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-                return;
-            };
             loop {
                 tokio::select! {
                     Some(()) = hangup.recv() => reload(),
@@ -113,6 +116,7 @@
                 }
             }
         });
+        Ok(())
     }
 
     /// The present phase.
