--- a/crates/telemetry/src/shutdown.rs
+++ b/crates/telemetry/src/shutdown.rs
@@ -13,8 +13,6 @@
     Running,
     /// No new work should be sent here; what is sent nevertheless is done.
     Draining,
-    /// As before, and each response ends its connection, so that clients make their next calls elsewhere.
-    Leaving,
     /// No connections are accepted, and those of clients end after the call in progress. All else goes on, since these calls
     /// depend on it.
     Closing,
@@ -29,7 +27,6 @@
         match self {
             Self::Running => "running",
             Self::Draining => "draining",
-            Self::Leaving => "leaving",
             Self::Closing => "closing",
             Self::Ended => "ended",
         }
@@ -57,7 +54,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
     drain: CancellationToken,
-    leave: CancellationToken,
     close: CancellationToken,
     end: CancellationToken,
     connections: TaskTracker,
@@ -130,8 +126,6 @@
             Phase::Ended
         } else if self.close.is_cancelled() {
             Phase::Closing
-        } else if self.leave.is_cancelled() {
-            Phase::Leaving
         } else if self.drain.is_cancelled() {
             Phase::Draining
         } else {
@@ -155,18 +149,6 @@
         self.drain.cancelled().await;
     }
 
-    /// Starts to end the connections of clients with their next responses.
-    pub fn leave(&self) {
-        self.drain.cancel();
-        self.leave.cancel();
-    }
-
-    /// Whether responses have to end the connections of clients.
-    #[must_use]
-    pub fn is_leaving(&self) -> bool {
-        self.leave.is_cancelled()
-    }
-
     /// Waits until connections of clients have to end after the call in progress.
     pub async fn closing(&self) {
         self.close.cancelled().await;
@@ -193,7 +175,7 @@
 
     /// Closes the connections of clients and waits until they have ended. All other tasks go on.
     pub async fn close(&self) {
-        self.leave();
+        self.drain.cancel();
         self.close.cancel();
         self.connections.close();
         self.connections.wait().await;
