Limits at shutdown count from the moment at which connections begin to close

A call that a host reads between 200 and 250 ms after it has begun to close connections, on an open connection that is idle until then, and that waits for the owner or the store, gets no response: its connection is dropped 0.45 to 0.5 s after the request was sent. The same holds for a request whose first part has arrived earlier, up to 700 ms after.

Cause: the call is to be answered 500 ms after closing begins, its connection to be dropped after 700 ms, but each of these waits began when it was first polled. The wait of the call began with the call, so a call that began more than 200 ms after closing had a later limit than its connection. Class: relative timeouts of two parties that have to end in order.

The shutdown records when closing began, and all limits count from there (`Shutdown::closing_for`).

--- a/crates/telemetry/src/shutdown.rs
+++ b/crates/telemetry/src/shutdown.rs
@@ -1,8 +1,11 @@
 //! Graceful shutdown in phases, which waits for every task.
 
 use std::future::Future;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -55,6 +58,8 @@
 pub struct Shutdown {
     drain: CancellationToken,
     close: CancellationToken,
+    /// When connections of clients were asked to end.
+    closed_at: Arc<OnceLock<Instant>>,
     end: CancellationToken,
     connections: TaskTracker,
     tasks: TaskTracker,
@@ -154,6 +159,13 @@
         self.close.cancelled().await;
     }
 
+    /// Waits until connections of clients have had this much time to end, whenever the wait began.
+    pub async fn closing_for(&self, time: Duration) {
+        self.close.cancelled().await;
+        let closed_at = *self.closed_at.get_or_init(Instant::now);
+        tokio::time::sleep_until(closed_at + time).await;
+    }
+
     /// Whether all tasks have to end.
     #[must_use]
     pub fn is_ended(&self) -> bool {
@@ -166,7 +178,7 @@
     }
 
     /// Sleeps for `time`; `false` if all tasks have to end before that.
-    pub async fn sleep(&self, time: std::time::Duration) -> bool {
+    pub async fn sleep(&self, time: Duration) -> bool {
         tokio::select! {
             () = tokio::time::sleep(time) => true,
             () = self.end.cancelled() => false,
@@ -176,6 +188,7 @@
     /// Closes the connections of clients and waits until they have ended. All other tasks go on.
     pub async fn close(&self) {
         self.drain.cancel();
+        self.closed_at.get_or_init(Instant::now);
         self.close.cancel();
         self.connections.close();
         self.connections.wait().await;
