End an ownership although the task that runs it is aborted

What was seen: a host that still owned a pool when it had drained never ended. `Shutdown::join` didn't return, so the process was killed by SIGKILL, without its line "shutdown complete" and without the lines that were still in the log's buffer.

Cause: at the end of the host, `election::run` and `Owner::run` wait for the same signal. The election was woken first and aborted its tasks, among them the one that runs the owner, so the lines after the owner's `select!` didn't run: `ended` wasn't cancelled and the host went on naming the owner. The sessions with workers are tasks that the shutdown waits for, and end with `ended` alone.

Class: code that has to run at the end of a task and stands behind an await point, in a task that others abort.

Change: a guard makes the owner known and ends the ownership when it is dropped, which an abort does too.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -108,6 +108,31 @@
     pub(crate) quota: QuotaKeeper,
 }
 
+/// Makes an owner known to its host, and ends the ownership when it is dropped. The task that runs an owner may be aborted, and the
+/// sessions with workers go on until the ownership has ended.
+struct OwnershipGuard {
+    owner: Arc<Owner>,
+}
+
+impl OwnershipGuard {
+    fn new(owner: Arc<Owner>) -> Self {
+        let host = Arc::clone(&owner.host);
+        host.set_owner(owner.pool_number, Some(Arc::clone(&owner)));
+        Self { owner }
+    }
+}
+
+impl Drop for OwnershipGuard {
+    fn drop(&mut self) {
+        let Owner {
+            host, pool_number, ..
+        } = &*self.owner;
+        self.owner.ended.cancel();
+        host.set_owner(*pool_number, None);
+        info!(pool = pool_number, epoch = self.owner.epoch; "pool ownership ended");
+    }
+}
+
 impl Owner {
     /// Owns a pool until another host does or this one leaves.
     pub(crate) async fn run(
@@ -146,7 +171,7 @@
             quota: QuotaKeeper::new(pool_number, host.settings.max_row_bytes),
         });
         lock(&owner.pool).set_former_crashes(former_crashes);
-        host.set_owner(pool_number, Some(Arc::clone(&owner)));
+        let guard = OwnershipGuard::new(Arc::clone(&owner));
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&owner).send_heartbeats());
         tasks.spawn(Arc::clone(&owner).run_handover());
@@ -158,10 +183,8 @@
             () = owner.ended.cancelled() => {}
             () = host.stop.ended() => {}
         }
-        owner.ended.cancel();
-        host.set_owner(pool_number, None);
+        drop(guard);
         tasks.shutdown().await;
-        info!(pool = pool_number, epoch = owner.epoch; "pool ownership ended");
     }
 
     /// Number of the pool.
