Calls of other hosts at an owner end with their connections

What was seen: a host that owns a pool ended up to 1.5 s after its connections had ended, as a cancellation of another host's caller waited for the store; SIGKILL comes 1 s after them. Inserts (1 s), units of limits (1 s) and versions of the configuration (0.5 s) alike. Cause: the task that serves such a call is waited for at the end, and knew neither of that nor of the end of the connection, after which its reply can't be sent. Change: the call ends when the receiver of the connection's replies is dropped, which the end of the host does too. What it has changed stays; the calling host sees the end of its link and goes on by the store, or reports an unknown outcome. Evidence: an_owner_ends_although_calls_of_other_hosts_wait_for_the_store, 1.495 s on the code before, passes.

--- a/crates/host/src/owner/connected_hosts.rs
+++ b/crates/host/src/owner/connected_hosts.rs
@@ -371,8 +371,13 @@
             ToOwner::Call(number, call) => {
                 let (owner, sender) = (Arc::clone(self), sender.clone());
                 self.host.stop.spawn(async move {
-                    let reply = owner.handle_call(call).await;
-                    drop(sender.send(FromOwner::Reply(number, reply)).await);
+                    tokio::select! {
+                        reply = owner.handle_call(call) => {
+                            drop(sender.send(FromOwner::Reply(number, reply)).await);
+                        }
+                        // The connection has ended, so no reply can be sent.
+                        () = sender.closed() => {}
+                    }
                 });
             }
             ToOwner::QuotaNeeds(needs) => self.quota.receive_needs(needs),
