Cancellations and queries for states end with the ownership that they wait for

What callers saw: a cancellation took up to 1.5 s and a state up to 0.3 s longer than needed when the pool of the job got another owner, on the host that had owned the pool and on all others, although the former owner stores nothing any more. Cause: both waited for the store's answer to the owner's writes, up to their timeouts, and not for the end of the ownership. Change: they end with the ownership.

--- a/crates/host/src/owner/calls.rs
+++ b/crates/host/src/owner/calls.rs
@@ -6,7 +6,7 @@
 
 use log::info;
 use pool::{Job, State};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use super::Owner;
 use crate::access::Caller;
@@ -39,8 +39,7 @@
     }
 
     /// The state of a job, unless this owner doesn't know the job, can't tell its state, may have been replaced, or may have
-    /// transferred the job to another pool. Waits while the
-    /// final state is being stored.
+    /// transferred the job to another pool. Waits while the final state is being stored, until the ownership ends.
     ///
     /// An owner that resumes after a pause would return states from before the pause: a caller that has seen "completed" would
     /// see the job run again. Such an owner is not confirmed until a majority of its workers has answered it.
@@ -62,13 +61,17 @@
                     return Reply::State(state);
                 }
             }
-            if tokio::time::timeout_at(until, written).await.is_err() {
-                return Reply::Unsure;
+            tokio::select! {
+                biased;
+                () = written => {}
+                () = self.ended.cancelled() => {}
+                () = sleep_until(until) => return Reply::Unsure,
             }
         }
     }
 
-    /// Cancels a job; replies when the cancellation is stored, or at once if the job may be in another pool.
+    /// Cancels a job; replies when the cancellation is stored, or at once if the job may be in another pool or the ownership has
+    /// ended.
     ///
     /// A job that is not loaded yet is left alone: it is not known who may access it.
     pub(crate) async fn cancel(&self, id: &str, caller: &Caller) -> Reply {
@@ -98,8 +101,12 @@
                     return Reply::Cancelled;
                 }
             }
-            if tokio::time::timeout_at(until, stored).await.is_err() {
-                return Reply::Unsure;
+            tokio::select! {
+                biased;
+                () = stored => {}
+                // A write that was sent before may still store the cancellation.
+                () = self.ended.cancelled() => return Reply::Unsure,
+                () = sleep_until(until) => return Reply::Unsure,
             }
         }
     }
