Bound calls to an owner on the same host like those to other hosts

What callers saw: a cancellation through the host that owns the pool waited up to 1.5 s for the store, also with a shorter deadline, and went on by the store only after that. Cause: the timeout of a call to an owner was applied to its link alone; a call to the owner on the same host had none. Evidence: a_cancellation_waits_for_the_owner_on_its_host_until_its_deadline (a deadline of 0.3 s) fails on the code before and passes.

--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -195,17 +195,13 @@
         }
     }
 
-    pub(crate) async fn call_owner(
-        &self,
-        pool: u32,
-        call: Call,
-        timeout: Duration,
-    ) -> Option<Reply> {
+    /// Calls the owner of a pool, which may be on this host; `None` if there is no reply within `limit`.
+    pub(crate) async fn call_owner(&self, pool: u32, call: Call, limit: Duration) -> Option<Reply> {
         let state = self.pool_state(pool);
         if let Some(owner) = state.owner {
-            return Some(owner.handle_call(call).await);
+            return timeout(limit, owner.handle_call(call)).await.ok();
         }
-        state.link?.call(call, timeout).await
+        state.link?.call(call, limit).await
     }
 
     /// The state of a job: asks the owners of its candidate pools first, then reads the store.
