Commands to workers don't keep a host from ending

What was seen: after its connections had ended, a host waited for each command to a worker that was in progress: up to 0.45 s for a silent worker, and up to 1.75 s with a new connection and a body that arrives slowly, of the 1 s that it has until SIGKILL. Cause: tasks that the shutdown waits for, and that don't know of it. Change: `Shutdown::spawn_until_end` drops such a task where it waits.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -408,7 +408,7 @@
                 let Some(address) = self.address(&start.worker) else {
                     return;
                 };
-                self.host.stop.spawn(async move {
+                self.host.stop.spawn_until_end(async move {
                     let began = clock::now();
                     let answer = workers.start(&address, epoch, &start).await;
                     let now = clock::now();
@@ -434,7 +434,7 @@
                 let Some(address) = self.address(&stop.worker) else {
                     return;
                 };
-                self.host.stop.spawn(async move {
+                self.host.stop.spawn_until_end(async move {
                     let answer = workers.stop(&address, epoch, &stop).await;
                     let key = &stop.task;
                     info!(
@@ -450,7 +450,7 @@
                 let Some(address) = self.address(&pace.worker) else {
                     return;
                 };
-                self.host.stop.spawn(async move {
+                self.host.stop.spawn_until_end(async move {
                     let confirmed = workers.pace(&address, epoch, &pace).await;
                     let key = &pace.task;
                     info!(
--- a/crates/telemetry/src/shutdown.rs
+++ b/crates/telemetry/src/shutdown.rs
@@ -70,6 +70,21 @@
         drop(self.tasks.spawn(task));
     }
 
+    /// Spawns a task that is dropped where it waits when all tasks have to end: what it waits for may take long, and nothing has to be
+    /// completed.
+    pub fn spawn_until_end<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let shutdown = self.clone();
+        self.spawn(async move {
+            tokio::select! {
+                () = task => {}
+                () = shutdown.ended() => {}
+            }
+        });
+    }
+
     /// Spawns a task that serves a connection of a client, or accepts such connections. It has to end by itself soon after
     /// [`Shutdown::closing`]; all other tasks go on until it has.
     pub fn spawn_connection<F>(&self, task: F)
