Advisor queries don't keep a host from ending

What was seen: a host waited at its end for the advisor queries in progress, its own and those that it makes for owners: three times the expected duration of a query and 0.4 s more if the advisor is busy or silent, which may be longer than the second until SIGKILL. The answer is of no use by then, since the owner has ended or the link to it has.

--- a/crates/host/src/owner/advice.rs
+++ b/crates/host/src/owner/advice.rs
@@ -78,7 +78,7 @@
             None => {
                 let due = lock(&self.advisor_proxy).assign(now, query.expected_duration);
                 let owner = Arc::clone(self);
-                self.host.stop.spawn(async move {
+                self.host.stop.spawn_until_end(async move {
                     let duration = Duration::from_millis(query.expected_duration);
                     let advisor = Arc::clone(&owner.host.advisor);
                     let tickets = advisor.query(&query.stage, &query.workers, duration).await;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -164,7 +164,7 @@
                 } => {
                     let (host, link) = (Arc::clone(host), Arc::clone(&link));
                     let stop = host.stop.clone();
-                    stop.spawn(async move {
+                    stop.spawn_until_end(async move {
                         let stage = pool::StageKey {
                             job: stage.0.into(),
                             occurrence: stage.1,
@@ -249,13 +249,7 @@
         };
         drop(stream.set_nodelay(true));
         let serving = Arc::clone(host);
-        host.stop.spawn(async move {
-            let stop = serving.stop.clone();
-            tokio::select! {
-                () = serve(serving, stream) => {}
-                () = stop.ended() => {}
-            }
-        });
+        host.stop.spawn_until_end(serve(serving, stream));
     }
 }
 
