A check of the store doesn't keep a host from ending

What was seen: a host whose owner had lost the store waited at its end for its own check of the store: the delay before it, up to 1.3 s for a silent store, and the pause of 0.4 s after it. Cause: the loop looked at the end of the host between two checks only. Evidence: a_host_ends_although_the_store_is_silent fails on the code before and passes.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -150,7 +150,12 @@
             self.follow_catalog(),
             crate::election::run(self),
             crate::peers::listen(self),
-            self.probe(),
+            async {
+                tokio::select! {
+                    () = self.probe() => {}
+                    () = self.stop.ended() => {}
+                }
+            },
         );
     }
 
@@ -158,10 +163,7 @@
     /// called the store for seconds.
     async fn probe(&self) {
         loop {
-            tokio::select! {
-                () = self.probe_requested.notified() => {}
-                () = self.stop.ended() => return,
-            }
+            self.probe_requested.notified().await;
             tokio::time::sleep(PROBE_DELAY).await;
             // Whether the call was answered is recorded for every call in `record_store_call`.
             drop(self.store.get(POOL_MAP, COMMON, POOL_MAP).await);
