Tests: the next owner applies a cancellation that the last one had taken and not stored

The host of the caller writes the row of the cancellation when its link to the owner ends. The next owner reads that row with the jobs, or follows it if it is written later. No fault was found; with the rows of cancellations ignored in job_rows (a trial) both tests fail.

--- a/crates/host/tests/stopping/main.rs
+++ b/crates/host/tests/stopping/main.rs
@@ -10,7 +10,7 @@
 use host::access::{Caller, Revocation};
 use host::wire::{Call, FromOwner, Heartbeat, Receiver, Sender, ToOwner};
 use host::{Host, JobStatus, Settings, StoreTables, Submitted};
-use pool::{AdvisorPolicy, Job, Policy, State, Step};
+use pool::{AdvisorPolicy, Job, Policy, Progress, State, Step};
 use resource::Size;
 use telemetry::Shutdown;
 use tokio::net::{TcpListener, TcpStream};
@@ -57,9 +57,9 @@
     listener.local_addr().expect("bound")
 }
 
-fn settings(address: SocketAddr) -> Settings {
+fn settings(id: &str, address: SocketAddr) -> Settings {
     Settings {
-        id: "h0".to_owned(),
+        id: id.to_owned(),
         address,
         data_centre: "a".to_owned(),
         region: "a".to_owned(),
@@ -89,10 +89,14 @@
 
 impl TestHost {
     async fn start(platform: FakePlatform) -> Self {
+        Self::start_named("h0", platform).await
+    }
+
+    async fn start_named(id: &str, platform: FakePlatform) -> Self {
         let address = free_address().await;
         let stop = Shutdown::default();
         let host = Host::new(
-            settings(address),
+            settings(id, address),
             platform.store.clone(),
             platform.workers.clone(),
             platform.advisor.clone(),
@@ -123,7 +127,7 @@
     async fn start_cancellation(&self, until: Instant) -> JoinHandle<JobStatus> {
         let (host, store) = (Arc::clone(&self.host), &self.platform.store);
         wait_until("the owner has the job", || host.pending("q") == Some(1)).await;
-        store.hold_pool();
+        store.hold(POOL_PART);
         let call = tokio::spawn(async move { host.cancel(JOB, &caller(), until).await });
         let is_being_stored = || store.unanswered() > 0;
         wait_until("the cancellation is being stored", is_being_stored).await;
@@ -138,7 +142,7 @@
         row["epoch"] = (row["epoch"].as_u64().expect("a number") + 1).into();
         row["host"] = "h1".into();
         store.put(("owner", POOL_PART, "owner"), row.to_string().into());
-        store.release_pool();
+        store.release();
     }
 
     /// Ends the host, and asserts that it needs no answer for that.
@@ -246,6 +250,63 @@
     assert!(Instant::now() < until + PROMPTLY);
 }
 
+/// Starts a cancellation through a host whose link to the owner ends before the owner has stored it.
+async fn cancel_at_lost_owner() -> (TestHost, JoinHandle<JobStatus>) {
+    let platform = FakePlatform::default();
+    let owner = TestHost::start_owner(platform.clone()).await;
+    let other = TestHost::start_named("h1", platform).await;
+    let host = Arc::clone(&other.host);
+    wait_until("the hosts are connected", || host.pending("q") == Some(1)).await;
+    other.platform.store.hold(POOL_PART);
+    let call = tokio::spawn(async move { host.cancel(JOB, &caller(), deadline()).await });
+    wait_until("the owner has cancelled the job", || {
+        other.host.pending("q") == Some(0)
+    })
+    .await;
+    assert!(!call.is_finished(), "the cancellation isn't stored");
+    owner.stop.join().await;
+    (other, call)
+}
+
+/// Waits until a host that has taken over the pool has stored that the job is cancelled.
+async fn assert_next_owner_cancels(host: &TestHost) {
+    let is_cancelled = || {
+        let progress = host.platform.store.value("progress", POOL_PART, JOB);
+        let progress = progress.map(|it| serde_json::from_slice::<Progress>(&it));
+        progress.is_some_and(|it| it.expect("readable").state == State::Cancelled)
+    };
+    wait_until("the job is cancelled", is_cancelled).await;
+}
+
+/// Guards against a cancellation that is lost with an owner which had taken it and not stored it.
+#[tokio::test(start_paused = true)]
+async fn the_next_owner_reads_a_cancellation_that_the_last_one_did_not_store() {
+    let (host, call) = cancel_at_lost_owner().await;
+    let status = outcome(call).await;
+    assert_eq!(status, JobStatus::Known(State::Cancelled));
+    assert!(host.host.owner(0).is_none(), "no host owns the pool yet");
+    host.platform.store.release();
+    assert_next_owner_cancels(&host).await;
+}
+
+/// Guards against a cancellation that the next owner doesn't learn of, as it is written after that owner has read the jobs.
+#[tokio::test(start_paused = true)]
+async fn the_next_owner_follows_a_cancellation_that_the_last_one_did_not_store() {
+    let (host, call) = cancel_at_lost_owner().await;
+    let store = &host.platform.store;
+    store.release();
+    store.hold("jobs-");
+    wait_until("the next owner has read the jobs", || {
+        host.host.owner(0).is_some() && host.host.pending("q") == Some(1)
+    })
+    .await;
+    assert!(!call.is_finished(), "the cancellation isn't written");
+    store.release();
+    let status = outcome(call).await;
+    assert_eq!(status, JobStatus::Known(State::Cancelled));
+    assert_next_owner_cancels(&host).await;
+}
+
 /// Guards against commands to workers that don't answer, which keep a host from ending.
 #[tokio::test(start_paused = true)]
 async fn a_host_ends_although_workers_answer_no_commands() {
--- a/crates/host/tests/stopping/platform.rs
+++ b/crates/host/tests/stopping/platform.rs
@@ -37,8 +37,8 @@
     changed: Notify,
     /// No call gets an answer.
     silent: AtomicBool,
-    /// Writes in the pool's part get no answer.
-    holds_pool: AtomicBool,
+    /// Writes in parts whose names begin like this get no answer.
+    held: Mutex<Option<&'static str>>,
     released: Notify,
     /// Number of calls that got no answer so far.
     unanswered: AtomicU64,
@@ -52,16 +52,21 @@
         self.silent.store(true, Ordering::Relaxed);
     }
 
-    /// Answers no write in the pool's part until [`FakeStore::release_pool`].
-    pub(crate) fn hold_pool(&self) {
-        self.holds_pool.store(true, Ordering::Relaxed);
+    /// Answers no write in parts whose names begin like this until [`FakeStore::release`].
+    pub(crate) fn hold(&self, part: &'static str) {
+        *self.held.lock().expect("not poisoned") = Some(part);
     }
 
-    pub(crate) fn release_pool(&self) {
-        self.holds_pool.store(false, Ordering::Relaxed);
+    pub(crate) fn release(&self) {
+        *self.held.lock().expect("not poisoned") = None;
         self.released.notify_waiters();
     }
 
+    fn holds(&self, part: &str) -> bool {
+        let held = self.held.lock().expect("not poisoned");
+        held.is_some_and(|held| part.starts_with(held))
+    }
+
     /// Number of calls that got no answer so far.
     pub(crate) fn unanswered(&self) -> u64 {
         self.unanswered.load(Ordering::Relaxed)
@@ -87,13 +92,13 @@
     }
 
     /// Waits as long as calls get no answer.
-    async fn wait_if_silent(&self, writes_pool: bool) {
+    async fn wait_if_silent(&self, is_held: bool) {
         let released = self.released.notified();
         if self.silent.load(Ordering::Relaxed) {
             self.unanswered.fetch_add(1, Ordering::Relaxed);
             std::future::pending::<()>().await;
         }
-        if writes_pool && self.holds_pool.load(Ordering::Relaxed) {
+        if is_held {
             self.unanswered.fetch_add(1, Ordering::Relaxed);
             released.await;
         }
@@ -123,8 +128,8 @@
 #[async_trait]
 impl Store for FakeStore {
     async fn commit(&self, transaction: &Transaction) -> Result<u64, StoreError> {
-        let writes_pool = transaction.part == POOL_PART && !transaction.puts.is_empty();
-        self.wait_if_silent(writes_pool).await;
+        let is_held = self.holds(&transaction.part) && !transaction.puts.is_empty();
+        self.wait_if_silent(is_held).await;
         let present = transaction.checks.iter().map(|(table, key, _)| {
             let found =
                 self.select(|row, _| (&row.0, &row.1, &row.2) == (table, &transaction.part, key));
@@ -257,7 +262,7 @@
 }
 
 /// What a host calls.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct FakePlatform {
     pub(crate) store: Arc<FakeStore>,
     pub(crate) workers: Arc<IdleWorkers>,
