Test of a cancellation's deadline: measure from the start of the call

The deadline was set before the test waited for the owner to know the job, so the call had less than the 0.3 s that the test names. With the call to the owner on the same host unbounded again, the test fails as before.

--- a/crates/host/tests/stopping/main.rs
+++ b/crates/host/tests/stopping/main.rs
@@ -123,15 +123,16 @@
         host
     }
 
-    /// Starts a cancellation that waits until the owner has stored it.
-    async fn start_cancellation(&self, until: Instant) -> JoinHandle<JobStatus> {
+    /// Starts a cancellation that waits until the owner has stored it; returns it with its deadline.
+    async fn start_cancellation(&self, limit: Duration) -> (JoinHandle<JobStatus>, Instant) {
         let (host, store) = (Arc::clone(&self.host), &self.platform.store);
         wait_until("the owner has the job", || host.pending("q") == Some(1)).await;
         store.hold(POOL_PART);
+        let until = Instant::now() + limit;
         let call = tokio::spawn(async move { host.cancel(JOB, &caller(), until).await });
         let is_being_stored = || store.unanswered() > 0;
         wait_until("the cancellation is being stored", is_being_stored).await;
-        call
+        (call, until)
     }
 
     /// Makes another host the owner.
@@ -214,7 +215,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_cancellation_goes_on_by_the_store_when_the_ownership_ends() {
     let host = TestHost::start_owner(FakePlatform::default()).await;
-    let call = host.start_cancellation(deadline()).await;
+    let (call, _) = host.start_cancellation(CALLER_TIMEOUT).await;
     host.replace_owner();
     let began = Instant::now();
     let status = outcome(call).await;
@@ -226,7 +227,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_query_for_a_state_goes_on_by_the_store_when_the_ownership_ends() {
     let host = TestHost::start_owner(FakePlatform::with_worker(0)).await;
-    let cancellation = host.start_cancellation(deadline()).await;
+    let (cancellation, _) = host.start_cancellation(CALLER_TIMEOUT).await;
     let asked = Arc::clone(&host.host);
     let call = tokio::spawn(async move { asked.state(JOB, &caller()).await });
     sleep(PROMPTLY).await;
@@ -243,8 +244,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_cancellation_waits_for_the_owner_on_its_host_until_its_deadline() {
     let host = TestHost::start_owner(FakePlatform::default()).await;
-    let until = Instant::now() + Duration::from_millis(300);
-    let call = host.start_cancellation(until).await;
+    let limit = Duration::from_millis(300);
+    let (call, until) = host.start_cancellation(limit).await;
     let status = outcome(call).await;
     assert_eq!(status, JobStatus::Known(State::Cancelled), "by the store");
     assert!(Instant::now() < until + PROMPTLY);
