--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,17 +4,20 @@
 //! * [`logs`]: logs as JSON lines, bounded in volume.
 //! * [`exposition`]: metrics as text.
 //! * [`Health`]: metrics, health and readiness over HTTP.
+//! * [`PendingCalls`]: calls that have been read and not been answered yet; logs those that never are.
 //! * [`Shutdown`]: graceful shutdown on SIGTERM in [`Phase`]s, which waits for every task.
 //! * [`Uptime`]: time since the start of the process.
 
 pub mod exposition;
 mod health;
 pub mod logs;
+mod pending_call;
 mod settings;
 mod shutdown;
 mod uptime;
 
 pub use health::Health;
+pub use pending_call::{PendingCall, PendingCalls};
 pub use settings::Settings;
 pub use shutdown::{Phase, Shutdown};
 pub use uptime::Uptime;
--- a/platform/src/pending_call.rs
+++ b/crates/telemetry/src/pending_call.rs
@@ -3,20 +3,22 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use hyper::Method;
+use axum::http::Method;
 use log::warn;
-use telemetry::Shutdown;
 use tokio::time::Instant;
 
+use crate::Shutdown;
+
 /// Number of calls that have been read and not been answered yet.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PendingCalls {
+pub struct PendingCalls {
     count: Arc<AtomicUsize>,
 }
 
 impl PendingCalls {
     /// Records that a call has been read.
-    pub(crate) fn start(&self, method: &Method, path: &str, stop: &Shutdown) -> PendingCall {
+    #[must_use]
+    pub fn start(&self, method: &Method, path: &str, stop: &Shutdown) -> PendingCall {
         self.count.fetch_add(1, Ordering::Relaxed);
         PendingCall {
             calls: self.clone(),
@@ -29,7 +31,8 @@
     }
 
     /// Number of pending calls.
-    pub(crate) fn count(&self) -> usize {
+    #[must_use]
+    pub fn count(&self) -> usize {
         self.count.load(Ordering::Relaxed)
     }
 }
@@ -37,7 +40,7 @@
 /// A call that has been read and not been answered yet. If it is dropped before that, it logs that its connection ended without a
 /// response.
 #[derive(Debug)]
-pub(crate) struct PendingCall {
+pub struct PendingCall {
     calls: PendingCalls,
     method: Method,
     path: String,
@@ -48,7 +51,7 @@
 
 impl PendingCall {
     /// Records that there is a response to the call.
-    pub(crate) fn answered(mut self) {
+    pub fn answered(mut self) {
         self.answered = true;
     }
 }
