Stand-alone build: an entry closes no connections under its callers' requests when it stops

What callers saw: from SIGTERM on, refused connections until the balancer had noticed; a request on an open connection, or on one that had just been made, whose connection ended without a response. Cause: the entry closed its listener and its idle connections at SIGTERM, at once. /ready could never say 503 to the balancer (and followed a drain only at the next refresh of the routes), no response told callers that their connection was about to end, and connections in the listener's queue were reset. The class is that of: the end of a connection that its client can't know of. Why it works: the balancer and active callers have moved when connections are closed. The phases are those of telemetry::Shutdown, so routes are refreshed until the last connection has ended. What remains: as for the host, a request that is on the network while an idle connection is closed isn't read. Calls that outlast the drain are still cut.

--- a/crates/entry/src/bin/lentilyoke-entry.rs
+++ b/crates/entry/src/bin/lentilyoke-entry.rs
@@ -1,7 +1,6 @@
 //! The front end that accepts requests from callers over HTTP.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use clap::Parser as _;
 use entry::{Entry, Settings, serve};
@@ -30,7 +29,7 @@
     entry.spawn(settings.routes_interval());
     println!("entry {address} metrics {metrics}");
     log::info!(entry = settings.name.as_str(); "started");
-    serve::run(listener, entry, Duration::from_millis(settings.drain_ms)).await;
+    serve::run(listener, entry, settings.options()).await;
     shutdown.join().await;
     log::info!(entry = settings.name.as_str(); "stopped");
     Ok(())
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -6,7 +6,7 @@
 
 use config::{Service, home};
 use policy::RetryBudget;
-use telemetry::{Health, Shutdown, Uptime};
+use telemetry::{Health, Phase, Shutdown, Uptime};
 use tokio::sync::Notify;
 use wire::{Answer, Class, Fault, Job, Kind, Request, State};
 
@@ -266,9 +266,9 @@
         }
     }
 
-    /// The applied configuration, if the entry is not draining and its routes are fresh.
+    /// The applied configuration, if new calls are accepted and the routes are fresh.
     fn serving_config(&self) -> Result<Arc<AppliedConfig>, Fault> {
-        if self.shutdown.is_draining() {
+        if self.shutdown.phase() >= Phase::Closing {
             return Err(Fault::new(Kind::Draining, "this entry is stopping"));
         }
         let fresh = self.routes.is_fresh(self.uptime.elapsed());
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,6 +1,5 @@
 //! The HTTP interface for callers; described in `docs/API.md`.
 
-use std::future::IntoFuture as _;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,11 +10,14 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
+use hyper::service::Service as _;
+use hyper_util::service::TowerToHyperService;
 use serde::Deserialize;
+use telemetry::Connections;
 use tokio::net::TcpListener;
 use wire::{Body, Fault, Kind};
 
-use crate::{Entry, parse, respond};
+use crate::{Entry, Options, parse, respond};
 
 type Shared = State<Arc<Entry>>;
 
@@ -32,22 +34,33 @@
     wait_ms: u64,
 }
 
-/// Serves callers until the entry drains; then accepts no new connection, completes the requests
-/// in flight, for `max_drain` at most, and returns.
-pub async fn run(listener: TcpListener, entry: Arc<Entry>, max_drain: Duration) {
+/// Serves callers until the entry has drained, and returns once all their connections have ended.
+///
+/// When the entry begins to drain, it goes on serving, so that the load balancer can learn from
+/// `/ready` that it stops. Then no new connections are accepted, and calls in progress are
+/// completed.
+pub async fn run(listener: TcpListener, entry: Arc<Entry>, options: Options) {
     let shutdown = entry.shutdown.clone();
-    let draining = shutdown.clone();
-    let server = axum::serve(listener, router(entry))
-        .with_graceful_shutdown(async move { draining.draining().await })
-        .into_future();
-    let drain_timeout = async {
-        shutdown.draining().await;
-        tokio::time::sleep(max_drain).await;
+    let service = TowerToHyperService::new(router(entry));
+    let handler = move |request| {
+        let response = service.call(request);
+        async move {
+            match response.await {
+                Ok(response) => response,
+                Err(never) => match never {},
+            }
+        }
     };
+    let connections = Connections::new(&shutdown).with_time_limit(options.closing_limit());
+    shutdown.spawn_connection(connections.serve(listener, handler));
+    shutdown.draining().await;
+    log::info!("draining");
     tokio::select! {
-        _ = server => {}
-        () = drain_timeout => log::warn!("requests still in flight after {max_drain:?}"),
+        () = tokio::time::sleep(options.close_delay()) => {}
+        () = shutdown.closing() => {}
     }
+    shutdown.close().await;
+    log::info!("all connections of callers have ended");
 }
 
 /// The calls of callers, readiness for the load balancer, and counts for operators.
@@ -118,7 +131,7 @@
 }
 
 async fn ready(State(entry): Shared) -> StatusCode {
-    if entry.health.is_ready() {
+    if entry.health.is_ready() && !entry.shutdown.is_draining() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/entry/tests/cell/mod.rs
+++ b/crates/entry/tests/cell/mod.rs
@@ -7,6 +7,8 @@
     reason = "each test file uses a part of this module"
 )]
 
+pub mod connection;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -137,12 +139,22 @@
 pub async fn serve_entry(
     placers: Vec<String>,
     stop: &Shutdown,
+) -> (SocketAddr, tokio::task::JoinHandle<()>) {
+    serve_entry_until(placers, stop, Duration::from_secs(10)).await
+}
+
+/// Serves an entry that ends this long after it begins to drain.
+pub async fn serve_entry_until(
+    placers: Vec<String>,
+    stop: &Shutdown,
+    max_drain: Duration,
 ) -> (SocketAddr, tokio::task::JoinHandle<()>) {
     let entry = Entry::new("e1", placers, stop.clone());
     entry.spawn(Duration::from_millis(50));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let serving = tokio::spawn(serve::run(listener, entry, Duration::from_secs(10)));
+    let options = entry::Options::default().with_max_drain(max_drain);
+    let serving = tokio::spawn(serve::run(listener, entry, options));
     (address, serving)
 }
 
--- /dev/null
+++ b/crates/telemetry/src/connections.rs
@@ -0,0 +1,132 @@
+//! HTTP/1.1 connections of clients, served until the shutdown ends them.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::time::Duration;
+
+use axum::http::header::CONNECTION;
+use axum::http::{HeaderValue, Request, Response};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::Shutdown;
+
+/// Connections on which no call is in progress are closed this long after the shutdown has begun to
+/// close connections. Until then the first request on a new connection may arrive.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Default of [`Connections::with_time_limit`].
+const DEFAULT_TIME_LIMIT: Duration = Duration::from_millis(700);
+/// Pause after a failure to accept a connection, such as a lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Accepts HTTP/1.1 connections and serves them until the shutdown ends them.
+///
+/// While the program drains, each response ends its connection, so that the client makes its next
+/// call elsewhere. When connections are closed, those that wait in the listener's queue are still
+/// served, and calls in progress are completed within a time limit.
+#[derive(Clone, Debug)]
+pub struct Connections {
+    shutdown: Shutdown,
+    time_limit: Duration,
+}
+
+impl Connections {
+    /// Connections that end at this shutdown.
+    #[must_use]
+    pub fn new(shutdown: &Shutdown) -> Self {
+        Self {
+            shutdown: shutdown.clone(),
+            time_limit: DEFAULT_TIME_LIMIT,
+        }
+    }
+
+    /// Sets after which time connections are dropped, counted from [`Shutdown::closing`].
+    #[must_use]
+    pub fn with_time_limit(self, time_limit: Duration) -> Self {
+        Self { time_limit, ..self }
+    }
+
+    /// Serves connections until they have to be closed; to be spawned with
+    /// [`Shutdown::spawn_connection`], as this function does with each connection.
+    pub async fn serve<F, R, B>(self, listener: TcpListener, handler: F)
+    where
+        F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = Response<B>> + Send + 'static,
+        B: Body + Send + 'static,
+        B::Data: Send,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let serve = |stream: TcpStream| {
+            drop(stream.set_nodelay(true));
+            let connection = self.clone().serve_connection(stream, handler.clone());
+            self.shutdown.spawn_connection(connection);
+        };
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => serve(stream),
+                    Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+                },
+                () = self.shutdown.closing() => break,
+            }
+        }
+        // Connections in the listener's queue would be reset when it is closed.
+        for stream in queued_connections(listener) {
+            serve(stream);
+        }
+    }
+
+    /// Serves a connection until its client or the shutdown ends it.
+    async fn serve_connection<F, R, B>(self, stream: TcpStream, handler: F)
+    where
+        F: Fn(Request<Incoming>) -> R,
+        R: Future<Output = Response<B>>,
+        B: Body + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let service = service_fn(|request| {
+            let response = handler(request);
+            async {
+                let mut response = response.await;
+                if self.shutdown.is_draining() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let idle_limit = LAST_REQUEST_TIMEOUT.min(self.time_limit);
+        let closing = async {
+            self.shutdown.closing().await;
+            tokio::time::sleep(idle_limit).await;
+        };
+        tokio::select! {
+            served = connection.as_mut() => drop(served),
+            () = closing => {
+                connection.as_mut().graceful_shutdown();
+                let limit = self.time_limit.saturating_sub(idle_limit);
+                drop(tokio::time::timeout(limit, connection).await);
+            }
+        }
+    }
+}
+
+/// Closes a listener and returns the connections that it had not accepted yet.
+fn queued_connections(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let streams = std::iter::from_fn(|| listener.accept().ok());
+    let streams = streams.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
