Stand-alone build: an entry logs each call that gets no response

What operators saw: nothing, or "requests still in flight" without their number and names, when an entry dropped calls at its end. Cause: the handler of a call is dropped with its connection, and nothing was done then. Evidence: a_call_without_a_response_is_logged, which waits for the line for 10 s on the code before (Elapsed), and passes now. Change: the entry records its calls with telemetry::PendingCalls, as the host does: one line for each call whose connection ends without a response, with method, path, age and phase, and the number of pending calls when the listener closes.

--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -6,14 +6,15 @@
 use axum::body::Bytes;
 use axum::extract::rejection::BytesRejection;
 use axum::extract::{DefaultBodyLimit, Path, Query, State};
-use axum::http::{HeaderMap, StatusCode};
+use axum::http::{HeaderMap, Request, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
+use hyper::body::Incoming;
 use hyper::service::Service as _;
 use hyper_util::service::TowerToHyperService;
 use serde::Deserialize;
-use telemetry::Connections;
+use telemetry::{Connections, PendingCalls};
 use tokio::net::TcpListener;
 use wire::{Body, Fault, Kind};
 
@@ -42,12 +43,20 @@
 pub async fn run(listener: TcpListener, entry: Arc<Entry>, options: Options) {
     let shutdown = entry.shutdown.clone();
     let service = TowerToHyperService::new(router(entry));
-    let handler = move |request| {
-        let response = service.call(request);
-        async move {
-            match response.await {
-                Ok(response) => response,
-                Err(never) => match never {},
+    let pending_calls = PendingCalls::default();
+    let handler = {
+        let (pending_calls, shutdown) = (pending_calls.clone(), shutdown.clone());
+        move |request: Request<Incoming>| {
+            let call = pending_calls.start(request.method(), request.uri().path(), &shutdown);
+            let response = service.call(request);
+            async move {
+                match response.await {
+                    Ok(response) => {
+                        call.answered();
+                        response
+                    }
+                    Err(never) => match never {},
+                }
             }
         }
     };
@@ -59,6 +68,7 @@
         () = tokio::time::sleep(options.close_delay()) => {}
         () = shutdown.closing() => {}
     }
+    log::info!(pending = pending_calls.count(); "no more connections of callers are accepted");
     shutdown.close().await;
     log::info!("all connections of callers have ended");
 }
