Stand-alone build: an entry answers the calls that are in progress before it ends

What callers saw: the connection ended without a response when a call was in progress for longer than the entry's drain: a watch (up to 30 s), a job call whose owner didn't reply (5 s and retries), a request with a long deadline. A watch that was just between two queries got 503 draining instead of a state that was known. The class is that of: a wait that isn't bounded by what the process has left. Change: when connections close, watches return the last state that they have seen. 0.2 s before connections are dropped, all waits for owners end. What was sent to an owner is answered as owner-lost (may-have-run), what wasn't as before (no-owner, not-run); a watch without a state, which changes nothing, as draining. Why it works: AttemptHistory takes a wait that was ended for an attempt whose answer was lost, so no later answer says "not run". The responses depend on nothing that is waited for. What remains: a body that its caller doesn't finish isn't a call that was read; its connection is dropped and logged.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -8,6 +8,7 @@
 use policy::RetryBudget;
 use telemetry::{Health, Phase, Shutdown, Uptime};
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 use wire::{Answer, Class, Fault, Job, Kind, Request, State};
 
 use crate::route_table::AppliedConfig;
@@ -35,6 +36,8 @@
     pub(crate) health: Health,
     refresh_now: Notify,
     refreshed: Notify,
+    /// Ends the waits of calls for placers.
+    calls_end: CancellationToken,
 }
 
 impl Entry {
@@ -53,6 +56,7 @@
             health: Health::default(),
             refresh_now: Notify::new(),
             refreshed: Notify::new(),
+            calls_end: CancellationToken::new(),
         })
     }
 
@@ -102,6 +106,23 @@
         self.health.set_ready(fresh && !self.shutdown.is_draining());
     }
 
+    /// Answers the calls in progress with what is known by now.
+    pub(crate) fn end_calls(&self) {
+        self.calls_end.cancel();
+    }
+
+    /// Waits for the reply to a call to a placer, until the calls in progress have to be answered.
+    async fn await_reply<T>(
+        &self,
+        reply: impl Future<Output = Result<T, CallFailure>>,
+    ) -> Result<T, CallFailure> {
+        tokio::select! {
+            biased;
+            result = reply => result,
+            () = self.calls_end.cancelled() => Err(CallFailure::NoAnswer),
+        }
+    }
+
     /// Runs a quick request and counts its outcome.
     pub async fn run(&self, request: Request) -> Answer {
         let started_at = self.uptime.elapsed();
@@ -168,7 +189,10 @@
             };
             let answer = match self.routes.owner(rack) {
                 None => Answer::fault(Kind::NoOwner, "the rack has no owner at the moment"),
-                Some(owner) => match self.upstream.run(&owner.address, rack, attempt).await {
+                Some(owner) => match self
+                    .await_reply(self.upstream.run(&owner.address, rack, attempt))
+                    .await
+                {
                     Ok(answer) => answer,
                     Err(CallFailure::NotSent) => Answer::fault(Kind::NoOwner, "its owner is gone"),
                     Err(CallFailure::NoAnswer) => {
@@ -181,11 +205,11 @@
             if !is_retryable(&answer)
                 || elapsed > MAX_OWNER_SEARCH
                 || !self.may_retry(&request.team, &answer)
+                || !self.await_routes(backoff).await
             {
                 return history.final_answer(answer);
             }
             metrics::counter!("lentilyoke_retries_total").increment(1);
-            self.await_routes(backoff).await;
             backoff *= 2;
         }
     }
@@ -202,10 +226,16 @@
 
     /// Returns the state of a job.
     pub async fn watch(&self, team: &str, job: &str) -> Result<State, Fault> {
-        self.call_job_owner(team, |address, home| async move {
-            self.upstream.watch(&address, &home, team, job).await
+        let state = self
+            .call_job_owner(team, |address, home| async move {
+                self.upstream.watch(&address, &home, team, job).await
+            })
+            .await;
+        // Watching changes nothing, so there is no outcome that could be unknown.
+        state.map_err(|fault| match fault.kind {
+            Kind::OwnerLost if self.calls_end.is_cancelled() => stopping(),
+            _ => fault,
         })
-        .await
     }
 
     /// Cancels a job.
@@ -237,7 +267,7 @@
                     Kind::NoOwner,
                     "the rack has no owner at the moment",
                 )),
-                Some(owner) => match call(owner.address, home.to_owned()).await {
+                Some(owner) => match self.await_reply(call(owner.address, home.to_owned())).await {
                     Ok(result) => result,
                     Err(CallFailure::NotSent) => {
                         Err(Fault::new(Kind::NoOwner, "its owner is gone"))
@@ -255,13 +285,13 @@
             let answer = Answer::Fault(fault);
             if !is_retryable(&answer)
                 || self.uptime.elapsed().saturating_sub(started_at) > MAX_OWNER_SEARCH
+                || !self.await_routes(backoff).await
             {
                 return match history.final_answer(answer) {
                     Answer::Fault(fault) => Err(fault),
                     Answer::Done(_) => Err(Fault::new(Kind::OwnerLost, "no answer")),
                 };
             }
-            self.await_routes(backoff).await;
             backoff *= 2;
         }
     }
@@ -269,7 +299,7 @@
     /// The applied configuration, if new calls are accepted and the routes are fresh.
     fn serving_config(&self) -> Result<Arc<AppliedConfig>, Fault> {
         if self.shutdown.phase() >= Phase::Closing {
-            return Err(Fault::new(Kind::Draining, "this entry is stopping"));
+            return Err(stopping());
         }
         let fresh = self.routes.is_fresh(self.uptime.elapsed());
         let applied = self.routes.applied().filter(|_| fresh);
@@ -277,12 +307,18 @@
     }
 
     /// Requests a refresh of the routes and waits for it, for `max_wait` at most, then pauses for
-    /// [`MIN_BACKOFF`].
-    async fn await_routes(&self, max_wait: Duration) {
+    /// [`MIN_BACKOFF`]. `false` if the calls in progress have to be answered by then.
+    async fn await_routes(&self, max_wait: Duration) -> bool {
         let refreshed = self.refreshed.notified();
         self.refresh_now.notify_one();
-        drop(tokio::time::timeout(max_wait, refreshed).await);
-        tokio::time::sleep(MIN_BACKOFF).await;
+        let pause = async {
+            drop(tokio::time::timeout(max_wait, refreshed).await);
+            tokio::time::sleep(MIN_BACKOFF).await;
+        };
+        tokio::select! {
+            () = pause => true,
+            () = self.calls_end.cancelled() => false,
+        }
     }
 
     fn deposit_retry_share(&self, team: &str, share: f64) {
@@ -333,6 +369,10 @@
     }
 }
 
+fn stopping() -> Fault {
+    Fault::new(Kind::Draining, "this entry is stopping")
+}
+
 /// Whether another attempt may succeed because the owner may have changed meanwhile.
 fn is_retryable(answer: &Answer) -> bool {
     let Answer::Fault(fault) = answer else {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Calls are answered this much before their connections are dropped, or after three quarters of the
+/// time if that is later.
+const RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// How long an entry goes on serving when it stops.
 ///
 /// ```
@@ -49,9 +53,16 @@
         self.close_delay.min(self.max_drain / 2)
     }
 
-    /// Time limit for calls in progress, counted from the end of new connections.
+    /// Time limit for connections, counted from the end of new ones.
     #[must_use]
     pub fn closing_limit(&self) -> Duration {
         self.max_drain - self.close_delay()
     }
+
+    /// Time limit for the outcomes of calls in progress, counted from the end of new connections.
+    #[must_use]
+    pub fn outcome_limit(&self) -> Duration {
+        let limit = self.closing_limit();
+        limit - RESPONSE_TIME.min(limit / 4)
+    }
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -14,7 +14,7 @@
 use hyper::service::Service as _;
 use hyper_util::service::TowerToHyperService;
 use serde::Deserialize;
-use telemetry::{Connections, PendingCalls};
+use telemetry::{Connections, PendingCalls, Phase};
 use tokio::net::TcpListener;
 use wire::{Body, Fault, Kind};
 
@@ -39,9 +39,10 @@
 ///
 /// When the entry begins to drain, it goes on serving, so that the load balancer can learn from
 /// `/ready` that it stops. Then no new connections are accepted, and calls in progress are
-/// completed.
+/// completed. Those whose outcome isn't known in time are answered nevertheless.
 pub async fn run(listener: TcpListener, entry: Arc<Entry>, options: Options) {
     let shutdown = entry.shutdown.clone();
+    let ending_calls = Arc::clone(&entry);
     let service = TowerToHyperService::new(router(entry));
     let pending_calls = PendingCalls::default();
     let handler = {
@@ -69,7 +70,15 @@
         () = shutdown.closing() => {}
     }
     log::info!(pending = pending_calls.count(); "no more connections of callers are accepted");
-    shutdown.close().await;
+    let outcome_limit = async {
+        tokio::time::sleep(options.outcome_limit()).await;
+        ending_calls.end_calls();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = shutdown.close() => {}
+        () = outcome_limit => {}
+    }
     log::info!("all connections of callers have ended");
 }
 
@@ -126,13 +135,20 @@
 ) -> Response {
     let max_wait = Duration::from_millis(watch.wait_ms.min(MAX_WAIT_MS));
     let deadline = tokio::time::Instant::now() + max_wait;
+    let mut last = None;
     loop {
-        let state = entry.watch(&team, &id).await;
+        let state = match (entry.watch(&team, &id).await, last) {
+            (Err(_), Some(last)) if entry.shutdown.phase() >= Phase::Closing => Ok(last),
+            (state, _) => state,
+        };
         let over = state.as_ref().is_ok_and(|state| state.phase.is_over());
         if over || state.is_err() || tokio::time::Instant::now() >= deadline {
             return respond::job(state);
         }
-        tokio::time::sleep(WATCH_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(WATCH_INTERVAL) => last = state.ok(),
+            () = entry.shutdown.closing() => return respond::job(state),
+        }
     }
 }
 
