--- a/crates/placer/src/shard/jobs/submission.rs
+++ b/crates/placer/src/shard/jobs/submission.rs
@@ -4,6 +4,7 @@
 
 use cell::{JobScheduler, SavedJob};
 use platform::{Error, Transaction};
+use tokio::sync::oneshot;
 use wire::{Fault, Job, Kind, State};
 
 use super::{SAVE_INTERVAL, Shard};
@@ -16,6 +17,27 @@
         node: &Arc<Node>,
         job: Job,
     ) -> Result<State, Fault> {
+        let (shard, owner) = (Arc::clone(self), Arc::clone(node));
+        complete(node, async move { shard.accept(&owner, job).await }).await
+    }
+
+    /// Cancels a job. Nothing more of it starts from now on. The answer is sent once the row shows
+    /// it too, since a later owner relies on the row.
+    pub(crate) async fn cancel(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        team: &str,
+        job: &str,
+    ) -> Result<State, Fault> {
+        let (shard, owner) = (Arc::clone(self), Arc::clone(node));
+        let (team, job) = (team.to_owned(), job.to_owned());
+        complete(node, async move {
+            shard.cancel_and_save(&owner, &team, &job).await
+        })
+        .await
+    }
+
+    async fn accept(self: &Arc<Self>, node: &Arc<Node>, job: Job) -> Result<State, Fault> {
         let Some(applied) = node.active_config() else {
             return Err(Fault::new(Kind::NoOwner, "no configuration yet"));
         };
@@ -113,9 +135,7 @@
         state.ok_or_else(|| Fault::new(Kind::UnknownJob, "there is no such job"))
     }
 
-    /// Cancels a job. Nothing more of it starts from now on. The answer is sent once the row shows
-    /// it too, since a later owner relies on the row.
-    pub(crate) async fn cancel(
+    async fn cancel_and_save(
         self: &Arc<Self>,
         node: &Arc<Node>,
         team: &str,
@@ -137,6 +157,19 @@
     }
 }
 
+/// Runs a call about a job in a task of its own: if the connection to the entry breaks, the handler
+/// is dropped, and a job that is stored would not be scheduled.
+async fn complete(
+    node: &Node,
+    call: impl Future<Output = Result<State, Fault>> + Send + 'static,
+) -> Result<State, Fault> {
+    let (done, result) = oneshot::channel();
+    node.shutdown
+        .spawn(async move { drop(done.send(call.await)) });
+    let unknown = |_| Err(Fault::new(Kind::Lost, "its outcome is not known"));
+    result.await.unwrap_or_else(unknown)
+}
+
 async fn read_row(node: &Node, key: &str) -> Result<Option<String>, Error> {
     let scan = node.table.scan(&[key], 0).await?;
     let row = scan.rows.into_iter().find(|row| row.key == key);
--- /dev/null
+++ b/crates/placer/tests/shutdown.rs
@@ -0,0 +1,54 @@
+//! Calls that are in progress while a placer drains and ends.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on panics")]
+
+mod cluster;
+
+use cluster::{Cluster, job, ms, secs};
+use standin::Faults;
+use tokio::task::JoinHandle;
+use wire::rpc::PlacerServer as _;
+use wire::{Fault, Phase, Shape, State};
+
+/// A cell with one placer that owns all racks. Each call to the table takes 200 ms.
+async fn cluster_with_slow_table() -> Cluster {
+    let mut cluster = Cluster::new(1, 3).await;
+    cluster.start("p1");
+    cluster.wait_for_owners(secs(5)).await;
+    cluster
+        .submit(job("watch", Shape::Service, 1, 1, 0))
+        .await
+        .unwrap();
+    cluster
+        .wait_for_job("watch", secs(5), |state| state.running == 1)
+        .await;
+    cluster.platform.set(Faults {
+        slow_ms: 200,
+        ..Faults::default()
+    });
+    tokio::time::sleep(secs(2)).await;
+    cluster
+}
+
+type JobCall = JoinHandle<Result<State, Fault>>;
+
+/// Submits a job without waiting for the answer.
+async fn spawn_submission(cluster: &Cluster, id: &str) -> JobCall {
+    let (server, home) = (cluster.home_server(), cluster.team_home_rack());
+    let job = job(id, Shape::Batch, 1, 1, 100);
+    let call = tokio::spawn(async move { server.submit(home, job).await.unwrap() });
+    tokio::time::sleep(ms(100)).await;
+    call
+}
+
+/// Guards against a job that is stored and never scheduled because the entry that submitted it
+/// stopped waiting.
+#[tokio::test(start_paused = true)]
+async fn a_submission_whose_caller_disconnects_is_completed() {
+    let cluster = cluster_with_slow_table().await;
+    spawn_submission(&cluster, "report").await.abort();
+    cluster
+        .wait_for_job("report", secs(20), |state| state.phase == Phase::Finished)
+        .await;
+    cluster.end().await;
+}
