--- a/crates/placer/src/shard.rs
+++ b/crates/placer/src/shard.rs
@@ -18,6 +18,7 @@
 use policy::RetryBudget;
 use resource::{Size, id};
 use tokio::sync::{Notify, oneshot};
+use tokio_util::task::TaskTracker;
 use wire::{Digest, FencingToken, Inventory, RackStatus};
 
 use crate::Node;
@@ -34,6 +35,8 @@
     jobs_changed: Notify,
     /// Signals that the rack is no longer only watched.
     left_watching: Notify,
+    /// Submissions and cancellations in progress.
+    job_calls: TaskTracker,
 }
 
 /// A worker as listed by the platform.
@@ -96,6 +99,7 @@
             stage_changed: Notify::new(),
             jobs_changed: Notify::new(),
             left_watching: Notify::new(),
+            job_calls: TaskTracker::new(),
         }
     }
 
--- a/crates/placer/src/shard/jobs/submission.rs
+++ b/crates/placer/src/shard/jobs/submission.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use cell::{JobScheduler, SavedJob};
+use cell::{JobScheduler, SavedJob, Stage};
 use platform::{Error, Transaction};
 use tokio::sync::oneshot;
-use wire::{Fault, Job, Kind, State};
+use wire::{Fault, Job, Kind, Phase, State};
 
 use super::{SAVE_INTERVAL, Shard};
 use crate::Node;
@@ -18,7 +18,8 @@
         job: Job,
     ) -> Result<State, Fault> {
         let (shard, owner) = (Arc::clone(self), Arc::clone(node));
-        complete(node, async move { shard.accept(&owner, job).await }).await
+        self.complete(node, async move { shard.accept(&owner, job).await })
+            .await
     }
 
     /// Cancels a job. Nothing more of it starts from now on. The answer is sent once the row shows
@@ -31,7 +32,7 @@
     ) -> Result<State, Fault> {
         let (shard, owner) = (Arc::clone(self), Arc::clone(node));
         let (team, job) = (team.to_owned(), job.to_owned());
-        complete(node, async move {
+        self.complete(node, async move {
             shard.cancel_and_save(&owner, &team, &job).await
         })
         .await
@@ -50,11 +51,29 @@
             Some(Ok(None)) => {}
         }
         self.write_job_row(node, &job).await?;
-        let state = self
-            .with_scheduler(|scheduler| scheduler.submit(job))
-            .ok_or_else(not_home_owner)?;
+        let queued = queued(&job);
+        let state = self.with_scheduler(|scheduler| scheduler.submit(job));
         self.jobs_changed.notify_one();
-        Ok(state)
+        // Without a scheduler the rack has another owner meanwhile, which reads the row.
+        Ok(state.unwrap_or(queued))
+    }
+
+    /// Runs a call about a job in a task of its own: if the connection to the entry breaks, the
+    /// handler is dropped, and a job that is stored would not be scheduled. The rack isn't released
+    /// until the call has ended.
+    async fn complete(
+        &self,
+        node: &Node,
+        call: impl Future<Output = Result<State, Fault>> + Send + 'static,
+    ) -> Result<State, Fault> {
+        if self.stage() == Stage::Releasing {
+            return Err(not_home_owner());
+        }
+        let (done, result) = oneshot::channel();
+        let call = async move { drop(done.send(call.await)) };
+        node.shutdown.spawn(self.job_calls.track_future(call));
+        let unknown = |_| Err(Fault::new(Kind::Lost, "its outcome is not known"));
+        result.await.unwrap_or_else(unknown)
     }
 
     /// Writes the row of a new job. The transaction also checks the rack's record: a deposed owner
@@ -157,17 +176,16 @@
     }
 }
 
-/// Runs a call about a job in a task of its own: if the connection to the entry breaks, the handler
-/// is dropped, and a job that is stored would not be scheduled.
-async fn complete(
-    node: &Node,
-    call: impl Future<Output = Result<State, Fault>> + Send + 'static,
-) -> Result<State, Fault> {
-    let (done, result) = oneshot::channel();
-    node.shutdown
-        .spawn(async move { drop(done.send(call.await)) });
-    let unknown = |_| Err(Fault::new(Kind::Lost, "its outcome is not known"));
-    result.await.unwrap_or_else(unknown)
+/// The state of a job of which nothing has run.
+fn queued(job: &Job) -> State {
+    State {
+        id: job.id.clone(),
+        phase: Phase::Queued,
+        waiting: job.tasks,
+        running: 0,
+        finished: 0,
+        restarts: 0,
+    }
 }
 
 async fn read_row(node: &Node, key: &str) -> Result<Option<String>, Error> {
--- a/crates/placer/src/shard/ownership.rs
+++ b/crates/placer/src/shard/ownership.rs
@@ -217,8 +217,11 @@
         state.scheduler = Some(scheduler);
     }
 
-    /// Releases the rack once no quick request is in progress.
+    /// Releases the rack once no quick request and no call about a job is in progress.
     async fn release(&self, node: &Node) {
+        if !self.job_calls.is_empty() {
+            return;
+        }
         let (busy, record) = {
             let mut state = self.state();
             let busy = state.rack.as_ref().is_some_and(Rack::has_quick_requests);
--- a/crates/placer/tests/shutdown.rs
+++ b/crates/placer/tests/shutdown.rs
@@ -4,7 +4,7 @@
 
 mod cluster;
 
-use cluster::{Cluster, job, ms, secs};
+use cluster::{Cluster, TEAM, job, ms, secs};
 use standin::Faults;
 use tokio::task::JoinHandle;
 use wire::rpc::PlacerServer as _;
@@ -41,6 +41,46 @@
     call
 }
 
+/// Cancels a job without waiting for the answer.
+async fn spawn_cancellation(cluster: &Cluster, id: &str) -> JobCall {
+    let (server, home) = (cluster.home_server(), cluster.team_home_rack());
+    let id = id.to_owned();
+    let call = tokio::spawn(async move { server.cancel(home, TEAM.to_owned(), id).await.unwrap() });
+    tokio::time::sleep(ms(100)).await;
+    call
+}
+
+/// Guards against a job that is stored and will run, and whose submission is answered with "not
+/// run" because its owner drains meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_submission_that_is_stored_during_a_drain_is_accepted() {
+    let mut cluster = cluster_with_slow_table().await;
+    let call = spawn_submission(&cluster, "report").await;
+    cluster.placers["p1"].node.drain().await;
+    let state = call.await.unwrap().expect("the job is stored");
+    assert_eq!((state.phase, state.waiting), (Phase::Queued, 1));
+    cluster.platform.set(Faults::default());
+    cluster.placers["p1"].node.shutdown.join().await;
+    cluster.start("p2");
+    cluster.wait_for_owners(secs(20)).await;
+    cluster
+        .wait_for_job("report", secs(20), |state| state.phase == Phase::Finished)
+        .await;
+    cluster.end().await;
+}
+
+/// Guards against a cancellation that takes effect and is answered with "not run" because its owner
+/// drains meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_that_is_stored_during_a_drain_is_confirmed() {
+    let cluster = cluster_with_slow_table().await;
+    let call = spawn_cancellation(&cluster, "watch").await;
+    cluster.placers["p1"].node.drain().await;
+    let state = call.await.unwrap().expect("the cancellation is stored");
+    assert_eq!(state.phase, Phase::Cancelled);
+    cluster.end().await;
+}
+
 /// Guards against a job that is stored and never scheduled because the entry that submitted it
 /// stopped waiting.
 #[tokio::test(start_paused = true)]
