Stand-alone build: a cancellation of unknown outcome is answered as lost, not as store-down

What callers saw: "not-run" (store-down) to a cancellation that is in effect, and may be stored: "it did not run and never will" is false, the job doesn't go on. Cause: every write that the table didn't confirm was taken for one without effect. Evidence: a_cancellation_of_unknown_outcome_is_not_reported_as_refused (left: NotRun, right: MayHaveRun on the code before), with the table down and with its answers lost; passes now. Change: lost (may-have-run, 502), which docs/API.md explains for jobs. Ruled out: store-down for a table that is down; the owner stops the job all the same.

--- a/crates/placer/src/shard/jobs/submission.rs
+++ b/crates/placer/src/shard/jobs/submission.rs
@@ -172,7 +172,7 @@
             return Ok(state);
         }
         let reason = "it is being stopped, but the table did not take the note; ask again";
-        Err(Fault::new(Kind::StoreDown, reason))
+        Err(Fault::new(Kind::Lost, reason))
     }
 }
 
--- a/crates/placer/tests/shutdown.rs
+++ b/crates/placer/tests/shutdown.rs
@@ -8,7 +8,7 @@
 use standin::Faults;
 use tokio::task::JoinHandle;
 use wire::rpc::PlacerServer as _;
-use wire::{Fault, Phase, Shape, State};
+use wire::{Class, Fault, Phase, Shape, State};
 
 /// A cell with one placer that owns all racks. Each call to the table takes 200 ms.
 async fn cluster_with_slow_table() -> Cluster {
@@ -50,6 +50,10 @@
     call
 }
 
+fn class(fault: &Fault) -> Class {
+    fault.kind.row().class
+}
+
 /// Guards against a job that is stored and will run, and whose submission is answered with "not
 /// run" because its owner drains meanwhile.
 #[tokio::test(start_paused = true)]
@@ -81,6 +85,30 @@
     cluster.end().await;
 }
 
+/// Guards against a cancellation in effect, or stored with its answer lost, that is answered with
+/// "not run".
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_of_unknown_outcome_is_not_reported_as_refused() {
+    for faults in [
+        Faults {
+            down: true,
+            ..Faults::default()
+        },
+        Faults {
+            lose: 1_000,
+            ..Faults::default()
+        },
+    ] {
+        let cluster = cluster_with_slow_table().await;
+        cluster.platform.set(faults);
+        let call = spawn_cancellation(&cluster, "watch").await;
+        let fault = call.await.unwrap().expect_err("the table doesn't answer");
+        assert_eq!(class(&fault), Class::MayHaveRun, "{fault:?}");
+        cluster.platform.set(Faults::default());
+        cluster.end().await;
+    }
+}
+
 /// Guards against a job that is stored and never scheduled because the entry that submitted it
 /// stopped waiting.
 #[tokio::test(start_paused = true)]
