Stand-alone build: a placer serves its callers' connections until all calls are answered, then ends its tasks

What callers saw: owner-lost (may-have-run) for calls that the placer had never read, since their connection was reset or closed under them; store-down for non-idempotent requests of other placers whose claims came while this one, their writer, ended. A placer with a caller that never completed its request didn't end. Cause: at the end all tasks (the writer of claims, the sync with the table, heartbeats) ended first, and the RPC server went on reading calls without them. Then the server closed idle connections at once, reset the listener's queue, announced nothing, and waited for incomplete requests without a bound. The class is that of: what calls depend on ends before them, and connections end in ways that their clients can't know of. Change: jsonrpsee handles the calls, telemetry::Connections serves the connections, in the phases of the shutdown; tasks end after the last connection. Not shown by a test: the claims of other placers (the order is the same as for all calls).

--- a/crates/placer/src/bin/lentilyoke-placer.rs
+++ b/crates/placer/src/bin/lentilyoke-placer.rs
@@ -3,14 +3,10 @@
 use std::sync::Arc;
 
 use clap::Parser as _;
-use jsonrpsee::server::{Server as Listener, ServerConfig};
-use placer::{Node, Rpc, Server, Settings};
+use placer::{Node, Rpc, Settings};
 use snafu::{ResultExt as _, Whatever};
 use telemetry::{Shutdown, logs};
-use wire::rpc::PlacerServer as _;
-
-/// Upper bound on connections from entries, other placers and operators.
-const MAX_CONNECTIONS: u32 = 4_096;
+use tokio::net::TcpListener;
 
 #[tokio::main]
 async fn main() -> Result<(), Whatever> {
@@ -18,13 +14,7 @@
     logs::init(&settings.telemetry.log)?;
     let shutdown = Shutdown::default();
     shutdown.drain_on_signal();
-    let config = ServerConfig::builder()
-        .max_connections(MAX_CONNECTIONS)
-        .set_tcp_no_delay(true)
-        .build();
-    let listener = Listener::builder()
-        .set_config(config)
-        .build(settings.listen)
+    let listener = TcpListener::bind(settings.listen)
         .await
         .with_whatever_context(|_| format!("listen: can't listen on {}", settings.listen))?;
     let address = listener
@@ -48,16 +38,13 @@
         .health
         .serve(settings.telemetry.metrics, &shutdown)
         .await?;
-    let server = listener.start(Server::new(Arc::clone(&node)).into_rpc());
+    shutdown.spawn_connection(placer::serve(listener, Arc::clone(&node)));
     node.spawn();
     println!("placer {address} metrics {metrics}");
     log::info!(placer = name.as_str(); "started");
     shutdown.draining().await;
     log::info!(placer = name.as_str(); "stopping");
-    node.drain().await;
-    shutdown.join().await;
-    _ = server.stop();
-    server.stopped().await;
+    node.stop().await;
     log::info!(placer = name.as_str(); "stopped");
     Ok(())
 }
--- a/crates/placer/src/lib.rs
+++ b/crates/placer/src/lib.rs
@@ -3,7 +3,7 @@
 //! * [`Options`]: start-up options of a placer.
 //! * [`Node`]: one placer; [`Node::spawn`] starts its background tasks.
 //! * [`Peers`]: calls to other placers; [`Rpc`] makes them over JSON-RPC.
-//! * [`Server`]: the API of a placer.
+//! * [`Server`]: the API of a placer; [`serve()`] offers it over JSON-RPC.
 //! * [`Session`]: its row in the platform's table.
 
 mod claims;
@@ -12,6 +12,7 @@
 mod peers;
 mod request_cache;
 mod rpc;
+mod serve;
 mod server;
 mod session;
 mod settings;
@@ -23,6 +24,7 @@
 pub use options::Options;
 pub use peers::{PeerError, Peers};
 pub use rpc::Rpc;
+pub use serve::serve;
 pub use server::Server;
 pub use session::Session;
 pub use settings::Settings;
--- a/crates/placer/src/node.rs
+++ b/crates/placer/src/node.rs
@@ -127,6 +127,12 @@
         }
     }
 
+    /// Drains the placer, ends the connections of its callers, then all its tasks.
+    pub async fn stop(&self) {
+        self.drain().await;
+        self.shutdown.join().await;
+    }
+
     /// Time since the start of the placer.
     #[must_use]
     pub fn now(&self) -> Now {
