--- a/crates/placer/src/node.rs
+++ b/crates/placer/src/node.rs
@@ -110,11 +110,13 @@
     }
 
     /// Drains the placer: accepts nothing new, finishes work in progress and hands over all racks.
+    /// What is left when only [`Options::ending_time`] of the drain timeout remains isn't awaited.
     pub async fn drain(&self) {
         self.shutdown.drain();
         self.health.set_ready(false);
         self.sync_now.notify_one();
-        let deadline = tokio::time::Instant::now() + self.options.drain_timeout;
+        let limit = self.options.drain_timeout - self.options.ending_time();
+        let deadline = tokio::time::Instant::now() + limit;
         for shard in self.shards() {
             shard.handle(&Event::Unassigned);
         }
@@ -127,10 +129,18 @@
         }
     }
 
-    /// Drains the placer, ends the connections of its callers, then all its tasks.
+    /// Drains the placer, answers the calls that are still in progress, ends the connections of its
+    /// callers, then all its tasks. Tasks that haven't ended within the drain timeout are abandoned.
     pub async fn stop(&self) {
+        let deadline = tokio::time::Instant::now() + self.options.drain_timeout;
         self.drain().await;
-        self.shutdown.join().await;
+        let ended = tokio::time::timeout_at(deadline, self.shutdown.join()).await;
+        if ended.is_err() {
+            log::warn!(
+                "tasks still in progress after {:?}",
+                self.options.drain_timeout
+            );
+        }
     }
 
     /// Time since the start of the placer.
--- a/crates/placer/src/options.rs
+++ b/crates/placer/src/options.rs
@@ -4,6 +4,9 @@
 
 use resource::id;
 
+/// Upper bound on [`Options::ending_time`].
+const MAX_ENDING_TIME: Duration = Duration::from_millis(1_000);
+
 /// Identity, location and intervals of one placer.
 ///
 /// ```
@@ -61,6 +64,13 @@
         }
     }
 
+    /// The part of the drain timeout that is left for answering calls in progress, and for ending
+    /// connections and tasks.
+    #[must_use]
+    pub fn ending_time(&self) -> Duration {
+        MAX_ENDING_TIME.min(self.drain_timeout / 4)
+    }
+
     /// Sets region and data centre.
     #[must_use]
     pub fn with_location(mut self, region: &str, data_centre: &str) -> Self {
--- a/crates/placer/src/serve.rs
+++ b/crates/placer/src/serve.rs
@@ -29,7 +29,9 @@
         .to_service_builder()
         .build(Server::new(Arc::clone(&node)).into_rpc(), stop);
     let service = TowerToHyperService::new(service);
-    let connections = Connections::new(&node.shutdown);
+    // The rest of the ending time is for the tasks, which end after the connections.
+    let time_limit = node.options.ending_time() * 7 / 10;
+    let connections = Connections::new(&node.shutdown).with_time_limit(time_limit);
     let pending_calls = PendingCalls::default();
     let handler = move |request: Request<Incoming>| {
         let call = pending_calls.start(request.method(), request.uri().path(), &node.shutdown);
--- a/crates/placer/src/shard/jobs/submission.rs
+++ b/crates/placer/src/shard/jobs/submission.rs
@@ -72,8 +72,12 @@
         let (done, result) = oneshot::channel();
         let call = async move { drop(done.send(call.await)) };
         node.shutdown.spawn(self.job_calls.track_future(call));
-        let unknown = |_| Err(Fault::new(Kind::Lost, "its outcome is not known"));
-        result.await.unwrap_or_else(unknown)
+        let unknown = || Err(Fault::new(Kind::Lost, "its outcome is not known"));
+        tokio::select! {
+            biased;
+            result = result => result.unwrap_or_else(|_| unknown()),
+            () = node.shutdown.closing() => unknown(),
+        }
     }
 
     /// Writes the row of a new job. The transaction also checks the rack's record: a deposed owner
--- a/crates/placer/src/shard/run.rs
+++ b/crates/placer/src/shard/run.rs
@@ -46,14 +46,19 @@
             Lookup::Ended(answer) => answer,
             Lookup::Running(mut answer) => {
                 let ended = answer.wait_for(Option::is_some);
-                match tokio::time::timeout(request.budget(), ended).await {
-                    Ok(Ok(answer)) => answer.clone().unwrap_or_else(outcome_unknown),
-                    _ => outcome_unknown(),
+                tokio::select! {
+                    biased;
+                    ended = tokio::time::timeout(request.budget(), ended) => match ended {
+                        Ok(Ok(answer)) => answer.clone().unwrap_or_else(outcome_unknown),
+                        _ => outcome_unknown(),
+                    },
+                    () = node.shutdown.closing() => outcome_unknown(),
                 }
             }
             Lookup::New => {
                 let (done, answer) = oneshot::channel();
                 let shutdown = node.shutdown.clone();
+                let closing = node.shutdown.clone();
                 // Runs in a task of its own: if the connection to the entry breaks, this future is
                 // dropped, and the record of what was started would be lost with it.
                 shutdown.spawn(async move {
@@ -62,7 +67,11 @@
                     self.state().requests.end(&name, &result, now);
                     drop(done.send(result));
                 });
-                answer.await.unwrap_or_else(|_| outcome_unknown())
+                tokio::select! {
+                    biased;
+                    answer = answer => answer.unwrap_or_else(|_| outcome_unknown()),
+                    () = closing.closing() => outcome_unknown(),
+                }
             }
         }
     }
--- a/crates/placer/tests/shutdown.rs
+++ b/crates/placer/tests/shutdown.rs
@@ -4,7 +4,7 @@
 
 mod cluster;
 
-use cluster::{Cluster, TEAM, job, ms, secs};
+use cluster::{Cluster, TEAM, job, ms, request, secs};
 use standin::Faults;
 use tokio::task::JoinHandle;
 use wire::rpc::PlacerServer as _;
@@ -120,3 +120,22 @@
         .await;
     cluster.end().await;
 }
+
+/// Guards against calls that wait for a worker or the table for longer than their placer lives, and
+/// against a placer that waits for them beyond its time for draining.
+#[tokio::test(start_paused = true)]
+async fn calls_that_outlast_the_drain_are_answered() {
+    let cluster = cluster_with_slow_table().await;
+    let placer = &cluster.placers["p1"];
+    let run = cluster.spawn_send("p1", request("a", "k", true, 450));
+    tokio::time::sleep(ms(100)).await;
+    let submission = spawn_submission(&cluster, "report").await;
+    placer.faults.pause();
+    let max_drain = placer.node.options.drain_timeout;
+    let stopped = tokio::time::timeout(max_drain, placer.node.stop()).await;
+    assert!(stopped.is_ok(), "still running after {max_drain:?}");
+    assert_eq!(run.await.unwrap().class(), Class::MayHaveRun);
+    let fault = submission.await.unwrap().expect_err("it is not known");
+    assert_eq!(class(&fault), Class::MayHaveRun, "{fault:?}");
+    cluster.end().await;
+}
