--- a/crates/telemetry/src/health.rs
+++ b/crates/telemetry/src/health.rs
@@ -31,7 +31,8 @@
         self.ready.load(Ordering::Relaxed)
     }
 
-    /// Serves `/metrics`, `/health` and `/ready`, and returns the address that it listens on.
+    /// Serves `/metrics`, `/health` and `/ready`, and returns the address that it listens on. A
+    /// program that drains isn't ready.
     ///
     /// # Errors
     /// If the address can't be bound or a metrics recorder is already installed.
@@ -43,9 +44,9 @@
         let recorder = PrometheusBuilder::new()
             .install_recorder()
             .whatever_context("metrics: a recorder is already installed")?;
-        let health = self.clone();
+        let (health, stop) = (self.clone(), shutdown.clone());
         let ready = move || async move {
-            if health.is_ready() {
+            if health.is_ready() && !stop.is_draining() {
                 StatusCode::OK
             } else {
                 StatusCode::SERVICE_UNAVAILABLE
