--- a/crates/telemetry/src/health.rs
+++ b/crates/telemetry/src/health.rs
@@ -1,8 +1,10 @@
 //! Metrics, health and readiness over HTTP.
 
+use std::future::IntoFuture as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use axum::Router;
 use axum::http::StatusCode;
@@ -13,6 +15,9 @@
 
 use crate::Shutdown;
 
+/// Requests that aren't completed this long after all tasks have to end are dropped.
+const LAST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Readiness of the program, served over HTTP with its metrics.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -64,12 +69,18 @@
             .whatever_context("metrics: the listener has no local address")?;
         let end_signal = shutdown.clone();
         shutdown.spawn(async move {
-            let server = axum::serve(listener, router);
-            drop(
-                server
-                    .with_graceful_shutdown(async move { end_signal.ended().await })
-                    .await,
-            );
+            let graceful_end = end_signal.clone();
+            let server = axum::serve(listener, router)
+                .with_graceful_shutdown(async move { graceful_end.ended().await })
+                .into_future();
+            let limit = async {
+                end_signal.ended().await;
+                tokio::time::sleep(LAST_RESPONSE_TIMEOUT).await;
+            };
+            tokio::select! {
+                served = server => drop(served),
+                () = limit => {}
+            }
         });
         Ok(address)
     }
