--- a/crates/placer/src/bin/lentilyoke-placer.rs
+++ b/crates/placer/src/bin/lentilyoke-placer.rs
@@ -1,17 +1,30 @@
 //! Runs a placer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Parser as _;
 use placer::{Node, Rpc, Settings};
 use snafu::{ResultExt as _, Whatever};
 use telemetry::{Shutdown, logs};
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 
-#[tokio::main]
-async fn main() -> Result<(), Whatever> {
+/// Time limit for dropping what is left at the end of the process.
+const DROP_TIMEOUT: Duration = Duration::from_millis(100);
+
+fn main() -> Result<(), Whatever> {
     let settings = Settings::parse();
     logs::init(&settings.telemetry.log)?;
+    let runtime = Runtime::new().whatever_context("runtime: can't be started")?;
+    let result = runtime.block_on(run(settings));
+    // Calls that are dropped with the runtime are logged, so the log is written after that.
+    runtime.shutdown_timeout(DROP_TIMEOUT);
+    logs::flush();
+    result
+}
+
+async fn run(settings: Settings) -> Result<(), Whatever> {
     let shutdown = Shutdown::default();
     shutdown.drain_on_signal();
     let listener = TcpListener::bind(settings.listen)
