Stand-alone build: a silent placer doesn't hold up the end of an entry

Cause: the query for routes wasn't told of the end and waited for its whole timeout, and after a failed query the loop chose at random between its end and the next query. The class is that of: a wait for a peer that isn't told of the end. Change: the refresh of the routes ends with the shutdown, wherever it is.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -77,13 +77,18 @@
     pub fn spawn(self: &Arc<Self>, interval: Duration) {
         let entry = Arc::clone(self);
         self.shutdown.spawn(async move {
-            loop {
-                entry.refresh().await;
-                tokio::select! {
-                    () = tokio::time::sleep(interval) => {}
-                    () = entry.refresh_now.notified() => {}
-                    () = entry.shutdown.ended() => return,
+            let refresh = async {
+                loop {
+                    entry.refresh().await;
+                    tokio::select! {
+                        () = tokio::time::sleep(interval) => {}
+                        () = entry.refresh_now.notified() => {}
+                    }
                 }
+            };
+            tokio::select! {
+                () = refresh => {}
+                () = entry.shutdown.ended() => {}
             }
         });
     }
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -17,10 +17,11 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::server::{Server as Listener, ServerHandle};
 use telemetry::Shutdown;
-use tokio::net::TcpStream;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use wire::{Owner, RouteQuery, Routes};
 
 /// Time limit of the shutdown of an [`EntryProcess`].
@@ -276,3 +277,19 @@
     let outcome = watch.await.unwrap();
     assert_eq!(response(&outcome), (503, "not-run"), "{outcome:?}");
 }
+
+/// Guards against an entry that waits for the routes of a silent placer before it ends, and then
+/// asks again.
+#[tokio::test(start_paused = true)]
+async fn a_silent_placer_does_not_hold_up_the_end() {
+    let placer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stop = Shutdown::default();
+    let placers = vec![placer.local_addr().unwrap().to_string()];
+    let (_, serving) = serve_entry_until(placers, &stop, MAX_DRAIN).await;
+    let (mut query, _) = placer.accept().await.unwrap();
+    assert!(query.read_u8().await.is_ok());
+    let ending = Instant::now();
+    stop.join().await;
+    assert_eq!(ending.elapsed(), Duration::ZERO);
+    serving.await.unwrap();
+}
