--- a/crates/entry/src/bin/lentilyoke-entry.rs
+++ b/crates/entry/src/bin/lentilyoke-entry.rs
@@ -8,11 +8,23 @@
 use snafu::{ResultExt as _, Whatever};
 use telemetry::{Shutdown, logs};
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 
-#[tokio::main]
-async fn main() -> Result<(), Whatever> {
+/// Time limit for dropping what is left at the end of the process.
+const DROP_TIMEOUT: Duration = Duration::from_millis(100);
+
+fn main() -> Result<(), Whatever> {
     let settings = Settings::parse();
     logs::init(&settings.telemetry.log)?;
+    let runtime = Runtime::new().whatever_context("runtime: can't be started")?;
+    let result = runtime.block_on(run(settings));
+    // Calls that are dropped with the runtime are logged, so the log is written after that.
+    runtime.shutdown_timeout(DROP_TIMEOUT);
+    logs::flush();
+    result
+}
+
+async fn run(settings: Settings) -> Result<(), Whatever> {
     let shutdown = Shutdown::default();
     shutdown
         .drain_on_signal()
@@ -32,7 +44,7 @@
     entry.spawn(settings.routes_interval());
     println!("entry {address} metrics {metrics}");
     log::info!(entry = settings.name.as_str(); "started");
-    serve::run(listener, entry, Duration::from_millis(settings.drain_ms)).await;
+    serve::run(listener, entry, settings.options()).await;
     shutdown.join().await;
     log::info!(entry = settings.name.as_str(); "stopped");
     Ok(())
--- a/crates/placer/src/shard/jobs/submission.rs
+++ b/crates/placer/src/shard/jobs/submission.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use cell::{JobScheduler, SavedJob};
+use cell::{JobScheduler, SavedJob, Stage};
 use platform::{Error, Transaction};
-use wire::{Fault, Job, Kind, State};
+use tokio::sync::oneshot;
+use wire::{Fault, Job, Kind, Phase, State};
 
 use super::{SAVE_INTERVAL, Shard};
 use crate::Node;
@@ -16,6 +17,28 @@
         node: &Arc<Node>,
         job: Job,
     ) -> Result<State, Fault> {
+        let (shard, owner) = (Arc::clone(self), Arc::clone(node));
+        self.complete(node, async move { shard.accept(&owner, job).await })
+            .await
+    }
+
+    /// Cancels a job. Nothing more of it starts from now on. The answer is sent once the row shows
+    /// it too, since a later owner relies on the row.
+    pub(crate) async fn cancel(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        team: &str,
+        job: &str,
+    ) -> Result<State, Fault> {
+        let (shard, owner) = (Arc::clone(self), Arc::clone(node));
+        let (team, job) = (team.to_owned(), job.to_owned());
+        self.complete(node, async move {
+            shard.cancel_and_save(&owner, &team, &job).await
+        })
+        .await
+    }
+
+    async fn accept(self: &Arc<Self>, node: &Arc<Node>, job: Job) -> Result<State, Fault> {
         let Some(applied) = node.active_config() else {
             return Err(Fault::new(Kind::NoOwner, "no configuration yet"));
         };
@@ -28,11 +51,33 @@
             Some(Ok(None)) => {}
         }
         self.write_job_row(node, &job).await?;
-        let state = self
-            .with_scheduler(|scheduler| scheduler.submit(job))
-            .ok_or_else(not_home_owner)?;
+        let queued = queued(&job);
+        let state = self.with_scheduler(|scheduler| scheduler.submit(job));
         self.jobs_changed.notify_one();
-        Ok(state)
+        // Without a scheduler the rack has another owner meanwhile, which reads the row.
+        Ok(state.unwrap_or(queued))
+    }
+
+    /// Runs a call about a job in a task of its own: if the connection to the entry breaks, the
+    /// handler is dropped, and a job that is stored would not be scheduled. The rack isn't released
+    /// until the call has ended.
+    async fn complete(
+        &self,
+        node: &Node,
+        call: impl Future<Output = Result<State, Fault>> + Send + 'static,
+    ) -> Result<State, Fault> {
+        if self.stage() == Stage::Releasing {
+            return Err(not_home_owner());
+        }
+        let (done, result) = oneshot::channel();
+        let call = async move { drop(done.send(call.await)) };
+        node.shutdown.spawn(self.job_calls.track_future(call));
+        let unknown = || Err(Fault::new(Kind::Lost, "its outcome is not known"));
+        tokio::select! {
+            biased;
+            result = result => result.unwrap_or_else(|_| unknown()),
+            () = node.shutdown.closing() => unknown(),
+        }
     }
 
     /// Writes the row of a new job. The transaction also checks the rack's record: a deposed owner
@@ -113,9 +158,7 @@
         state.ok_or_else(|| Fault::new(Kind::UnknownJob, "there is no such job"))
     }
 
-    /// Cancels a job. Nothing more of it starts from now on. The answer is sent once the row shows
-    /// it too, since a later owner relies on the row.
-    pub(crate) async fn cancel(
+    async fn cancel_and_save(
         self: &Arc<Self>,
         node: &Arc<Node>,
         team: &str,
@@ -133,7 +176,19 @@
             return Ok(state);
         }
         let reason = "it is being stopped, but the table did not take the note; ask again";
-        Err(Fault::new(Kind::StoreDown, reason))
+        Err(Fault::new(Kind::Lost, reason))
+    }
+}
+
+/// The state of a job of which nothing has run.
+fn queued(job: &Job) -> State {
+    State {
+        id: job.id.clone(),
+        phase: Phase::Queued,
+        waiting: job.tasks,
+        running: 0,
+        finished: 0,
+        restarts: 0,
     }
 }
 
