Serve clients of hosts by telemetry::Connections: one copy of how connections end

The platform's server had the same code as the stand-alone build's. What was improved there (limits count from the moment at which connections begin to close, idle connections end at once, requests that have arrived are read first) holds for both now.

--- a/crates/telemetry/src/connections.rs
+++ b/crates/telemetry/src/connections.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::error::Error;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use axum::http::header::CONNECTION;
@@ -14,10 +15,11 @@
 
 use crate::Shutdown;
 
-/// Connections on which no call is in progress are closed this long after the shutdown has begun to
-/// close connections. Until then the first request on a new connection may arrive.
-const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
-/// Default of [`Connections::with_time_limit`].
+/// Connections that have had no request yet are closed this long after the shutdown has begun to
+/// close connections. Until then their first requests may arrive.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Connections that are still open this long after the shutdown has begun to close connections are
+/// dropped: their clients don't read the response.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_millis(700);
 /// Pause after a failure to accept a connection, such as a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -87,11 +89,15 @@
         B: Body + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
+        let shutdown = &self.shutdown;
+        let has_request = AtomicBool::new(false);
         let service = service_fn(|request| {
+            has_request.store(true, Ordering::Relaxed);
             let response = handler(request);
             async {
                 let mut response = response.await;
-                if self.shutdown.is_draining() {
+                if shutdown.is_draining() {
+                    // Ends the connection, so that the client makes its next call elsewhere.
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
@@ -102,17 +108,28 @@
             .timer(TokioTimer::new())
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
-        let idle_limit = LAST_REQUEST_TIMEOUT.min(self.time_limit);
-        let closing = async {
-            self.shutdown.closing().await;
-            tokio::time::sleep(idle_limit).await;
+        let last_request = async {
+            shutdown.closing().await;
+            if has_request.load(Ordering::Relaxed) {
+                // Lets the runtime notice requests that have arrived.
+                tokio::task::yield_now().await;
+            } else {
+                let limit = FIRST_REQUEST_TIMEOUT.min(self.time_limit);
+                shutdown.closing_for(limit).await;
+            }
         };
         tokio::select! {
+            // A request that has arrived is read before its connection is closed as idle.
+            biased;
             served = connection.as_mut() => drop(served),
-            () = closing => {
+            () = last_request => {
                 connection.as_mut().graceful_shutdown();
-                let limit = self.time_limit.saturating_sub(idle_limit);
-                drop(tokio::time::timeout(limit, connection).await);
+                tokio::select! {
+                    // A response that is due by now is sent before the connection is dropped.
+                    biased;
+                    served = connection => drop(served),
+                    () = shutdown.closing_for(self.time_limit) => {}
+                }
             }
         }
     }
