Lead from a job's id to its calls without an answer

What operators saw: lentilyoke explain showed nothing of a call that was cut or answered before its outcome was known, as those lines have the path of the call and no job, and of a call to an owner without a reply, as that line had neither. Change: explain takes lines whose path ends with the id, the line of the call to an owner names the job, all three are described. Evidence: a_call_that_is_cut_or_not_answered_in_time_is_explained.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -41,6 +41,15 @@
     attributes: Map<String, Value>,
 }
 
+impl Line {
+    /// Whether the line is about a job: it has its id, or the path of a call about it.
+    fn names_job(&self, id: &str) -> bool {
+        let text = |name| self.attributes.get(name).and_then(Value::as_str);
+        let job_in_path = text("path").and_then(|path| path.rsplit('/').next());
+        text("job") == Some(id) || job_in_path == Some(id)
+    }
+}
+
 /// Describes what happened to a job, sorted by time, from log lines of any number of processes. A line may have a prefix
 /// before its JSON, such as the name of a process, whose last word is printed with it.
 ///
@@ -64,7 +73,7 @@
             unparsed += 1;
             continue;
         };
-        if line.attributes.get("job").and_then(Value::as_str) == Some(id) {
+        if line.names_job(id) {
             matching.push((text[..json_start].trim().to_owned(), line));
         }
     }
@@ -143,6 +152,23 @@
             attribute("evidence"),
             attribute("pool")
         ),
+        "no reply of the pool owner" => format!(
+            "call to the pool owner ({}) without a reply after {} ms (its link ended: {})",
+            attribute("call"),
+            attribute("ms"),
+            attribute("link_ended")
+        ),
+        "connection ended without a response to a call" => format!(
+            "{} got no response: its connection ended after {} ms, the host was {}",
+            attribute("method"),
+            attribute("ms"),
+            attribute("phase")
+        ),
+        "call answered before its outcome was known" => format!(
+            "{} answered before its outcome was known, at its {}",
+            attribute("method"),
+            attribute("cause")
+        ),
         "cancellation applied" => format!(
             "cancelled by the owner of pool {}, which learned of it by {}: {} runs to stop (epoch {})",
             attribute("pool"),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -210,3 +210,41 @@
         ]
     );
 }
+
+/// Guards against a call without an answer that leaves no trace in the history of its job.
+#[test]
+fn a_call_that_is_cut_or_not_answered_in_time_is_explained() {
+    let lines = [
+        line(
+            "01.000",
+            "no reply of the pool owner",
+            r#""call":"cancel","job":"j1","link_ended":"true","ms":"12""#,
+        ),
+        line(
+            "02.000",
+            "connection ended without a response to a call",
+            r#""method":"DELETE","path":"/q/j1","phase":"ended","ms":"712""#,
+        ),
+        line(
+            "03.000",
+            "call answered before its outcome was known",
+            r#""method":"DELETE","path":"/q/j1","cause":"shutdown""#,
+        ),
+        line(
+            "04.000",
+            "connection ended without a response to a call",
+            r#""method":"DELETE","path":"/q/other-j1","phase":"ended","ms":"712""#,
+        ),
+    ];
+    let report = explain("j1", lines.iter().map(String::as_str)).expect("three lines name j1");
+    assert!(report.contains(
+        "call to the pool owner (cancel) without a reply after 12 ms (its link ended: true)"
+    ));
+    assert!(
+        report.contains(
+            "DELETE got no response: its connection ended after 712 ms, the host was ended"
+        )
+    );
+    assert!(report.contains("DELETE answered before its outcome was known, at its shutdown"));
+    assert!(report.contains("3 lines of the job"));
+}
--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -58,6 +58,7 @@
     pub async fn call(&self, call: Call, limit: Duration) -> Option<Reply> {
         let began = Instant::now();
         let name = call.name();
+        let job = call.job().unwrap_or_default().to_owned();
         let (number, reply) = self.send_call(call)?;
         let reply = tokio::select! {
             biased;
@@ -67,7 +68,7 @@
         lock(&self.calls).remove(&number);
         if reply.is_none() {
             info!(
-                call = name, link_ended = self.to.is_closed(), ms = began.elapsed().as_millis() as u64;
+                call = name, job = job, link_ended = self.to.is_closed(), ms = began.elapsed().as_millis() as u64;
                 "no reply of the pool owner"
             );
         }
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -123,6 +123,16 @@
             Self::QuotaGiven(_) => "units given",
         }
     }
+
+    /// The id of the job that it is about, if it is about one.
+    #[must_use]
+    pub fn job(&self) -> Option<&str> {
+        match self {
+            Self::State(id, _) | Self::Cancel(id, _) => Some(id),
+            Self::Insert(_, job) => Some(&job.id),
+            Self::Catalog | Self::CatalogVersion | Self::PoolMap | Self::QuotaGiven(_) => None,
+        }
+    }
 }
 
 /// Owner's reply to a [`Call`].
