Log calls to an owner that end with the caller's call, and forget them

What operators saw: a call that was answered or cut before its outcome was known left no line about the owner that it waited for, since the call to the owner is dropped with it; the number of that call stayed in the link until the reply or the end of the link. Change: a guard logs the missing reply and forgets the call, however it ends, also for an owner on the same host.

--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -56,23 +56,15 @@
 
     /// Calls the owner; `None` if there is no reply within `limit`, or the connection ends before it arrives.
     pub async fn call(&self, call: Call, limit: Duration) -> Option<Reply> {
-        let began = Instant::now();
-        let name = call.name();
-        let job = call.job().unwrap_or_default().to_owned();
+        let mut unanswered = UnansweredCall::new(&call);
         let (number, reply) = self.send_call(call)?;
+        unanswered.sent_on = Some((self, number));
         let reply = tokio::select! {
             biased;
             reply = timeout(limit, reply) => reply.ok().and_then(Result::ok),
             () = self.to.closed() => None,
         };
-        lock(&self.calls).remove(&number);
-        if reply.is_none() {
-            info!(
-                call = name, job = job, link_ended = self.to.is_closed(), ms = began.elapsed().as_millis() as u64;
-                "no reply of the pool owner"
-            );
-        }
-        reply
+        unanswered.end(reply)
     }
 
     /// Calls the owner for something whose reply may take long to transfer; `None` if the connection ends before it arrives.
@@ -108,3 +100,48 @@
         None
     }
 }
+
+/// A call to an owner that has no reply yet. Logs that there is none if it ends or is dropped without one.
+pub(crate) struct UnansweredCall<'a> {
+    kind: &'static str,
+    job: String,
+    began: Instant,
+    /// The link, and the number of the call on it; `None` if the owner is on this host, or the call wasn't sent.
+    sent_on: Option<(&'a Link, u64)>,
+    has_reply: bool,
+}
+
+impl UnansweredCall<'_> {
+    pub(crate) fn new(call: &Call) -> Self {
+        Self {
+            kind: call.name(),
+            job: call.job().unwrap_or_default().to_owned(),
+            began: Instant::now(),
+            sent_on: None,
+            has_reply: false,
+        }
+    }
+
+    /// Ends the call and returns its reply, if there is one.
+    pub(crate) fn end(mut self, reply: Option<Reply>) -> Option<Reply> {
+        self.has_reply = reply.is_some();
+        reply
+    }
+}
+
+impl Drop for UnansweredCall<'_> {
+    fn drop(&mut self) {
+        if let Some((link, number)) = self.sent_on {
+            lock(&link.calls).remove(&number);
+        }
+        if self.has_reply {
+            return;
+        }
+        info!(
+            call = self.kind, job = self.job, sent = self.sent_on.is_some(),
+            link_ended = self.sent_on.is_some_and(|(link, _)| link.to.is_closed()),
+            ms = self.began.elapsed().as_millis() as u64;
+            "no reply of the pool owner"
+        );
+    }
+}
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -14,6 +14,7 @@
 use crate::host::Host;
 use crate::insert::{Inserted, JobLocation, insert};
 use crate::interfaces::{Row, StoreError, Transaction};
+use crate::link::UnansweredCall;
 use crate::route;
 use crate::rows::{JOBS, JobRowHeader, PROGRESS, job_part, job_row_header, pool_part};
 use crate::wire::{Call, Reply, ToOwner};
@@ -199,7 +200,9 @@
     pub(crate) async fn call_owner(&self, pool: u32, call: Call, limit: Duration) -> Option<Reply> {
         let state = self.pool_state(pool);
         if let Some(owner) = state.owner {
-            return timeout(limit, owner.handle_call(call)).await.ok();
+            let unanswered = UnansweredCall::new(&call);
+            let reply = timeout(limit, owner.handle_call(call)).await.ok();
+            return unanswered.end(reply);
         }
         state.link?.call(call, limit).await
     }
