--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,21 +1,24 @@
 //! The HTTP interface for callers; described in `docs/API.md`.
 
-use std::future::IntoFuture as _;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::body::Bytes;
 use axum::extract::rejection::BytesRejection;
 use axum::extract::{DefaultBodyLimit, Path, Query, State};
-use axum::http::{HeaderMap, StatusCode};
+use axum::http::{HeaderMap, Request, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
+use hyper::body::Incoming;
+use hyper::service::Service as _;
+use hyper_util::service::TowerToHyperService;
 use serde::Deserialize;
+use telemetry::{Connections, PendingCalls, Phase};
 use tokio::net::TcpListener;
 use wire::{Body, Fault, Kind};
 
-use crate::{Entry, parse, respond};
+use crate::{Entry, Options, parse, respond};
 
 type Shared = State<Arc<Entry>>;
 
@@ -32,22 +35,51 @@
     wait_ms: u64,
 }
 
-/// Serves callers until the entry drains; then accepts no new connection, completes the requests
-/// in flight, for `max_drain` at most, and returns.
-pub async fn run(listener: TcpListener, entry: Arc<Entry>, max_drain: Duration) {
+/// Serves callers until the entry has drained, and returns once all their connections have ended.
+///
+/// When the entry begins to drain, it goes on serving, so that the load balancer can learn from
+/// `/ready` that it stops. Then no new connections are accepted, and calls in progress are
+/// completed. Those whose outcome isn't known in time are answered nevertheless.
+pub async fn run(listener: TcpListener, entry: Arc<Entry>, options: Options) {
     let shutdown = entry.shutdown.clone();
-    let draining = shutdown.clone();
-    let server = axum::serve(listener, router(entry))
-        .with_graceful_shutdown(async move { draining.draining().await })
-        .into_future();
-    let drain_timeout = async {
-        shutdown.draining().await;
-        tokio::time::sleep(max_drain).await;
+    let ending_calls = Arc::clone(&entry);
+    let service = TowerToHyperService::new(router(entry));
+    let pending_calls = PendingCalls::default();
+    let handler = {
+        let (pending_calls, shutdown) = (pending_calls.clone(), shutdown.clone());
+        move |request: Request<Incoming>| {
+            let call = pending_calls.start(request.method(), request.uri().path(), &shutdown);
+            let response = service.call(request);
+            async move {
+                match response.await {
+                    Ok(response) => {
+                        call.answered();
+                        response
+                    }
+                    Err(never) => match never {},
+                }
+            }
+        }
+    };
+    let connections = Connections::new(&shutdown).with_time_limit(options.closing_limit());
+    shutdown.spawn_connection(connections.serve(listener, handler));
+    shutdown.draining().await;
+    log::info!("draining");
+    tokio::select! {
+        () = tokio::time::sleep(options.close_delay()) => {}
+        () = shutdown.closing() => {}
+    }
+    log::info!(pending = pending_calls.count(); "no more connections of callers are accepted");
+    let outcome_limit = async {
+        tokio::time::sleep(options.outcome_limit()).await;
+        ending_calls.end_calls();
+        std::future::pending::<()>().await;
     };
     tokio::select! {
-        _ = server => {}
-        () = drain_timeout => log::warn!("requests still in flight after {max_drain:?}"),
+        () = shutdown.close() => {}
+        () = outcome_limit => {}
     }
+    log::info!("all connections of callers have ended");
 }
 
 /// The calls of callers, readiness for the load balancer, and counts for operators.
@@ -103,13 +135,20 @@
 ) -> Response {
     let max_wait = Duration::from_millis(watch.wait_ms.min(MAX_WAIT_MS));
     let deadline = tokio::time::Instant::now() + max_wait;
+    let mut last = None;
     loop {
-        let state = entry.watch(&team, &id).await;
+        let state = match (entry.watch(&team, &id).await, last) {
+            (Err(_), Some(last)) if entry.shutdown.phase() >= Phase::Closing => Ok(last),
+            (state, _) => state,
+        };
         let over = state.as_ref().is_ok_and(|state| state.phase.is_over());
         if over || state.is_err() || tokio::time::Instant::now() >= deadline {
             return respond::job(state);
         }
-        tokio::time::sleep(WATCH_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(WATCH_INTERVAL) => last = state.ok(),
+            () = entry.shutdown.closing() => return respond::job(state),
+        }
     }
 }
 
@@ -118,7 +157,7 @@
 }
 
 async fn ready(State(entry): Shared) -> StatusCode {
-    if entry.health.is_ready() {
+    if entry.health.is_ready() && !entry.shutdown.is_draining() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/placer/src/bin/lentilyoke-placer.rs
+++ b/crates/placer/src/bin/lentilyoke-placer.rs
@@ -1,32 +1,35 @@
 //! Runs a placer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Parser as _;
-use jsonrpsee::server::{Server as Listener, ServerConfig};
-use placer::{Node, Rpc, Server, Settings};
+use placer::{Node, Rpc, Settings};
 use snafu::{ResultExt as _, Whatever};
 use telemetry::{Shutdown, logs};
-use wire::rpc::PlacerServer as _;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 
-/// Upper bound on connections from entries, other placers and operators.
-const MAX_CONNECTIONS: u32 = 4_096;
+/// Time limit for dropping what is left at the end of the process.
+const DROP_TIMEOUT: Duration = Duration::from_millis(100);
 
-#[tokio::main]
-async fn main() -> Result<(), Whatever> {
+fn main() -> Result<(), Whatever> {
     let settings = Settings::parse();
     logs::init(&settings.telemetry.log)?;
+    let runtime = Runtime::new().whatever_context("runtime: can't be started")?;
+    let result = runtime.block_on(run(settings));
+    // Calls that are dropped with the runtime are logged, so the log is written after that.
+    runtime.shutdown_timeout(DROP_TIMEOUT);
+    logs::flush();
+    result
+}
+
+async fn run(settings: Settings) -> Result<(), Whatever> {
     let shutdown = Shutdown::default();
     shutdown
         .drain_on_signal()
         .whatever_context("signals can't be handled")?;
-    let config = ServerConfig::builder()
-        .max_connections(MAX_CONNECTIONS)
-        .set_tcp_no_delay(true)
-        .build();
-    let listener = Listener::builder()
-        .set_config(config)
-        .build(settings.listen)
+    let listener = TcpListener::bind(settings.listen)
         .await
         .with_whatever_context(|_| format!("listen: can't listen on {}", settings.listen))?;
     let address = listener
@@ -50,16 +53,13 @@
         .health
         .serve(settings.telemetry.metrics, &shutdown)
         .await?;
-    let server = listener.start(Server::new(Arc::clone(&node)).into_rpc());
+    shutdown.spawn_connection(placer::serve(listener, Arc::clone(&node)));
     node.spawn();
     println!("placer {address} metrics {metrics}");
     log::info!(placer = name.as_str(); "started");
     shutdown.draining().await;
     log::info!(placer = name.as_str(); "stopping");
-    node.drain().await;
-    shutdown.join().await;
-    _ = server.stop();
-    server.stopped().await;
+    node.stop().await;
     log::info!(placer = name.as_str(); "stopped");
     Ok(())
 }
--- a/crates/telemetry/src/health.rs
+++ b/crates/telemetry/src/health.rs
@@ -1,8 +1,10 @@
 //! Metrics, health and readiness over HTTP.
 
+use std::future::IntoFuture as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use axum::Router;
 use axum::http::StatusCode;
@@ -13,6 +15,9 @@
 
 use crate::Shutdown;
 
+/// Requests that aren't completed this long after all tasks have to end are dropped.
+const LAST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Readiness of the program, served over HTTP with its metrics.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -31,7 +36,8 @@
         self.ready.load(Ordering::Relaxed)
     }
 
-    /// Serves `/metrics`, `/health` and `/ready`, and returns the address that it listens on.
+    /// Serves `/metrics`, `/health` and `/ready`, and returns the address that it listens on. A
+    /// program that drains isn't ready.
     ///
     /// # Errors
     /// If the address can't be bound or a metrics recorder is already installed.
@@ -43,9 +49,9 @@
         let recorder = PrometheusBuilder::new()
             .install_recorder()
             .whatever_context("metrics: a recorder is already installed")?;
-        let health = self.clone();
+        let (health, stop) = (self.clone(), shutdown.clone());
         let ready = move || async move {
-            if health.is_ready() {
+            if health.is_ready() && !stop.is_draining() {
                 StatusCode::OK
             } else {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -63,12 +69,18 @@
             .whatever_context("metrics: the listener has no local address")?;
         let end_signal = shutdown.clone();
         shutdown.spawn(async move {
-            let server = axum::serve(listener, router);
-            drop(
-                server
-                    .with_graceful_shutdown(async move { end_signal.ended().await })
-                    .await,
-            );
+            let graceful_end = end_signal.clone();
+            let server = axum::serve(listener, router)
+                .with_graceful_shutdown(async move { graceful_end.ended().await })
+                .into_future();
+            let limit = async {
+                end_signal.ended().await;
+                tokio::time::sleep(LAST_RESPONSE_TIMEOUT).await;
+            };
+            tokio::select! {
+                served = server => drop(served),
+                () = limit => {}
+            }
         });
         Ok(address)
     }
