Review: scripts that can't run exit with 2, and end what they started

Seen before: without the stand-in the exit was 1, as if the rule were broken, and SIGTERM left the hosts running until the end of the case.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -66,6 +66,8 @@
         idle_s = max(idle_s, time.monotonic() - idle_since)
         await asyncio.sleep(0.2)
     state = await platform.state(platform.hosts[1], job)
+    if not isinstance(state, str) or any(host.process.returncode is not None for host in platform.hosts):
+        raise CannotRun("the hosts don't tell the job's state")
     used = sum(run.cpu for executor in platform.executors for run in executor.runs.values())
     record.add(
         f"{FINISH_S} s later the job is {state}; nothing of it ran for {idle_s:.1f} s, while {used} of "
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -392,6 +392,8 @@
 
     def run_start(self, task, number, body, reply):
         run = self.runs.get(task)
+        # The highest token is kept, whatever becomes of the order.
+        self.fence = body.get("fencingToken", 0)
         if run and run.number == number:
             return 200, reply()
         if number <= self.highest.get(task, 0):
@@ -399,7 +401,8 @@
             return 409, reply(reason="old")
         if self.clock() > body.get("deadlineMs", 0):
             return 409, reply(reason="late")
-        self.fence = body.get("fencingToken", 0)
+        if run:
+            raise RuntimeError(f"{task} is started on {self.id} beside its run {run.number}; no page says what follows")
         self.extend(body)
         self.highest[task] = number
         self.runs[task] = Run(number, json.loads(body["spec"])[int(task.split(".")[2])])
@@ -720,8 +723,12 @@
     return f"{random.getrandbits(64):016x}"
 
 
+# Codes with which a case exits. They differ from those of Python itself, so that an error is never taken for a result.
+HELD, BROKEN, COULD_NOT_RUN = 40, 41, 42
+
+
 def main(case):
-    """Runs a case: a coroutine that returns whether the rule held. Exits with 0 if it did, 1 if not, 2 if it can't run."""
+    """Runs a case: a coroutine that returns whether the rule held. `run.sh` translates the code with which it exits."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
@@ -730,15 +737,21 @@
         try:
             held = await asyncio.wait_for(case(platform, trouble), 110)
             platform.record.add("the rule held" if held else "THE RULE WAS BROKEN")
-            return 0 if held else 1
+            return HELD if held else BROKEN
         except Exception as error:
             platform.record.add(f"the case could not run: {error!r}")
-            return 2
+            return COULD_NOT_RUN
         finally:
             await platform.stop()
 
     async def run_and_exit():
-        code = await run()
+        running = asyncio.ensure_future(run())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, running.cancel)
+        try:
+            code = await running
+        except asyncio.CancelledError:
+            code = COULD_NOT_RUN
         sys.stdout.flush()
         # What the stand-ins still serve ends with the process.
         os._exit(code)
