Log steps that nothing starts, and inserts whose callers have left

The condition that placement used in place is now Pool::hold, which the new line names too; no decision changes.

Run: cargo test of crates/pool (idle_steps), crates/cli (explain); clippy.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -184,6 +184,19 @@
             attribute("stopping"),
             attribute("responsive")
         ),
+        "insert abandoned without an answer of the store" => format!(
+            "the caller left after {} ms, while {} inserts of the job into pool {} had no answer; the store may still carry them out",
+            attribute("ms"),
+            attribute("calls"),
+            attribute("pool")
+        ),
+        "job added from its row" => format!(
+            "the owner of pool {} learned of the job by {}, {} ms after a host had received it (epoch {})",
+            attribute("pool"),
+            attribute("source"),
+            attribute("age"),
+            attribute("epoch")
+        ),
         "start" => format!(
             "{} start command to {}: {} after {} ms (epoch {})",
             task(),
@@ -235,6 +248,16 @@
             attribute("unadvised"),
             attribute("usable")
         ),
+        "nothing of a step runs or can start" => format!(
+            "nothing of step {} has run for {} ms: of its {} tasks {} are done and {} could start (gang: {}; held back by: {})",
+            attribute("step"),
+            attribute("since"),
+            attribute("tasks"),
+            attribute("done"),
+            attribute("startable"),
+            attribute("gang"),
+            attribute("hold")
+        ),
         "pace" => format!(
             "{} pace command: {} percent on {}",
             task(),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -248,3 +248,35 @@
     assert!(report.contains("DELETE answered before its outcome was known, at its shutdown"));
     assert!(report.contains("3 lines of the job"));
 }
+
+/// Guards against a history that doesn't tell why nothing of a job runs, or how a job came to run that its caller had given up.
+#[test]
+fn a_step_that_nothing_starts_and_an_abandoned_insert_are_explained() {
+    let lines = [
+        line(
+            "01.000",
+            "insert abandoned without an answer of the store",
+            r#""job":"j1","pool":"2","calls":"3","ms":"101""#,
+        ),
+        line(
+            "04.000",
+            "job added from its row",
+            r#""job":"j1","pool":"2","epoch":"4","source":"update","age":"3950""#,
+        ),
+        line(
+            "09.000",
+            "nothing of a step runs or can start",
+            r#""job":"j1","occurrence":"0","step":"0","gang":"true","tasks":"2","done":"1","startable":"1","since":"3100","hold":"none""#,
+        ),
+    ];
+    let report = explain("j1", lines.iter().map(String::as_str)).expect("the job is in the log");
+    let rows: Vec<&str> = report.lines().collect();
+    assert_eq!(
+        rows[..3],
+        [
+            "00:00:01.000 -: the caller left after 101 ms, while 3 inserts of the job into pool 2 had no answer; the store may still carry them out",
+            "00:00:04.000 -: the owner of pool 2 learned of the job by update, 3950 ms after a host had received it (epoch 4)",
+            "00:00:09.000 -: nothing of step 0 has run for 3100 ms: of its 2 tasks 1 are done and 1 could start (gang: true; held back by: none)",
+        ]
+    );
+}
--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -1,14 +1,17 @@
 //! Idempotent insertion of a job's row while the store may lose calls or answers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use pool::Job;
+use log::info;
+use pool::{Job, JobId, Ms};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::access::Caller;
+use crate::clock;
 use crate::interfaces::{Store, StoreError, Transaction};
 use crate::rows::{JOBS, JobRow, job_part, job_row_header};
 
@@ -40,6 +43,28 @@
     Unsure,
 }
 
+/// An insert in progress. If it is dropped before it has returned, since its caller has left, that is logged: the store may still
+/// carry out the calls that have no answer.
+struct OpenInsert {
+    job: JobId,
+    pool: u32,
+    began: Ms,
+    /// Number of calls that were sent to the store; 0 again once the insert has returned.
+    calls: usize,
+}
+
+impl Drop for OpenInsert {
+    fn drop(&mut self) {
+        if self.calls > 0 {
+            info!(
+                job = &*self.job, pool = self.pool, calls = self.calls,
+                ms = clock::now().saturating_sub(self.began);
+                "insert abandoned without an answer of the store"
+            );
+        }
+    }
+}
+
 /// Inserts the row of a job into a pool; returns once it is known whether the row exists, or at `until`.
 ///
 /// After a lost answer the store may still carry out the insert seconds later. From then on a refusal of a repeated call proves
@@ -48,12 +73,34 @@
 /// that shows the row decides. `retry_delay` has to be well above the present latency of the store, or a slow store gets several
 /// times the load. `may_exist` is set if an earlier call elsewhere may have written the row.
 pub async fn insert(
+    store: &dyn Store,
+    pool: u32,
+    job: &Job,
+    until: Instant,
+    retry_delay: Duration,
+    may_exist: bool,
+) -> Inserted {
+    let mut open = OpenInsert {
+        job: Arc::clone(&job.id),
+        pool,
+        began: clock::now(),
+        calls: 0,
+    };
+    let sent = &mut open.calls;
+    let inserted = insert_until_known(store, pool, job, until, retry_delay, may_exist, sent).await;
+    open.calls = 0;
+    inserted
+}
+
+/// Repeats the insert until its outcome is known; counts the calls in `sent`.
+async fn insert_until_known(
     store: &dyn Store,
     pool: u32,
     job: &Job,
     until: Instant,
     retry_delay: Duration,
     mut may_exist: bool,
+    sent: &mut usize,
 ) -> Inserted {
     let row = JobRow {
         pool,
@@ -83,6 +130,7 @@
         }
         if now >= next {
             calls.push(store.commit(&transaction));
+            *sent += 1;
             next = now + delay;
             delay *= 2;
         }
--- a/crates/host/src/job_rows.rs
+++ b/crates/host/src/job_rows.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// Applies rows that changed, or all rows if the store no longer has the changes. `report` is called for each job that is
-/// cancelled by that, with the number of its runs that are to be stopped.
+/// Applies rows that changed, or all rows if the store no longer has the changes; returns the jobs that were added. `report` is
+/// called for each job that is cancelled by that, with the number of its runs that are to be stopped.
 ///
 /// Jobs come first: a list is in the order of keys, where a cancellation precedes its job.
 pub fn apply(
@@ -73,18 +73,23 @@
     unix: u64,
     rows: &[Row],
     mut report: impl FnMut(&str, usize),
-) {
+) -> Vec<Arc<Job>> {
+    let mut added = Vec::new();
     let present = rows.iter().filter(|row| row.value.is_some());
     let (cancellations, jobs): (Vec<&Row>, Vec<&Row>) =
         present.partition(|row| row.key.starts_with(CANCEL_PREFIX));
     for row in jobs {
-        if filter.accepts(row)
-            && !pool.contains_job(&row.key)
-            && let Some((job, before)) = parse_job(row, filter.pool_number)
-            && let Some(runs) = pool.adopt(now, unix, Arc::new(job), before.as_ref(), false)
-        {
+        if !filter.accepts(row) || pool.contains_job(&row.key) {
+            continue;
+        }
+        let Some((job, before)) = parse_job(row, filter.pool_number) else {
+            continue;
+        };
+        let job = Arc::new(job);
+        if let Some(runs) = pool.adopt(now, unix, Arc::clone(&job), before.as_ref(), false) {
             report(&row.key, runs);
         }
+        added.push(job);
     }
     for row in cancellations {
         if let Some(id) = row.key.strip_prefix(CANCEL_PREFIX)
@@ -93,6 +98,7 @@
             report(id, runs);
         }
     }
+    added
 }
 
 /// Decodes a job's row if the job is in this pool: returns the job, and its progress in another pool if it was transferred.
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -62,6 +62,8 @@
 const MAX_OVERDUE_RUNS_LOGGED: usize = 20;
 /// Maximum number of log lines about long-running steps with tasks that are down, per interval.
 const MAX_DOWN_STEPS_LOGGED: usize = 8;
+/// Maximum number of log lines about idle steps, per interval.
+const MAX_IDLE_STEPS_LOGGED: usize = 8;
 
 /// The owner of a pool.
 pub struct Owner {
@@ -321,6 +323,7 @@
                 self.log_unconfirmed_workers();
                 self.log_overdue_runs();
                 self.log_down_steps();
+                self.log_idle_steps();
                 self.log_load(std::mem::take(&mut stats));
                 self.log_customers();
             }
@@ -392,6 +395,12 @@
         down.iter().for_each(events::log_down_step);
     }
 
+    /// Logs the steps of which nothing runs and that placement doesn't consider, and why.
+    fn log_idle_steps(&self) {
+        let idle = lock(&self.pool).idle_steps(clock::now(), MAX_IDLE_STEPS_LOGGED);
+        idle.iter().for_each(events::log_idle_step);
+    }
+
     /// The address of a worker, if the pool knows it.
     fn address(&self, id: &str) -> Option<String> {
         let pool = lock(&self.pool);
--- a/crates/host/src/owner/events.rs
+++ b/crates/host/src/owner/events.rs
@@ -2,7 +2,8 @@
 
 use log::{info, warn};
 use pool::{
-    AbandonedTask, DownStep, LostRun, Ms, Pool, StalledRun, StepTimes, WaitReason, WorkerSuspicion,
+    AbandonedTask, DownStep, Hold, IdleStep, LostRun, Ms, Pool, StalledRun, StepTimes, WaitReason,
+    WorkerSuspicion,
 };
 
 /// Events of a pool since the last call of [`Events::take`].
@@ -108,3 +109,14 @@
         "long-running tasks are down"
     );
 }
+
+/// Logs a step of which nothing runs and that placement doesn't consider.
+pub(super) fn log_idle_step(idle: &IdleStep) {
+    let key = &idle.stage;
+    warn!(
+        job = &*key.job, occurrence = key.occurrence, step = key.step, gang = idle.gang,
+        tasks = idle.tasks, done = idle.done, startable = idle.startable, since = idle.since,
+        hold = idle.hold.map_or("none", Hold::name);
+        "nothing of a step runs or can start"
+    );
+}
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use log::warn;
+use log::{info, warn};
 use pool::WorkerId;
 use rustc_hash::FxHashSet;
 use tokio::sync::mpsc;
@@ -22,6 +22,9 @@
 /// changes a second for 48 workers. A draining worker must get nothing new from 2.5 s after its row says so.
 const WORKERS_FEED_PAUSE: Duration = Duration::from_millis(350);
 
+/// A job that reaches the owner this long after a host received it is logged, in milliseconds. Hosts report most jobs in a few.
+const LATE_JOB_AGE: u64 = 1_000;
+
 impl Owner {
     /// Reads the workers and the progress of jobs. `claimed` is the transaction by which this owner claimed the pool.
     pub(super) async fn read_workers(&self, claimed: u64) -> (Page, ProgressById) {
@@ -115,9 +118,18 @@
         };
         let mut pool = lock(&self.pool);
         let report = |id: &str, runs| self.log_cancellation(id, source, runs);
-        job_rows::apply(&mut pool, filter, now, unix, &rows, report);
+        let added = job_rows::apply(&mut pool, filter, now, unix, &rows, report);
         drop(pool);
         drop(swept);
+        for job in added {
+            let age = unix.saturating_sub(job.accepted);
+            if age > LATE_JOB_AGE {
+                info!(
+                    job = &*job.id, pool = self.pool_number, epoch = self.epoch, source = source, age = age;
+                    "job added from its row"
+                );
+            }
+        }
         self.wake.notify_one();
         self.dirty.notify_one();
     }
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -38,10 +38,7 @@
             let Some(live) = self.jobs.get(&key.job) else {
                 continue;
             };
-            if live.awaited_workers > 0
-                || live.transferring
-                || live.inherited && self.may_run_on_unconfirmed(&live.job)
-            {
+            if self.hold(live).is_some() {
                 continue;
             }
             let Some(stage) = self.stage(key) else {
--- /dev/null
+++ b/crates/pool/tests/idle_steps.rs
@@ -0,0 +1,58 @@
+//! Steps of which nothing runs and that placement doesn't consider are reported with the reason.
+
+#[allow(dead_code, reason = "other test files use the rest")]
+mod case;
+#[allow(dead_code, reason = "other test files use the rest")]
+mod simulation;
+
+use std::sync::Arc;
+
+use case::{adopt, pool, report_all, run};
+use pool::{Hold, Progress};
+use simulation::{UNIX, job};
+
+/// Guards against a log that doesn't tell why an inherited job doesn't go on: a worker of the former owner hasn't answered.
+#[test]
+fn a_job_that_waits_for_a_worker_of_the_former_owner_is_reported() {
+    let mut pool = pool(4);
+    pool.inherit(1_000, ["w99".into()], &[]);
+    let inherited = Arc::new(job("00000000000000a1", &[(2, 500, 1_000)]));
+    let progress = Progress::default();
+    pool.adopt(1_000, UNIX + 1_000, inherited, Some(&progress), true);
+    for now in (1_000..4_500).step_by(500) {
+        report_all(&mut pool, now, &[]);
+        assert_eq!(run(&mut pool, now).len(), 0);
+    }
+    assert!(
+        pool.idle_steps(3_900, 8).is_empty(),
+        "idle for less than 3 s"
+    );
+    let idle = pool.idle_steps(4_000, 8);
+    assert_eq!(idle.len(), 1);
+    let step = &idle[0];
+    assert_eq!((step.tasks, step.done, step.startable), (2, 0, 2));
+    assert_eq!((step.hold, step.since), (Some(Hold::Inheritance), 3_000));
+}
+
+/// Guards against a log full of steps that placement has considered: they wait for capacity, which other lines tell.
+#[test]
+fn a_step_that_waits_for_capacity_is_not_reported() {
+    let mut pool = pool(2);
+    adopt(
+        &mut pool,
+        1_000,
+        job("00000000000000a1", &[(2, 4_000, 60_000)]),
+    );
+    let started = run(&mut pool, 1_002);
+    assert_eq!(started.len(), 2);
+    adopt(
+        &mut pool,
+        1_004,
+        job("00000000000000a2", &[(1, 4_000, 60_000)]),
+    );
+    for now in (1_100..9_000).step_by(500) {
+        report_all(&mut pool, now, &started);
+        assert_eq!(run(&mut pool, now).len(), 0);
+    }
+    assert!(pool.idle_steps(9_000, 8).is_empty());
+}
