An end done of one member completes its gang, whatever runs the others have

Cause: complete_task took the end for the other members only if they had no run with another number, and apply_end stopped the newer run of the listed member alone. The other member's run then ended broken: one member done, one not, and placement starts a gang only as a whole. The state is stored, so later owners inherit it.

The simulation has gangs now.

Change: such an end marks all members as done and stops those of their runs that have another number; a gang of which any member is stored as done is complete when it is loaded.

Why it works: members end done together, so one end proves that all of the work is done. After it no member can wait or start, and each run that is left ends, by its stop, by `broken` or by its lease, which completes the job. Progress that earlier code has stored is read in the same sense.

--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -139,25 +139,23 @@
             .get_mut(usize::from(key.step))
     }
 
-    /// Counts the completed tasks of a step, and opens the steps that depend on it if it is complete.
+    /// Counts the completed tasks of a step after the run with this number is done, and opens the steps that depend on the step if it
+    /// is complete. In a gang, stops the members that were started again since.
     fn complete_task(&mut self, now: Ms, unix: u64, key: &StageKey, run: u32, gang: bool) {
         let Some(stage) = self.stage_mut(key) else {
             return;
         };
+        let mut unneeded = Vec::new();
         if gang {
-            // The end of one member completes all members of the same gang run.
-            for task in &mut stage.tasks {
-                if task
-                    .run
-                    .as_ref()
-                    .is_none_or(|current| current.number == run)
-                {
-                    task.done = true;
-                }
-            }
+            stage.complete_gang();
+            unneeded = stage.runs_other_than(run);
         }
         stage.done = stage.tasks.iter().filter(|task| task.done).count();
-        if stage.complete() {
+        let complete = stage.complete();
+        for index in unneeded {
+            self.stop_run(&key.task(index));
+        }
+        if complete {
             self.open_steps.remove(key);
             self.record_step_times(now, key);
             self.complete_or_advance(now, unix, &key.job);
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -83,14 +83,34 @@
                 }
             }
         }
-        let done = tasks.iter().filter(|task| task.done).count();
-        Self {
+        let mut stage = Self {
             tasks,
-            done,
             ..Self::default()
+        };
+        // A gang may be stored with some of its members done alone.
+        if step.gang && stage.tasks.iter().any(|task| task.done) {
+            stage.complete_gang();
+        }
+        stage.done = stage.tasks.iter().filter(|task| task.done).count();
+        stage
+    }
+
+    /// Marks all tasks as done. The members of a gang end done together, so the end of one of them stands for all, whatever runs
+    /// were started since.
+    pub(crate) fn complete_gang(&mut self) {
+        for task in &mut self.tasks {
+            task.done = true;
         }
     }
 
+    /// Indices of the tasks that have a run with another number.
+    pub(crate) fn runs_other_than(&self, number: u32) -> Vec<u32> {
+        let tasks = self.tasks.iter().enumerate();
+        let runs = tasks.filter_map(|(index, task)| Some((index, task.run.as_ref()?)));
+        let others = runs.filter(|(_, run)| run.number != number);
+        others.map(|(index, _)| index as u32).collect()
+    }
+
     fn progress(&self) -> StepProgress {
         let unfinished = || self.tasks.iter().enumerate().filter(|(_, task)| !task.done);
         StepProgress {
--- a/crates/pool/tests/simulation/mod.rs
+++ b/crates/pool/tests/simulation/mod.rs
@@ -6,6 +6,7 @@
 
 mod cancellations;
 mod crashes;
+mod gangs;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -32,6 +33,9 @@
     /// The customer of the job, and what the run counts with against its limit.
     charge: (CustomerId, Size),
     ends_at: Ms,
+    duration: Ms,
+    /// Number of members of its gang; 0 if it belongs to none.
+    gang_size: u32,
     fails: bool,
     stops_at: Option<Ms>,
 }
@@ -102,6 +106,7 @@
     unavailable: Vec<pool::UnavailableWorker>,
     in_transit: Vec<(Ms, Message)>,
     stored_ends: BTreeSet<TaskKey>,
+    gangs: gangs::Gangs,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
     /// Workers that carry out commands and polls but whose reports are lost.
@@ -183,6 +188,7 @@
             unavailable: Vec::new(),
             in_transit: Vec::new(),
             stored_ends: BTreeSet::new(),
+            gangs: gangs::Gangs::new(),
             violations: Vec::new(),
             starts: 0,
             mute: BTreeSet::new(),
@@ -344,6 +350,7 @@
         while self.now < end {
             self.now += STEP;
             self.deliver_due();
+            self.update_gangs();
             self.end_runs();
             self.poll_workers();
             self.run_schedulers();
--- a/crates/pool/tests/simulation/workers.rs
+++ b/crates/pool/tests/simulation/workers.rs
@@ -92,6 +92,8 @@
                 size,
                 charge,
                 ends_at: now + duration,
+                duration,
+                gang_size: if step.gang { step.count } else { 0 },
                 fails,
                 stops_at: None,
             };
@@ -140,6 +142,7 @@
     pub(super) fn end_runs(&mut self) {
         let now = self.now;
         let clocks: Vec<Ms> = self.workers.keys().map(|id| self.clock(id)).collect();
+        let gangs = &self.gangs;
         for (worker, clock) in self.workers.values_mut().zip(clocks) {
             let expired = clock > worker.lease;
             let ended: Vec<(TaskKey, RunOutcome)> = worker
@@ -150,6 +153,8 @@
                         RunOutcome::Lapsed
                     } else if run.stops_at.is_some_and(|time| now >= time) {
                         RunOutcome::Stopped
+                    } else if run.gang_size > 0 {
+                        Self::gang_outcome(gangs, key, run)?
                     } else if now >= run.ends_at {
                         if run.fails {
                             RunOutcome::Failed
