A worker stays known as long as jobs wait for its next report

What callers would see: a job that stays queued or running for good (LOST).

Cause: a job that becomes known after a worker has listed ends of it starts nothing until that worker reports again or its lease has expired. A worker that the directory has dropped and that has no runs was forgotten at once, and with it the lease that would have ended the wait. The class is that of the gang that is half done: a step in a state from which nothing leads on.

Evidence: a_job_that_waits_for_a_worker_starts_when_the_worker_is_gone fails on the code before: no start in 10.8 s, idle step with hold EndsUnread. It passes now.

Change: expire_leases keeps such a worker until its lease has expired, which releases the jobs.

Why it works: the lease isn't renewed while the worker doesn't answer, and an answer releases the jobs too.

--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -98,9 +98,12 @@
         }
         let unconfirmed = &self.unconfirmed_workers;
         let unavailable = &self.unavailable;
+        // The wait of these jobs ends with the next report of the worker or with its lease.
+        let awaited = &self.jobs_awaiting_worker;
         self.workers.retain(|id, worker| {
             worker.registered
                 || unconfirmed.contains(id)
+                || awaited.contains_key(id)
                 || unavailable.iter().any(|other| other.worker == *id)
                 || !worker.runs.is_empty()
                 || !worker.orphaned_runs.is_empty()
--- a/crates/pool/tests/idle_steps.rs
+++ b/crates/pool/tests/idle_steps.rs
@@ -7,8 +7,8 @@
 
 use std::sync::Arc;
 
-use case::{adopt, pool, report_all, run};
-use pool::{Hold, Progress};
+use case::{adopt, pool, report, report_all, run};
+use pool::{Hold, Progress, RunEnd, RunOutcome, StageKey, WorkerId};
 use simulation::{UNIX, job};
 
 /// Guards against a log that doesn't tell why an inherited job doesn't go on: a worker of the former owner hasn't answered.
@@ -56,3 +56,38 @@
     }
     assert!(pool.idle_steps(9_000, 8).is_empty());
 }
+
+/// Guards against a job that nothing starts: it waits for the next report of a worker that the directory has dropped since.
+#[test]
+fn a_job_that_waits_for_a_worker_starts_when_the_worker_is_gone() {
+    let mut pool = pool(4);
+    let late = job("00000000000000a1", &[(1, 500, 1_000)]);
+    let worker: WorkerId = "w03".into();
+    let stage = StageKey {
+        job: late.id.clone(),
+        occurrence: 0,
+        step: 0,
+    };
+    let ended = RunEnd {
+        number: 1,
+        task: stage.task(0),
+        run: 1,
+        outcome: RunOutcome::Stopped,
+        checkpoint: String::new(),
+    };
+    report(&mut pool, 1_100, &worker, vec![], vec![ended]);
+    adopt(&mut pool, 1_200, late);
+    assert_eq!(run(&mut pool, 1_204).len(), 0, "the end must be read first");
+    pool.deregister_worker(&worker);
+    let mut started = 0;
+    for now in (1_300..12_000).step_by(100) {
+        for id in ["w00", "w01", "w02"] {
+            report(&mut pool, now, &id.into(), vec![], vec![]);
+        }
+        started += run(&mut pool, now).len();
+        if started > 0 {
+            break;
+        }
+    }
+    assert_eq!(started, 1, "{:?}", pool.idle_steps(12_000, 8));
+}
