Withdraw an id in the store before answering that no job has it

Cause: try_cancel took an absent row as proof that there is no job. The insert was held up between a partitioned host and the store, and an insert requires nothing but that the row is absent. The class: an absent row is taken as proof while a write without an answer may still create it.

Evidence: on the code before, with log lines: one call of the host that was cut off (insert abandoned, calls 1, 101 ms), 410 by evidence store in 4 ms, the job added from its row 4,006 ms after it was received. Ruled out by the same lines: a host that goes on after its client has left (there is no second call and no submit), an insert by an owner, a late notification.

Change: the transaction that read the row writes one under the id if there is none: a withdrawal, which names the callers that have cancelled. It binds the jobs that they may access; such a job is stored as cancelled when it is submitted later (200, state cancelled). The row of any other job replaces it, so nobody blocks the id of another customer. The owner of the pool that it names deletes it after the retention period, if it is still the same row. Without an answer of the store the caller gets 504, as before.

Why it works: each insert, also of an earlier build, requires the row to be absent, so one that was sent before the withdrawal was written fails whenever it arrives; one that replaces a withdrawal names its version.

Weighed: a mark beside the row, whose absence every insert would have to require; 504 without end. Price: no further call for a cancellation, some 100 bytes, and one call a part to delete withdrawals; a job that exists costs nothing more.

--- a/crates/host/src/cancel.rs
+++ b/crates/host/src/cancel.rs
@@ -1,7 +1,8 @@
 //! Cancellations of jobs by their callers.
 //!
 //! The owner of the job's pool stores the job's final state. If no owner confirms that in time, the host writes a row for the
-//! cancellation, which the owners follow.
+//! cancellation, which the owners follow. If no job has the id, the host withdraws the id before it says so: an insert of the job may
+//! have been sent and not carried out yet.
 
 use std::time::Duration;
 
@@ -15,8 +16,9 @@
 use crate::interfaces::{StoreError, Transaction};
 use crate::requests::JobStatus;
 use crate::route;
-use crate::rows::{CANCEL_PREFIX, JOBS, job_part};
+use crate::rows::{CANCEL_PREFIX, JOBS, JobRowHeader, job_part, job_row_header};
 use crate::wire::{Call, Reply};
+use crate::withdrawal::Withdrawal;
 
 /// Timeout of a request to cancel. An owner waits 1.5 s until the cancellation is stored; the rest is for the network.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -30,6 +32,8 @@
     Owner(u32),
     /// The job's row or progress in the store; this pool has the job, if any has.
     Store(Option<u32>),
+    /// No job has the id, and the store precludes that one that was sent before gets it.
+    Withdrawal,
     /// The row of the cancellation was sent to the store; this pool had the job.
     Row(u32),
 }
@@ -40,6 +44,7 @@
         match self {
             Self::Owner(_) => "owner",
             Self::Store(_) => "store",
+            Self::Withdrawal => "withdrawal",
             Self::Row(_) => "row",
         }
     }
@@ -48,7 +53,7 @@
     fn pool(self) -> i64 {
         match self {
             Self::Owner(pool) | Self::Row(pool) | Self::Store(Some(pool)) => i64::from(pool),
-            Self::Store(None) => -1,
+            Self::Store(None) | Self::Withdrawal => -1,
         }
     }
 }
@@ -81,8 +86,13 @@
                 return (status, Evidence::Owner(pool));
             }
         }
-        let header = match self.read_accessible_header(id, caller).await {
+        let withdrawal = Withdrawal {
+            pool: candidates.first().copied().unwrap_or_default(),
+            ..Withdrawal::default()
+        };
+        let header = match self.withdraw(id, withdrawal, caller, until).await {
             Ok(header) => header,
+            Err(JobStatus::NotFound) => return (JobStatus::NotFound, Evidence::Withdrawal),
             Err(status) => return (status, Evidence::Store(None)),
         };
         let pool = header.pool;
@@ -99,6 +109,46 @@
         (status, Evidence::Row(pool))
     }
 
+    /// Withdraws an id that no job has; returns the header of the job's row if there is one that the caller may access.
+    ///
+    /// # Errors
+    /// What the caller is told if there is no such job, or the store gives no answer.
+    async fn withdraw(
+        &self,
+        id: &str,
+        mut withdrawal: Withdrawal,
+        caller: &Caller,
+        until: Instant,
+    ) -> Result<JobRowHeader, JobStatus> {
+        let mut version = 0;
+        withdrawal.add(caller);
+        while Instant::now() < until {
+            let transaction = withdrawal.write(id, version);
+            let transaction = transaction.map_err(|_| JobStatus::Unsure)?;
+            let rows = match self.store.commit(&transaction).await {
+                Ok(_) => return Err(JobStatus::NotFound),
+                Err(StoreError::Conflict { rows }) => rows,
+                Err(_) => return Err(JobStatus::Unsure),
+            };
+            let present = rows.into_iter().find(|row| row.key == id);
+            let Some((value, at)) = present.and_then(|row| Some((row.value?, row.version))) else {
+                // The row was deleted meanwhile.
+                version = 0;
+                continue;
+            };
+            let Some(present) = Withdrawal::parse(&value) else {
+                let header = job_row_header(&value).ok_or(JobStatus::Unsure)?;
+                return self.check_access(header, id, caller);
+            };
+            withdrawal = present;
+            version = at;
+            if !withdrawal.add(caller) {
+                return Err(JobStatus::NotFound);
+            }
+        }
+        Err(JobStatus::Unsure)
+    }
+
     /// Writes the row of a cancellation.
     async fn write_cancellation(&self, id: &str, until: Instant) -> JobStatus {
         let transaction = Transaction {
--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -6,14 +6,15 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use log::info;
-use pool::{Job, JobId, Ms};
+use pool::{Job, JobId, Ms, Progress, State};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::access::Caller;
 use crate::clock;
-use crate::interfaces::{Store, StoreError, Transaction};
-use crate::rows::{JOBS, JobRow, job_part, job_row_header};
+use crate::interfaces::{Row, Store, StoreError, Transaction};
+use crate::rows::{JOBS, JobHistory, JobRow, job_part, job_row_header};
+use crate::withdrawal::Withdrawal;
 
 /// Delay before an insert whose outcome is unknown is repeated after a refusal.
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -25,7 +26,8 @@
     pub pool: u32,
     /// The transaction that wrote the row.
     pub version: u64,
-    /// The job was transferred from another pool, so its row holds its progress too.
+    /// The job came to the pool with progress, which its row holds too: it was transferred from another pool, or cancelled before it
+    /// was submitted.
     pub moved: bool,
 }
 
@@ -43,6 +45,61 @@
     Unsure,
 }
 
+/// A transaction that writes the row of a job.
+struct RowWrite {
+    transaction: Transaction,
+    /// Whether the row holds progress too.
+    moved: bool,
+}
+
+impl RowWrite {
+    /// Writes the row if there is none under the id.
+    fn new(pool: u32, job: &Job) -> serde_json::Result<Self> {
+        Self::with_history(pool, job, 0, None)
+    }
+
+    /// Writes the row in place of a withdrawal of the id whose row has this version; if that binds the job, as a cancelled one.
+    fn over(
+        withdrawal: &Withdrawal,
+        version: u64,
+        pool: u32,
+        job: &Job,
+    ) -> serde_json::Result<Self> {
+        let cancelled = || JobHistory {
+            from: Vec::new(),
+            progress: Progress {
+                state: State::Cancelled,
+                closed: clock::unix(),
+                ..Progress::default()
+            },
+        };
+        let history = withdrawal.binds(job).then(cancelled);
+        Self::with_history(pool, job, version, history)
+    }
+
+    fn with_history(
+        pool: u32,
+        job: &Job,
+        version: u64,
+        history: Option<JobHistory>,
+    ) -> serde_json::Result<Self> {
+        let moved = history.is_some();
+        let value = serde_json::to_vec(&JobRow {
+            pool,
+            job,
+            moved: history,
+        })?;
+        let key = job.id.to_string();
+        let transaction = Transaction {
+            part: job_part(&job.id),
+            checks: vec![(JOBS.to_owned(), key.clone(), version)],
+            puts: vec![(JOBS.to_owned(), key, value)],
+            ..Transaction::default()
+        };
+        Ok(Self { transaction, moved })
+    }
+}
+
 /// An insert in progress. If it is dropped before it has returned, since its caller has left, that is logged: the store may still
 /// carry out the calls that have no answer.
 struct OpenInsert {
@@ -71,7 +128,8 @@
 /// nothing, and only the row itself settles the outcome. The insert requires the row to be absent, so repeating it is safe: while
 /// an answer is outstanding it is sent again after `retry_delay`, then after twice that delay, and so on, and the first answer
 /// that shows the row decides. `retry_delay` has to be well above the present latency of the store, or a slow store gets several
-/// times the load. `may_exist` is set if an earlier call elsewhere may have written the row.
+/// times the load. `may_exist` is set if an earlier call elsewhere may have written the row. If the id was withdrawn, the row
+/// replaces the withdrawal.
 pub async fn insert(
     store: &dyn Store,
     pool: u32,
@@ -102,20 +160,9 @@
     mut may_exist: bool,
     sent: &mut usize,
 ) -> Inserted {
-    let row = JobRow {
-        pool,
-        job,
-        moved: None,
-    };
-    let Ok(value) = serde_json::to_vec(&row) else {
+    let Ok(mut write) = RowWrite::new(pool, job).map(Arc::new) else {
         return Inserted::Refused;
     };
-    let transaction = Transaction {
-        part: job_part(&job.id),
-        checks: vec![(JOBS.to_owned(), job.id.to_string(), 0)],
-        puts: vec![(JOBS.to_owned(), job.id.to_string(), value)],
-        ..Transaction::default()
-    };
     let mut calls = FuturesUnordered::new();
     let mut next = Instant::now();
     let mut delay = retry_delay;
@@ -129,13 +176,17 @@
             };
         }
         if now >= next {
-            calls.push(store.commit(&transaction));
+            let write = Arc::clone(&write);
+            calls.push(async move {
+                let answer = store.commit(&write.transaction).await;
+                (answer, write.moved)
+            });
             *sent += 1;
             next = now + delay;
             delay *= 2;
         }
-        let answer = tokio::select! {
-            Some(answer) = calls.next() => answer,
+        let (answer, moved) = tokio::select! {
+            Some(answered) = calls.next() => answered,
             () = tokio::time::sleep_until(next.min(until)) => continue,
         };
         match answer {
@@ -143,10 +194,20 @@
                 return Inserted::Present(JobLocation {
                     pool,
                     version,
-                    moved: false,
+                    moved,
                 });
             }
             Err(StoreError::Conflict { rows }) => {
+                if let Some((withdrawal, version)) = find_withdrawal(&rows) {
+                    let Ok(over) = RowWrite::over(&withdrawal, version, pool, job) else {
+                        return Inserted::Refused;
+                    };
+                    info!(job = &*job.id, pool = pool, bound = over.moved; "submitted under a withdrawn id");
+                    write = Arc::new(over);
+                    next = Instant::now();
+                    delay = retry_delay;
+                    continue;
+                }
                 let found = rows.iter().find_map(|row| {
                     let header = job_row_header(row.value.as_deref()?)?;
                     if !header.is_accessible_to(&Caller::of_job(job)) {
@@ -181,3 +242,9 @@
         }
     }
 }
+
+/// The withdrawal among these rows, with the version of its row.
+fn find_withdrawal(rows: &[Row]) -> Option<(Withdrawal, u64)> {
+    rows.iter()
+        .find_map(|row| Some((Withdrawal::parse(row.value.as_deref()?)?, row.version)))
+}
--- a/crates/host/src/job_rows.rs
+++ b/crates/host/src/job_rows.rs
@@ -9,6 +9,7 @@
 use crate::interfaces::Row;
 use crate::rows::{CANCEL_PREFIX, JobAccess, JobRow, job_row_header};
 use crate::swept_jobs::SweptJobs;
+use crate::withdrawal::Withdrawal;
 
 /// The stored progress of jobs, by id.
 pub type ProgressById = FxHashMap<String, Progress>;
@@ -101,9 +102,12 @@
     added
 }
 
-/// Decodes a job's row if the job is in this pool: returns the job, and its progress in another pool if it was transferred.
+/// Decodes a job's row if the job is in this pool: returns the job, and its progress if it came to the pool with any.
 fn parse_job(row: &Row, pool_number: u32) -> Option<(Job, Option<Progress>)> {
     let value = row.value.as_deref()?;
+    if Withdrawal::is_row(value) {
+        return None;
+    }
     match serde_json::from_slice::<JobRow<Job>>(value) {
         Ok(found) if found.pool != pool_number => None,
         Ok(found) => Some((found.job, found.moved.map(|moved| moved.progress))),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,7 +9,8 @@
 //!   refused calls.
 //! * [`PoolMap`]: assignment of workers to pools; [`route`]: choice of the pool for a job.
 //! * [`insert`]: idempotent insertion of a job's row; `cancel`: cancellations; [`job_rows`]: how an owner applies both;
-//!   [`swept_jobs`]: removed jobs.
+//!   [`swept_jobs`]: removed jobs; [`withdrawal`]: ids that were cancelled before their jobs were accepted; [`withdrawals`]: those
+//!   that an owner has to delete.
 //! * [`first_source`]: where a host that starts gets the configuration and the pool map from.
 //! * [`follow`]: following the changes of a table; [`worker_feed`]: those of the workers, which one owner reads for all.
 //! * [`hedge`]: repeated calls for overdue answers.
@@ -70,6 +71,8 @@
 mod transfer;
 pub mod verdict;
 pub mod wire;
+pub mod withdrawal;
+pub mod withdrawals;
 pub mod worker_feed;
 mod writer;
 
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -37,6 +37,7 @@
 use crate::rows::{JOBS, job_parts};
 use crate::store_outage::StoreOutage;
 use crate::swept_jobs::SweptJobs;
+use crate::withdrawals::Withdrawals;
 use crate::writer;
 use advice::PendingQuery;
 use connected_hosts::ConnectedHost;
@@ -97,6 +98,8 @@
     jobs_read_as_of: AtomicU64,
     /// Jobs that were removed after their retention period.
     pub(crate) swept_jobs: Mutex<SweptJobs>,
+    /// Ids of the pool that were cancelled before any job had them.
+    pub(crate) withdrawals: Mutex<Withdrawals>,
     /// The present outage of the store for this owner's writes; `None` if the last write succeeded.
     pub(crate) store_outage: Mutex<Option<StoreOutage>>,
     /// The share of polls of workers whose answers were lost.
@@ -165,6 +168,7 @@
             loaded: AtomicBool::new(false),
             jobs_read_as_of: AtomicU64::new(0),
             swept_jobs: Mutex::default(),
+            withdrawals: Mutex::default(),
             store_outage: Mutex::default(),
             answer_loss: Mutex::default(),
             repeat_budget: Mutex::default(),
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -62,6 +62,7 @@
     /// Adds the jobs of a page to the pool, with their progress.
     pub(super) fn load_jobs(&self, page: &Page, progress: &ProgressById) {
         let (now, unix) = (clock::now(), clock::unix());
+        lock(&self.withdrawals).apply(now, self.pool_number, &page.rows);
         let mut pool = lock(&self.pool);
         let report = |id: &str, runs| self.log_cancellation(id, "takeover", runs);
         job_rows::load(
@@ -111,6 +112,7 @@
             return;
         }
         let (now, unix) = (clock::now(), clock::unix());
+        lock(&self.withdrawals).apply(now, self.pool_number, &rows);
         let filter = Filter {
             pool_number: self.pool_number,
             read_as_of: self.jobs_read_as_of.load(Ordering::Relaxed),
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -18,6 +18,7 @@
 use crate::route;
 use crate::rows::{JOBS, JobRowHeader, PROGRESS, job_part, job_row_header, pool_part};
 use crate::wire::{Call, Reply, ToOwner};
+use crate::withdrawal::Withdrawal;
 
 /// Timeout of a query for a job's state to the owner of its pool; after that the store is read.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -253,40 +254,55 @@
     ///
     /// # Errors
     /// What the caller is told if there is no such job or the store gives no answer.
-    pub(crate) async fn read_accessible_header(
+    async fn read_accessible_header(
         &self,
         id: &str,
         caller: &Caller,
     ) -> Result<JobRowHeader, JobStatus> {
         match self.read_header(id).await {
-            Ok(Some(header)) if header.is_accessible_to(caller) => Ok(header),
-            Ok(Some(_)) => Err(self.deny_access(id, caller)),
+            Ok(Some(header)) => self.check_access(header, id, caller),
             Ok(None) => Err(JobStatus::NotFound),
             Err(()) => Err(JobStatus::Unsure),
         }
     }
 
-    /// Reads the pool of a job from its row; `None` if there is no row.
+    /// Returns the header of a job's row if the caller may access the job.
+    ///
+    /// # Errors
+    /// What the caller is told otherwise.
+    pub(crate) fn check_access(
+        &self,
+        header: JobRowHeader,
+        id: &str,
+        caller: &Caller,
+    ) -> Result<JobRowHeader, JobStatus> {
+        if header.is_accessible_to(caller) {
+            Ok(header)
+        } else {
+            Err(self.deny_access(id, caller))
+        }
+    }
+
+    /// Reads the pool of a job from its row; `None` if there is no row, or the id was withdrawn.
     async fn read_header(&self, id: &str) -> Result<Option<JobRowHeader>, ()> {
-        match self.read_current(JOBS, &job_part(id), id).await? {
+        let row = self.read_current(JOBS, &job_part(id), id).await?;
+        match row.and_then(|row| row.value) {
             None => Ok(None),
-            Some(row) => {
-                let header = row.value.as_deref().and_then(job_row_header);
-                header.map(Some).ok_or(())
-            }
+            Some(value) if Withdrawal::is_row(&value) => Ok(None),
+            Some(value) => job_row_header(&value).map(Some).ok_or(()),
         }
     }
 
-    /// Reads a job's state from the store. A job without progress in its present pool has the state with which it was
-    /// transferred there, if it was.
+    /// Reads a job's state from the store. A job without progress in its present pool has the state with which it came there, if
+    /// its row holds one.
     pub(crate) async fn stored_state(&self, header: &JobRowHeader, id: &str) -> JobStatus {
-        let transferred = header.moved.as_ref().map(|moved| moved.progress.state);
+        let initial = header.moved.as_ref().map(|moved| moved.progress.state);
         match self
             .read_current(PROGRESS, &pool_part(header.pool), id)
             .await
         {
             Err(()) => JobStatus::Unsure,
-            Ok(None) => JobStatus::Known(transferred.unwrap_or_default()),
+            Ok(None) => JobStatus::Known(initial.unwrap_or_default()),
             Ok(Some(row)) => row
                 .value
                 .and_then(|value| serde_json::from_slice::<pool::Progress>(&value).ok())
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -7,6 +7,7 @@
 //! | table | part | key | written | content |
 //! |---|---|---|---|---|
 //! | `jobs` | by id, one of 64 | id | by the host that accepts the job; by the owner of a pool when it transfers the job to another pool | [`JobRow`] |
+//! | `jobs` | by id, one of 64 | id | by the host that answers the cancellation of an id that no job has | [`crate::withdrawal::Withdrawal`] |
 //! | `jobs` | by id, one of 64 | `!` and id | when a job is cancelled while the owner can't be reached | nothing |
 //! | `progress` | the pool's | id | in batches, by the owner | [`pool::Progress`] |
 //! | `owner` | the pool's | `owner` | when the owner or its successors change | [`OwnerRow`] |
@@ -70,18 +71,18 @@
     pub pool: u32,
     /// The job as its caller sent it.
     pub job: J,
-    /// Set if the job was transferred from another pool.
+    /// Set if the job came to the pool with progress: it was transferred from another pool, or cancelled before it was submitted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub moved: Option<TransferHistory>,
+    pub moved: Option<JobHistory>,
 }
 
-/// History of a job that was transferred between pools.
+/// History of a job before it came to its pool.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct TransferHistory {
+pub(crate) struct JobHistory {
     /// The pools that the job was in before. It never returns to one of them, whose owner might still receive an older version
     /// of the row.
     pub from: Vec<u32>,
-    /// Progress of the job at its last transfer.
+    /// Progress of the job when it came to the pool.
     pub progress: pool::Progress,
 }
 
@@ -102,9 +103,9 @@
     pub pool: u32,
     /// Who may access the job.
     pub job: JobAccess,
-    /// Set if the job was transferred from another pool.
+    /// Set if the job came to the pool with progress.
     #[serde(default)]
-    pub moved: Option<TransferHistory>,
+    pub moved: Option<JobHistory>,
 }
 
 impl JobRowHeader {
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -16,12 +16,13 @@
 
 use crate::claim::ClaimVersion;
 use crate::host::lock;
-use crate::interfaces::{StoreError, Transaction};
+use crate::interfaces::{Row, StoreError, Transaction};
 use crate::owner::Owner;
 use crate::route;
 use crate::rows::{
-    CANCEL_PREFIX, JOBS, JobRow, PROGRESS, TransferHistory, job_part, job_row_header, pool_part,
+    CANCEL_PREFIX, JOBS, JobHistory, JobRow, PROGRESS, job_part, job_row_header, pool_part,
 };
+use crate::withdrawal::Withdrawal;
 
 /// Outcome of the transfer of several jobs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,7 +56,8 @@
         // The next pass tries again.
         return Ok(());
     };
-    let Some(row) = row else {
+    let is_withdrawal = |row: &Row| row.value.as_deref().is_some_and(Withdrawal::is_row);
+    let Some(row) = row.filter(|row| !is_withdrawal(row)) else {
         if in_doubt {
             // Only the next pool can have deleted the row, long after it finished the job.
             lock(&owner.pool).remove_transferred(id);
@@ -92,7 +94,7 @@
             epoch: 0,
             ..(*job).clone()
         },
-        moved: Some(TransferHistory { from, progress }),
+        moved: Some(JobHistory { from, progress }),
     };
     let Ok(value) = serde_json::to_vec(&next) else {
         lock(&owner.pool).cancel_transfer(id);
