Delete withdrawals apart from the writer of progress, and keep their age

The writer deleted expired withdrawals between two writes of progress, one call for each part of the table: with a slow store and many withdrawals the ends of jobs would have waited for these.

Now a task of the owner deletes them, and a row that is seen again in the same version keeps its age. withdrawals_are_deleted_after_the_retention_period lists the row twice and failed without the second change; a_withdrawn_id_is_free_again_after_the_retention_period runs a whole host with a short period.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -183,6 +183,7 @@
         tasks.spawn(Arc::clone(&owner).run_handover());
         tasks.spawn(Arc::clone(&owner).watch_owner_row());
         tasks.spawn(Arc::clone(&owner).assign_workers());
+        tasks.spawn(Arc::clone(&owner).delete_withdrawals());
         tasks.spawn(Arc::clone(&owner).keep_quota_parts(claim.owner.incarnation, version));
         tasks.spawn(Arc::clone(&owner).take_over(claim, former_roster, version));
         tokio::select! {
--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -16,12 +16,15 @@
 use crate::interfaces::Page;
 use crate::job_rows::{self, Filter, ProgressById};
 use crate::rows::{JOBS, PROGRESS, RosterRow, job_parts, pool_part};
+use crate::withdrawals::delete_expired;
 use crate::worker_feed::{ChangeFilter, follow_reader};
 
 /// Pause after each answer with changed workers. The row of a worker changes with each of its heartbeats, which makes some thirty
 /// changes a second for 48 workers. A draining worker must get nothing new from 2.5 s after its row says so.
 const WORKERS_FEED_PAUSE: Duration = Duration::from_millis(350);
 
+/// Time between two deletions of old withdrawals.
+const WITHDRAWALS_INTERVAL: Duration = Duration::from_secs(5);
 /// A job that reaches the owner this long after a host received it is logged, in milliseconds. Hosts report most jobs in a few.
 const LATE_JOB_AGE: u64 = 1_000;
 
@@ -136,6 +139,17 @@
         self.dirty.notify_one();
     }
 
+    /// Deletes the rows of withdrawn ids after the retention period, until the ownership ends. A former owner may do so too: a row is
+    /// deleted only in the version that was read.
+    pub(super) async fn delete_withdrawals(self: Arc<Self>) {
+        let retention = self.host.settings.pool.retention;
+        loop {
+            tokio::time::sleep(WITHDRAWALS_INTERVAL).await;
+            let store = self.host.store.as_ref();
+            delete_expired(store, &self.withdrawals, clock::now(), retention).await;
+        }
+    }
+
     /// Follows the table of workers since the transaction `after`. The owner of pool 0 reads it for the owners of all pools.
     pub(super) async fn follow_workers(self: &Arc<Self>, after: u64) {
         let store = self.host.store.as_ref();
--- a/crates/host/src/withdrawals.rs
+++ b/crates/host/src/withdrawals.rs
@@ -47,15 +47,25 @@
         for row in rows.iter().filter(|row| !is_cancellation(row)) {
             let found = row.value.as_deref().and_then(Withdrawal::parse);
             if found.is_some_and(|found| found.pool == pool_number) {
-                let (version, since) = (row.version, now);
-                let known = KnownWithdrawal { version, since };
-                self.known.insert(row.key.as_str().into(), known);
+                self.remember(now, &row.key, row.version);
             } else if !self.known.is_empty() {
                 self.known.remove(row.key.as_str());
             }
         }
     }
 
+    /// Remembers a withdrawal, which may be known already.
+    fn remember(&mut self, now: Ms, id: &str, version: u64) {
+        let first = KnownWithdrawal {
+            version,
+            since: now,
+        };
+        let known = self.known.entry(id.into()).or_insert(first);
+        if known.version != version {
+            *known = first;
+        }
+    }
+
     /// The ids that were withdrawn longer ago than the retention period, with the versions of their rows, by part of the table.
     fn expired(&self, now: Ms, retention: Ms) -> FxHashMap<String, Vec<(JobId, u64)>> {
         let mut parts: FxHashMap<String, Vec<(JobId, u64)>> = FxHashMap::default();
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -18,7 +18,6 @@
 use crate::owner::Owner;
 use crate::rows::{CANCEL_PREFIX, JOBS, PROGRESS, RosterRow, job_part, pool_part};
 use crate::transfer::{self, TransferOutcome};
-use crate::withdrawals;
 
 /// Shortest time between two writes of the successors, since hosts often join or leave together.
 const SUCCESSORS_WRITE_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -60,10 +59,6 @@
             let expired = lock(&owner.pool).remove_expired_jobs(clock::unix());
             lock(&owner.swept_jobs).add(expired);
             old_jobs = delete_job_rows(owner).await;
-            let host = owner.host();
-            let retention = host.settings.pool.retention;
-            let (store, now) = (host.store.as_ref(), clock::now());
-            withdrawals::delete_expired(store, &owner.withdrawals, now, retention).await;
         }
         if !unsure {
             let jobs = jobs_to_transfer(owner, &mut resolved);
--- a/crates/host/tests/withdrawal.rs
+++ b/crates/host/tests/withdrawal.rs
@@ -209,13 +209,16 @@
     let withdrawals = Mutex::new(Withdrawals::default());
     let known = || withdrawals.lock().expect("not poisoned").len();
     let rows = [store.row(JOB).expect("it is there")];
-    let apply = |pool, rows: &[Row]| {
+    let apply_at = |now, pool, rows: &[Row]| {
         let mut withdrawals = withdrawals.lock().expect("not poisoned");
-        withdrawals.apply(1_000, pool, rows);
+        withdrawals.apply(now, pool, rows);
     };
+    let apply = |pool, rows: &[Row]| apply_at(1_000, pool, rows);
     apply(POOL + 1, &rows);
     assert_eq!(known(), 0, "the owner of its pool deletes it");
     apply(POOL, &rows);
+    // A snapshot of the table lists it again.
+    apply_at(90_000, POOL, &rows);
     delete_expired(&store, &withdrawals, 1_000 + RETENTION, RETENTION).await;
     assert!(store.row(JOB).is_some());
     assert_eq!(known(), 1);
