--- a/crates/pool/src/idle.rs
+++ b/crates/pool/src/idle.rs
@@ -82,7 +82,8 @@
     fn idle_step(&self, now: Ms, key: &StageKey) -> Option<IdleStep> {
         let live = self.jobs.get(&key.job)?;
         let step = live.job.steps.get(usize::from(key.step))?;
-        let stage = self.stage(key)?;
+        // A step that was complete before this owner loaded the job is among the open ones too.
+        let stage = self.stage(key).filter(|stage| !stage.complete())?;
         let since = now.saturating_sub(stage.idle_since()?);
         let startable = stage.tasks.iter().filter(|it| it.is_startable(now)).count();
         let required = if step.gang { stage.tasks.len() } else { 1 };
--- a/crates/pool/tests/idle_steps.rs
+++ b/crates/pool/tests/idle_steps.rs
@@ -57,6 +57,32 @@
     assert!(pool.idle_steps(9_000, 8).is_empty());
 }
 
+/// Guards against a log full of steps that were complete before the owner loaded their jobs.
+#[test]
+fn a_step_that_was_completed_under_the_former_owner_is_not_reported() {
+    let stored = serde_json::json!({
+        "state": "running",
+        "open": [{ "number": 0, "steps": [{ "done": "3", "top": 1 }, { "done": "0" }] }],
+    });
+    let stored: Progress = serde_json::from_value(stored).expect("it is progress");
+    let mut pool = pool(4);
+    let inherited = job("00000000000000a1", &[(2, 500, 100), (1, 500, 60_000)]);
+    pool.adopt(
+        1_000,
+        UNIX + 1_000,
+        Arc::new(inherited),
+        Some(&stored),
+        true,
+    );
+    let started = run(&mut pool, 1_002);
+    assert_eq!(started.len(), 1);
+    for now in (1_100..9_000).step_by(500) {
+        report_all(&mut pool, now, &started);
+        run(&mut pool, now);
+    }
+    assert!(pool.idle_steps(9_000, 8).is_empty());
+}
+
 /// Guards against a job that nothing starts: it waits for the next report of a worker that the directory has dropped since.
 #[test]
 fn a_job_that_waits_for_a_worker_starts_when_the_worker_is_gone() {
