An owner that leaves hands over when the leases on silent workers lapse

Cause: a new owner starts nothing of inherited work that a silent worker may still run until 9.2 s after its own first majority. That is all it can know by itself. The former owner knows when its own leases there lapse, and how long it has waited for those of its predecessors, and told neither, so each planned stop began the wait anew.

Change: the request to take over names, for at most 256 workers that don't answer, the time until all leases there have lapsed, if the owner is stopping. From then on it ignores what these workers report and gives them neither leases nor commands. The next owner ends its wait for each at that time, or earlier by its own.

Why it works: the bound is the time at which the leaving owner would itself start the tasks elsewhere, or the one that it was given or has proved by a majority. It stays true since this owner never reaches the worker again, also if the request arrives late (it counts from its arrival) or another host takes over by a later one.

--- a/crates/host/src/election.rs
+++ b/crates/host/src/election.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pool::{CrashHistory, Mechanism};
+use pool::Mechanism;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -27,6 +27,7 @@
 use crate::interfaces::{StoreError, Transaction};
 use crate::owner::Owner;
 use crate::owner_rows::{self, KnownRow};
+use crate::peers::Handover;
 use crate::pool_map::PoolMap;
 use crate::rows::{COMMON, OWNER, OwnerRow, POOL_MAP, ROSTER, RosterRow, pool_part};
 use crate::suitability::Suitability;
@@ -111,7 +112,14 @@
             KnownRow::Absent => {
                 tokio::time::sleep(FIRST_CLAIM_DELAY).await;
                 if wait_before_takeover(host, pool, None, &mut rows).await {
-                    claim_and_own(host, pool, None, TakeoverReason::NoOwnerYet, Vec::new()).await;
+                    claim_and_own(
+                        host,
+                        pool,
+                        None,
+                        TakeoverReason::NoOwnerYet,
+                        Handover::default(),
+                    )
+                    .await;
                     wait_before_retry(&mut rows).await;
                 }
             }
@@ -179,13 +187,13 @@
     Claim::find(&[owner.ok()?.rows, roster.ok()?.rows].concat())
 }
 
-/// Claims the pool, and owns it until another host does or this host leaves. `crashes` is what the former owner has handed over.
+/// Claims the pool, and owns it until another host does or this host leaves. `handover` is from the owner of `previous`.
 async fn claim_and_own(
     host: &Arc<Host>,
     pool: u32,
     mut previous: Option<(Claim, ClaimVersion)>,
     reason: TakeoverReason,
-    crashes: Vec<CrashHistory>,
+    handover: Handover,
 ) {
     let began = clock::now();
     for _ in 0..CLAIM_ATTEMPTS {
@@ -197,11 +205,11 @@
         match write_claim(host, pool, &claim, version).await {
             ClaimOutcome::Written(version) => {
                 let former = previous.map(|(claim, _)| claim);
-                info!(pool = pool, epoch = claim.owner.epoch, before = former.as_ref().map_or("", |claim| claim.owner.host.as_str()), workers = claim.roster.roster.len(), grounds:% = reason, crashes = crashes.len(), ms = clock::now().saturating_sub(began); "pool ownership acquired");
+                info!(pool = pool, epoch = claim.owner.epoch, before = former.as_ref().map_or("", |claim| claim.owner.host.as_str()), workers = claim.roster.roster.len(), grounds:% = reason, crashes = handover.crashes.len(), bounds = handover.lease_bounds.len(), ms = clock::now().saturating_sub(began); "pool ownership acquired");
                 host.owner_rows
                     .record(pool, Some((claim.owner.clone(), version)));
                 let roster = former.map_or_else(Vec::new, |claim| claim.roster.roster);
-                Owner::run(host, pool, claim, roster, crashes, version).await;
+                Owner::run(host, pool, claim, roster, handover, version).await;
                 return;
             }
             // Reads may return old data. With an unchanged epoch, the former owner has written its rows since, and the claim is
--- a/crates/host/src/election/participant.rs
+++ b/crates/host/src/election/participant.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use log::info;
-use pool::{CrashHistory, Mechanism};
+use pool::Mechanism;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::host::Host;
 use crate::owner_rows::{self, KnownRow};
-use crate::peers::{self, LinkEnd};
+use crate::peers::{self, Handover, LinkEnd};
 use crate::rows::OwnerRow;
 use crate::verdict::{Evidence, Verdict};
 
@@ -36,8 +36,8 @@
 pub(super) struct Participant {
     /// The owner that requested that this host take over.
     requested_by: Option<u64>,
-    /// The owner that has handed over crashes that it could not store, and these.
-    former_crashes: Option<(u64, Vec<CrashHistory>)>,
+    /// The owner that has requested that this host take over, and what it has handed over.
+    handover: Option<(u64, Handover)>,
     /// The owner to which the link was lost.
     lost: Option<u64>,
     /// The owner whose process has ended, as a new incarnation of its host has answered.
@@ -70,9 +70,9 @@
         match peers::join(host, pool, row.address, row.epoch).await {
             LinkEnd::Stopped => return false,
             // An owner that was replaced but doesn't know it may send the request too, hence its epoch is recorded.
-            LinkEnd::TakeOver(crashes) => {
+            LinkEnd::TakeOver(handover) => {
                 self.requested_by = Some(row.epoch);
-                self.former_crashes = Some((row.epoch, crashes));
+                self.handover = Some((row.epoch, handover));
             }
             LinkEnd::NotOwner { incarnation }
                 if (incarnation == row.incarnation || !host.has(Mechanism::Restart))
@@ -145,17 +145,17 @@
         if let Some((claim, version)) = read_claim(host, pool).await
             && claim.owner.epoch == row.epoch
         {
-            let crashes = self.take_former_crashes(row.epoch);
-            claim_and_own(host, pool, Some((claim, version)), reason, crashes).await;
+            let handover = self.take_handover(row.epoch);
+            claim_and_own(host, pool, Some((claim, version)), reason, handover).await;
         }
         wait_before_retry(rows).await;
     }
 
-    /// The crashes that the owner with this epoch has handed over.
-    fn take_former_crashes(&mut self, epoch: u64) -> Vec<CrashHistory> {
-        let crashes = self.former_crashes.take();
-        let of_owner = crashes.filter(|(by, _)| *by == epoch);
-        of_owner.map_or_else(Vec::new, |(_, crashes)| crashes)
+    /// What the owner with this epoch has handed over.
+    fn take_handover(&mut self, epoch: u64) -> Handover {
+        let handover = self.handover.take();
+        let of_owner = handover.filter(|(by, _)| *by == epoch);
+        of_owner.map_or_else(Handover::default, |(_, handover)| handover)
     }
 
     /// Makes this host connect to the owner again, whichever host that is.
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -17,7 +17,7 @@
 
 use log::{info, warn};
 use pool::repeat::Budget;
-use pool::{Command, CrashHistory, Mechanism, Ms, Pool, WorkerId};
+use pool::{Command, Mechanism, Ms, Pool, WorkerId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -33,6 +33,7 @@
 use crate::job_rows::ProgressById;
 use crate::log_sampling::is_logged_in_full;
 use crate::owner_rows;
+use crate::peers::Handover;
 use crate::quota_keeper::QuotaKeeper;
 use crate::rows::{JOBS, job_parts};
 use crate::store_outage::StoreOutage;
@@ -145,7 +146,7 @@
         pool_number: u32,
         claim: Claim,
         former_roster: Vec<String>,
-        former_crashes: Vec<CrashHistory>,
+        handover: Handover,
         version: u64,
     ) {
         let owner = Arc::new(Self {
@@ -176,7 +177,11 @@
             directory: Mutex::default(),
             quota: QuotaKeeper::new(pool_number, host.settings.max_row_bytes),
         });
-        lock(&owner.pool).set_former_crashes(former_crashes);
+        {
+            let mut pool = lock(&owner.pool);
+            pool.set_former_crashes(handover.crashes);
+            pool.set_lease_bounds(handover.received_at, handover.lease_bounds);
+        }
         let guard = OwnershipGuard::new(Arc::clone(&owner));
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&owner).send_heartbeats());
--- a/crates/host/src/owner/handover.rs
+++ b/crates/host/src/owner/handover.rs
@@ -34,6 +34,8 @@
 const TAKEOVER_REQUEST_TIMEOUT: Ms = 1_000;
 /// Maximum number of tasks whose crash records are handed over with a takeover request, which goes over the hosts' thin links.
 const MAX_CRASHES_HANDED_OVER: usize = 64;
+/// Maximum number of workers for which the remaining wait is handed over, for the same reason.
+const MAX_BOUNDS_HANDED_OVER: usize = 256;
 
 impl Owner {
     /// Requests that another host take over the pool if this host is stopping, isn't served by the store, is overloaded, or is
@@ -129,10 +131,21 @@
             })
             .map(|(name, host)| (name.clone(), host.sender.clone()))?;
         drop(hosts);
-        let crashes = lock(&self.pool).unstored_crashes(MAX_CRASHES_HANDED_OVER);
-        info!(pool = self.pool_number, heir = name.as_str(), epoch = self.epoch, unserved = store_outage.is_some(), overloaded = overloaded, suits = own.is_sufficient(workers), crashes = crashes.len(); "requested that another host take over the pool");
+        let (crashes, lease_bounds) = {
+            let mut pool = lock(&self.pool);
+            let crashes = pool.unstored_crashes(MAX_CRASHES_HANDED_OVER);
+            // A host that isn't stopping may go on owning the pool, and then needs the workers.
+            let bounds = draining.then(|| pool.release_silent_workers(now, MAX_BOUNDS_HANDED_OVER));
+            (crashes, bounds.unwrap_or_default())
+        };
+        info!(pool = self.pool_number, heir = name.as_str(), epoch = self.epoch, unserved = store_outage.is_some(), overloaded = overloaded, suits = own.is_sufficient(workers), crashes = crashes.len(), bounds = lease_bounds.len(); "requested that another host take over the pool");
         let epoch = self.epoch;
-        drop(sender.try_send(FromOwner::TakeOver { epoch, crashes }));
+        let request = FromOwner::TakeOver {
+            epoch,
+            crashes,
+            lease_bounds,
+        };
+        drop(sender.try_send(request));
         Some(name)
     }
 }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use pool::CrashHistory;
+use pool::{CrashHistory, LeaseBound, Ms};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -29,6 +29,17 @@
 /// Maximum number of frames that wait to be written to one host; if more accumulate, the host doesn't read.
 const MAX_QUEUED_FRAMES: usize = 4_096;
 
+/// What an owner hands over with its request that another host take over the pool.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Handover {
+    /// Crashes that it could not store.
+    pub crashes: Vec<CrashHistory>,
+    /// How long to wait for workers that haven't answered it.
+    pub lease_bounds: Vec<LeaseBound>,
+    /// When it was received; the waits count from then.
+    pub received_at: Ms,
+}
+
 /// Why a link to the owner ended.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum LinkEnd {
@@ -39,8 +50,8 @@
         /// Incarnation of that host: the start of its process in Unix milliseconds.
         incarnation: u64,
     },
-    /// The owner requests that this host take over the pool, and hands over the crashes that it could not store.
-    TakeOver(Vec<CrashHistory>),
+    /// The owner requests that this host take over the pool.
+    TakeOver(Handover),
     /// This host is stopping.
     Stopped,
 }
@@ -150,7 +161,14 @@
                 FromOwner::TakeOver {
                     epoch: taken,
                     crashes,
-                } if taken == epoch => return LinkEnd::TakeOver(crashes),
+                    lease_bounds,
+                } if taken == epoch => {
+                    return LinkEnd::TakeOver(Handover {
+                        crashes,
+                        lease_bounds,
+                        received_at: clock::now(),
+                    });
+                }
                 FromOwner::Reply(number, reply) => {
                     if let Some(late) = link.deliver_reply(number, reply) {
                         warn!(pool = pool, owner:% = address, reply = late.name(); "reply received after its call timed out");
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt as _};
-use pool::{CrashHistory, CustomerId, Job, Ms, State};
+use pool::{CrashHistory, CustomerId, Job, LeaseBound, Ms, State};
 use rustc_hash::FxHashMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -229,6 +229,9 @@
         /// Crashes of workers that the owner has recorded and not stored.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         crashes: Vec<CrashHistory>,
+        /// How long to wait for workers that haven't answered the owner, which will not reach them again.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        lease_bounds: Vec<LeaseBound>,
     },
     /// Whether the answering host reaches the owner, or is it.
     #[serde(rename = "Hears")]
--- a/crates/host/tests/links.rs
+++ b/crates/host/tests/links.rs
@@ -224,3 +224,27 @@
     assert!(reply.is_none());
     assert_eq!(began.elapsed().as_millis(), connection_lifetime.as_millis());
 }
+
+/// Guards against hosts of different builds that don't understand each other's request to take over a pool.
+#[test]
+fn a_request_to_take_over_is_read_with_and_without_lease_bounds() {
+    let earlier = r#"{"Take":{"epoch":4}}"#;
+    let Ok(FromOwner::TakeOver { lease_bounds, .. }) = serde_json::from_str(earlier) else {
+        panic!("a request of an earlier build is read");
+    };
+    assert_eq!(lease_bounds, vec![]);
+    let bound = pool::LeaseBound {
+        worker: "w1".into(),
+        left: 2_400,
+    };
+    let request = FromOwner::TakeOver {
+        epoch: 4,
+        crashes: Vec::new(),
+        lease_bounds: vec![bound.clone()],
+    };
+    let text = serde_json::to_string(&request).expect("it is encoded");
+    let Ok(FromOwner::TakeOver { lease_bounds, .. }) = serde_json::from_str(&text) else {
+        panic!("a request is read");
+    };
+    assert_eq!(lease_bounds, vec![bound]);
+}
--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -97,26 +97,47 @@
         Some(since + self.options.quorum_validity + self.options.command_ttl)
     }
 
-    /// Ends the wait for unreported workers once all commands and leases of the former owner have expired. The time is bounded
-    /// only from when this owner first had a majority.
+    /// Time after which all leases of the former owner have expired. `None` until this owner has a majority.
+    pub(crate) fn former_leases_end(&self) -> Option<Ms> {
+        // Clocks of workers may be 2% slow; 400 ms cover network delays and timers.
+        let leases = self.options.max_lease + self.options.max_lease / 33 + 400;
+        Some(self.former_commands_end()? + leases)
+    }
+
+    /// Ends the wait for unreported workers once all commands and leases of the former owner have expired. Unless the former owner
+    /// has handed the time over, it is bounded only from when this owner first had a majority.
     pub(crate) fn settle_inheritance(&mut self, now: Ms) {
         if self.quorum_since.is_none() && self.has_quorum(now) {
             self.quorum_since = Some(now);
         }
-        // Clocks of workers may be 2% slow; 400 ms cover network delays and timers.
-        let leases = self.options.max_lease + self.options.max_lease / 33 + 400;
-        if self
-            .former_commands_end()
-            .is_some_and(|end| now >= end + leases)
-        {
+        if self.former_leases_end().is_some_and(|end| now >= end) {
             self.unconfirmed_workers.clear();
             self.unavailable.clear();
+            self.lease_bounds.clear();
             for worker in self.workers.values_mut() {
                 if !worker.fenced {
                     worker.lease_expires_at = worker.lease_expires_at.min(now);
                 }
             }
         }
+        let lapsed = self.lease_bounds.extract_if(|_, at| *at <= now);
+        let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| id).collect();
+        for id in lapsed {
+            self.end_wait_for(now, &id);
+        }
+    }
+
+    /// Ends the wait for a worker whose leases have expired, unless it has reported.
+    fn end_wait_for(&mut self, now: Ms, id: &WorkerId) {
+        let worker = self.workers.get_mut(id);
+        if worker.as_ref().is_some_and(|worker| worker.fenced) {
+            return;
+        }
+        if let Some(worker) = worker {
+            worker.lease_expires_at = worker.lease_expires_at.min(now);
+        }
+        self.unconfirmed_workers.remove(id);
+        self.unavailable.retain(|entry| entry.worker != *id);
     }
 
     /// Whether an inherited job may be running on a worker that hasn't reported yet. A worker whose service is known runs only
--- /dev/null
+++ b/crates/pool/src/lease_bound.rs
@@ -0,0 +1,65 @@
+//! What an owner that leaves tells the next one about workers that don't answer.
+//!
+//! A new owner that can't reach a worker of the former one waits until all leases there have certainly lapsed, counted from its own
+//! majority. The former owner knows better: it has asked for these leases, or has waited for those of its predecessors. So it hands
+//! over how much of the wait is left, and from then on has nothing to do with these workers: a lease that it gave them later would
+//! outlast the wait.
+
+use serde::{Deserialize, Serialize};
+
+use crate::pool::Pool;
+use crate::task::{Ms, WorkerId};
+use crate::worker::Worker;
+
+/// Time after which nothing that an owner or an earlier one has sent to a worker can run there or take effect.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseBound {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Milliseconds until then.
+    pub left: Ms,
+}
+
+impl Pool {
+    /// Gives up the workers that don't answer, for the next owner, and returns how long that one has to wait for each; at most `limit`
+    /// of them. From now on this owner ignores what they report, so that it gives them neither leases nor commands. Only an owner
+    /// that will not own the pool again may call this.
+    pub fn release_silent_workers(&mut self, now: Ms, limit: usize) -> Vec<LeaseBound> {
+        let inherited = self.unavailable.iter().map(|entry| &entry.worker);
+        let unconfirmed = self.unconfirmed_workers.iter().chain(inherited);
+        let unconfirmed =
+            unconfirmed.filter(|id| !self.workers.get(*id).is_some_and(|it| it.fenced));
+        let unconfirmed = unconfirmed.filter_map(|id| Some((id, self.unreported_leases_end(id)?)));
+        let silent = self.workers.values().filter(|it| it.is_silent(now));
+        let silent = silent.map(|worker| (&worker.id, worker.lease_expires_at));
+        let bounds = unconfirmed.chain(silent).map(|(id, end)| LeaseBound {
+            worker: id.clone(),
+            left: end.saturating_sub(now),
+        });
+        let bounds: Vec<LeaseBound> = bounds.take(limit).collect();
+        let released = bounds.iter().map(|bound| bound.worker.clone());
+        self.released_workers.extend(released);
+        bounds
+    }
+
+    /// Sets the bounds that the former owner handed over, which were received at `received_at`.
+    pub fn set_lease_bounds(&mut self, received_at: Ms, bounds: Vec<LeaseBound>) {
+        let end = |bound: LeaseBound| (bound.worker, received_at + bound.left);
+        self.lease_bounds = bounds.into_iter().map(end).collect();
+    }
+
+    /// When all leases of former owners on a worker that hasn't reported have certainly lapsed; `None` if that isn't bounded yet.
+    fn unreported_leases_end(&self, id: &WorkerId) -> Option<Ms> {
+        let handed_over = self.lease_bounds.get(id).copied();
+        let own = self.former_leases_end();
+        [handed_over, own].into_iter().flatten().min()
+    }
+}
+
+impl Worker {
+    /// Whether the worker has reported to this owner, and not for some time.
+    fn is_silent(&self, now: Ms) -> bool {
+        let silence = now.saturating_sub(self.last_poll);
+        self.fenced && silence >= Self::UNAVAILABLE_AFTER
+    }
+}
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -20,6 +20,9 @@
 impl Pool {
     /// Applies a worker's answer to a poll.
     pub fn apply_report(&mut self, now: Ms, unix: u64, id: &WorkerId, report: &WorkerReport) {
+        if self.released_workers.contains(id) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -174,7 +177,7 @@
         }
         let worker = self.workers.get_mut(id)?;
         let clock = worker.clock(now);
-        if worker.unresponsive || clock == 0 {
+        if worker.unresponsive || clock == 0 || self.released_workers.contains(id) {
             return None;
         }
         worker.lease_expires_at = worker
--- a/crates/pool/tests/simulation/mod.rs
+++ b/crates/pool/tests/simulation/mod.rs
@@ -248,6 +248,18 @@
         });
     }
 
+    /// The newest owner leaves: it hands over what it knows about workers that don't answer, and goes on until it learns that it
+    /// was replaced.
+    pub(crate) fn hand_over(&mut self) {
+        let now = self.now;
+        let leaving = self.owners.last_mut();
+        let bounds = leaving.map(|it| it.pool.release_silent_workers(now, usize::MAX));
+        self.start_owner();
+        if let Some(next) = self.owners.last_mut() {
+            next.pool.set_lease_bounds(now, bounds.unwrap_or_default());
+        }
+    }
+
     /// Sets a customer's limit, which all owners learn at once. No start may exceed it.
     pub(crate) fn set_limit(&mut self, customer: &str, limit: Size) {
         self.limits.insert(customer.into(), limit);
@@ -448,6 +460,11 @@
         owner.pool.set_stored_roster(&self.roster);
     }
 
+    /// Number of runs on a worker.
+    pub(crate) fn run_count(&self, id: &WorkerId) -> usize {
+        self.workers[id].runs.len()
+    }
+
     /// Number of jobs without a stored final state.
     pub(crate) fn unfinished(&self) -> usize {
         self.jobs
