--- a/crates/pool/tests/cancellations.rs
+++ b/crates/pool/tests/cancellations.rs
@@ -3,9 +3,9 @@
 #[allow(dead_code, reason = "other test files use the rest")]
 mod simulation;
 
-use pool::{Job, Worker, WorkerId};
+use pool::{Worker, WorkerId};
 use rand::Rng as _;
-use simulation::{Simulation, job};
+use simulation::{Simulation, job, long_running_job};
 
 /// The time that the tasks of a cancelled job have to stop once no fault is left: 3 s, and the worker's time to stop them.
 const STOP_LIMIT: u64 = 3_400;
@@ -22,13 +22,6 @@
     busy.expect("a task runs").id.clone()
 }
 
-/// A job with tasks that run until the job is cancelled.
-fn long_running_job(id: &str, tasks: u32) -> Job {
-    let mut job = job(id, &[(tasks, 1_000, 3_600_000)]);
-    job.steps[0].long_running = true;
-    job
-}
-
 /// Guards against a task that runs for ever after its job was cancelled. The former owner can't reach the worker and has listed
 /// its runs; the job is cancelled while the pool changes hands, and the new owner reaches the worker.
 #[test]
--- a/crates/pool/tests/lease_bounds.rs
+++ b/crates/pool/tests/lease_bounds.rs
@@ -3,9 +3,9 @@
 #[allow(dead_code, reason = "other test files use the rest")]
 mod simulation;
 
-use pool::{Job, Ms, Options, Pool, WorkerId};
+use pool::{Ms, Options, Pool, WorkerId};
 use rand::Rng as _;
-use simulation::{Simulation, job};
+use simulation::{Simulation, job, long_running_job};
 
 /// Time after which an owner that has a majority at once stops waiting for workers that don't answer, in milliseconds.
 const WAIT: Ms = 9_200;
@@ -14,34 +14,37 @@
     format!("w{index:02}").into()
 }
 
-/// A job with tasks that run until the job is cancelled.
-fn long_running_job(id: &str, tasks: u32) -> Job {
-    let mut job = job(id, &[(tasks, 1_000, 3_600_000)]);
-    job.steps[0].long_running = true;
-    job
-}
-
-/// Guards against long-running tasks that stay down for as long as owners leave one after the other: their worker is lost, and each new
-/// owner waits for its whole lease anew.
-#[test]
-fn planned_changes_of_owner_do_not_prolong_the_wait_for_a_lost_worker() {
-    let mut sim = Simulation::new(1, 6);
+/// Six workers, each with a long-running task.
+fn start_service(sim: &mut Simulation) {
     sim.start_owner();
     sim.run_for(500);
     sim.accept(long_running_job("00000000000000a1", 6));
     sim.run_for(500);
-    let starts = sim.starts;
+}
+
+/// Starts the service and loses a worker of it for good; returns the number of starts once its tasks run again.
+fn lose_worker(sim: &mut Simulation) -> usize {
+    start_service(sim);
     let lost = id(2);
     let runs = sim.run_count(&lost);
     assert!(runs > 0);
     sim.crash(&lost, 1_000_000);
+    sim.starts + runs
+}
+
+/// Guards against long-running tasks that stay down for as long as owners leave one after the other: their worker is lost, and each new
+/// owner waits for its whole lease anew.
+#[test]
+fn planned_changes_of_owner_do_not_prolong_the_wait_for_a_lost_worker() {
+    let mut sim = Simulation::new(1, 6);
+    let expected_starts = lose_worker(&mut sim);
     let lost_at = sim.now;
     for _ in 0..4 {
         sim.hand_over();
         sim.run_for(3_000);
     }
     assert!(sim.now - lost_at > WAIT);
-    assert_eq!(sim.starts, starts + runs, "the lost tasks run again");
+    assert_eq!(sim.starts, expected_starts);
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
@@ -50,18 +53,11 @@
 #[test]
 fn the_lease_of_a_worker_that_fell_silent_is_handed_over() {
     let mut sim = Simulation::new(1, 6);
-    sim.start_owner();
-    sim.run_for(500);
-    sim.accept(long_running_job("00000000000000a1", 6));
-    sim.run_for(500);
-    let starts = sim.starts;
-    let lost = id(2);
-    let runs = sim.run_count(&lost);
-    sim.crash(&lost, 1_000_000);
+    let expected_starts = lose_worker(&mut sim);
     sim.run_for(3_000);
     sim.hand_over();
     sim.run_for(4_500);
-    assert_eq!(sim.starts, starts + runs, "the lost tasks run again");
+    assert_eq!(sim.starts, expected_starts);
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
@@ -70,10 +66,7 @@
 #[test]
 fn a_worker_that_was_given_up_gets_no_lease() {
     let mut sim = Simulation::new(2, 6);
-    sim.start_owner();
-    sim.run_for(500);
-    sim.accept(long_running_job("00000000000000a1", 6));
-    sim.run_for(500);
+    start_service(&mut sim);
     // Neither the second nor the third owner reaches the worker at first.
     let cut = id(2);
     sim.disconnect(&cut, 2);
--- a/crates/pool/tests/simulation/mod.rs
+++ b/crates/pool/tests/simulation/mod.rs
@@ -160,6 +160,13 @@
     }
 }
 
+/// A job with tasks that run until the job is cancelled.
+pub(crate) fn long_running_job(id: &str, tasks: u32) -> Job {
+    let mut job = job(id, &[(tasks, 1_000, 3_600_000)]);
+    job.steps[0].long_running = true;
+    job
+}
+
 impl Simulation {
     pub(crate) fn new(seed: u64, workers: usize) -> Self {
         let capacity = Size::new(4_000, 10_000, 0);
