--- a/crates/pool/tests/simulation/mod.rs
+++ b/crates/pool/tests/simulation/mod.rs
@@ -7,19 +7,23 @@
 mod cancellations;
 mod crashes;
 mod gangs;
+mod jobs;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use pool::{
-    Command, CustomerId, Entitlement, Job, Limit, Ms, Options, Policy, Pool, Progress, RunEnd,
-    Start, StartAnswer, State, Step, Stop, StopAnswer, TaskKey, WorkerId, WorkerInfo, WorkerReport,
+    Command, CustomerId, Entitlement, Job, Limit, Ms, Options, Pool, Progress, RunEnd, Start,
+    StartAnswer, State, Stop, StopAnswer, TaskKey, WorkerId, WorkerInfo, WorkerReport,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use resource::Size;
 
+#[allow(unused_imports, reason = "each test file uses some of them")]
+pub(crate) use jobs::{job, long_running_job};
+
 /// Length of a simulation step, in milliseconds.
 pub(crate) const STEP: Ms = 5;
 /// Unix time at which the simulation starts, in milliseconds.
@@ -128,45 +132,6 @@
     cancelled: BTreeMap<String, Ms>,
 }
 
-/// A job with these steps: number of tasks, millicores and duration in milliseconds of each task.
-pub(crate) fn job(id: &str, steps: &[(u32, u64, Ms)]) -> Job {
-    Job {
-        id: id.into(),
-        queue: "q".into(),
-        service: "s".into(),
-        steps: steps
-            .iter()
-            .enumerate()
-            .map(|(index, &(count, cpu, estimate))| Step {
-                count,
-                size: Size::new(cpu, 100, 0),
-                estimate,
-                after: if index == 0 {
-                    vec![]
-                } else {
-                    vec![index as u16 - 1]
-                },
-                ..Step::default()
-            })
-            .collect(),
-        policy: Policy {
-            attempts: 4,
-            stretch: 2.0,
-            objective: 500,
-            ..Policy::default()
-        },
-        accepted: UNIX,
-        ..Job::default()
-    }
-}
-
-/// A job with tasks that run until the job is cancelled.
-pub(crate) fn long_running_job(id: &str, tasks: u32) -> Job {
-    let mut job = job(id, &[(tasks, 1_000, 3_600_000)]);
-    job.steps[0].long_running = true;
-    job
-}
-
 impl Simulation {
     pub(crate) fn new(seed: u64, workers: usize) -> Self {
         let capacity = Size::new(4_000, 10_000, 0);
