A cancellation asks the store once even after its owner has used up the time

What callers saw: a cancellation whose owner doesn't confirm until the call's deadline gets 504 without a call to the store, in place of being stored by its row.

Cause: withdraw checked the time before its first call. It checks it after each call now, so the store is asked at least once, as before withdrawals.

--- a/crates/host/src/cancel.rs
+++ b/crates/host/src/cancel.rs
@@ -122,7 +122,7 @@
     ) -> Result<JobRowHeader, JobStatus> {
         let mut version = 0;
         withdrawal.add(caller);
-        while Instant::now() < until {
+        loop {
             let transaction = withdrawal.write(id, version);
             let transaction = transaction.map_err(|_| JobStatus::Unsure)?;
             let rows = match self.store.commit(&transaction).await {
@@ -131,22 +131,23 @@
                 Err(_) => return Err(JobStatus::Unsure),
             };
             let present = rows.into_iter().find(|row| row.key == id);
-            let Some((value, at)) = present.and_then(|row| Some((row.value?, row.version))) else {
-                // The row was deleted meanwhile.
-                version = 0;
-                continue;
-            };
-            let Some(present) = Withdrawal::parse(&value) else {
-                let header = job_row_header(&value).ok_or(JobStatus::Unsure)?;
-                return self.check_access(header, id, caller);
-            };
-            withdrawal = present;
-            version = at;
-            if !withdrawal.add(caller) {
-                return Err(JobStatus::NotFound);
+            let present = present.and_then(|row| Some((row.value?, row.version)));
+            // A row that was there before may have been deleted meanwhile.
+            version = present.as_ref().map_or(0, |(_, version)| *version);
+            if let Some((value, _)) = present {
+                let Some(present) = Withdrawal::parse(&value) else {
+                    let header = job_row_header(&value).ok_or(JobStatus::Unsure)?;
+                    return self.check_access(header, id, caller);
+                };
+                withdrawal = present;
+                if !withdrawal.add(caller) {
+                    return Err(JobStatus::NotFound);
+                }
+            }
+            if Instant::now() >= until {
+                return Err(JobStatus::Unsure);
             }
         }
-        Err(JobStatus::Unsure)
     }
 
     /// Writes the row of a cancellation.
