--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -34,7 +34,7 @@
 pub(crate) struct Handover {
     /// Crashes that it could not store.
     pub crashes: Vec<CrashHistory>,
-    /// How long to wait for workers that haven't answered it.
+    /// How long to wait for workers that don't answer it.
     pub lease_bounds: Vec<LeaseBound>,
     /// When it was received; the waits count from then.
     pub received_at: Ms,
--- a/crates/host/src/wire.rs
+++ b/crates/host/src/wire.rs
@@ -229,7 +229,7 @@
         /// Crashes of workers that the owner has recorded and not stored.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         crashes: Vec<CrashHistory>,
-        /// How long to wait for workers that haven't answered the owner, which will not reach them again.
+        /// How long to wait for workers that don't answer the owner, which has given them up.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         lease_bounds: Vec<LeaseBound>,
     },
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -90,7 +90,7 @@
     pub(crate) dirty: FxHashSet<JobId>,
     /// Workers of the former owner that have not answered this owner.
     pub(crate) unconfirmed_workers: BTreeSet<WorkerId>,
-    /// When the leases of former owners have lapsed on workers that haven't answered, as the former owner handed it over.
+    /// When the leases of former owners have lapsed on workers that don't answer, as the former owner handed it over.
     pub(crate) lease_bounds: FxHashMap<WorkerId, Ms>,
     /// Workers that were given up for the next owner.
     pub(crate) released_workers: FxHashSet<WorkerId>,
