Review: executors that crash in turn make sound jobs fail (case 6)

Tried: eight executors, each crashes once and is back a second later, 1.5 s after the one before; jobs of 20 short tasks use some three fifths of the capacity, and no task ends failed. Seen: some accepted jobs are shown as failed for good, though none of their runs ended failed (LOST): the tasks were moved from one crashed executor to the next and have three crash records.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Runs the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+# Needs the build of the deploy file and review/build-2.sh. Writes record.txt beside this file.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review-2/release/review_standin_2
+if [ ! -x "$program" ] || [ ! -x target/release/lentilyoke-host ]; then
+  echo "not built: see review/build-2.sh" >&2
+  exit 2
+fi
+exec "$program" rolling review/6
