Review: scripts mended after a check of their own

Case 4: the job that can't be done is one of 20 lasting jobs (a share of 0.05, as the site's poison). Case 6: the gang is one of many jobs of its queue, and the case couldn't run if jobs aren't accepted. A task that lasts is shown with 100 percent when it is at work. The folder of a script that is ended midway is removed; two had been left.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,12 +9,15 @@
 fi
 # A process group of its own: nothing that the case starts outlives it, also if it is ended midway.
 set -m
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
 timeout 118 "$program" ends review/5 &
 group=$!
-trap 'kill -KILL -- "-$group" 2>/dev/null; exit 2' TERM INT HUP
+trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$TMPDIR"; exit 2' TERM INT HUP
 wait "$group"
 code=$?
 kill -KILL -- "-$group" 2>/dev/null
+rm -rf "$TMPDIR"
 case $code in
   0 | 1) exit "$code" ;;
   *) exit 2 ;;
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -17,6 +17,8 @@
 use crate::store::Store;
 
 /// Ends that one response lists.
+/// The startup of a task that lasts, in milliseconds.
+const STARTUP_MS: u64 = 300;
 const LISTED_ENDS: usize = 500;
 /// `holdMaxMs` of the site.
 pub const HOLD_MAX_MS: u64 = 10_000;
@@ -33,6 +35,8 @@
     pub ms: u64,
     pub cpu: u64,
     pub checkpoints: bool,
+    /// It runs until it is stopped: at work, and shown with 100 percent, after a short startup.
+    pub lasts: bool,
     /// It ends `failed`.
     pub fails: bool,
 }
@@ -278,7 +282,7 @@
             .get("x-expect-instance")
             .is_some_and(|id| *id != self.id)
         {
-            return reply(421, &json!({}));
+            return Some((421, Vec::new()));
         }
         let Ok(call) = serde_json::from_slice::<Value>(&request.body) else {
             return reply(400, &json!({ "clockMs": self.clock() }));
@@ -391,7 +395,12 @@
             .running
             .iter()
             .map(|(task, run)| {
-                let percent = (clock.saturating_sub(run.began) * 100 / run.work.ms.max(1)).min(99);
+                let worked = clock.saturating_sub(run.began);
+                let percent = match run.work.lasts {
+                    true if worked >= STARTUP_MS => 100,
+                    true => 0,
+                    false => (worked * 100 / run.work.ms.max(1)).min(99),
+                };
                 json!([task, run.run, self.saved(run), percent, run.work.cpu])
             })
             .collect();
--- a/review/standin-2/src/gang.rs
+++ b/review/standin-2/src/gang.rs
@@ -43,6 +43,7 @@
             "lasting" => Work {
                 ms: 1_000_000,
                 cpu: LASTING_CPU,
+                lasts: true,
                 ..Work::default()
             },
             "gang" => Work {
@@ -95,8 +96,10 @@
             gang_id = Some(id);
         }
         let id = deployment.new_id();
-        if deployment.submit(QUICK, &id, &small).await {
-            ids.push(id);
+        // Half of them in the queue of the gang, so that the gang is one of many there.
+        let queue = if ids.len() % 2 == 0 { QUICK } else { BATCH };
+        if deployment.submit(queue, &id, &small).await {
+            ids.push((queue, id));
         }
         sleep(EVERY).await;
     }
@@ -110,7 +113,7 @@
     let mut idle = ids.clone();
     let (until, mut most_used) = (Instant::now() + IDLE, 0);
     while Instant::now() < until {
-        idle.retain(|id| deployment.executors.iter().all(|it| it.runs_of(id) == 0));
+        idle.retain(|(_, id)| deployment.executors.iter().all(|it| it.runs_of(id) == 0));
         most_used = most_used.max(used());
         sleep(Duration::from_millis(50)).await;
     }
@@ -121,12 +124,18 @@
     if std::env::var("KEEP_LOGS").is_ok() {
         deployment.keep_logs(folder);
     }
+    let (Some((queue, first)), true) = (ids.first(), ids.len() > 20) else {
+        return Verdict::NotRun("too few small jobs were accepted".to_owned());
+    };
+    if deployment.state(*queue, first).await != "completed" {
+        return Verdict::NotRun("the first small job isn't done".to_owned());
+    }
     if most_used * 2 >= TENANT_CPU {
         return Verdict::NotRun("half of the tenant's limit is in use".to_owned());
     }
     let events = record.events();
     let mut found = Vec::new();
-    for id in &idle {
+    for (queue, id) in &idle {
         let done = events
             .iter()
             .filter(|it| {
@@ -134,7 +143,7 @@
                     && matches!(&it.what, What::End(how, _) if how == "done")
             })
             .count();
-        let state = deployment.state(QUICK, id).await;
+        let state = deployment.state(*queue, id).await;
         if done < SMALL_TASKS {
             found.push(format!(
                 "{id}: accepted, shown as {state}; done are {done} of {SMALL_TASKS} tasks, and nothing of it has run for 3 s"
--- a/review/standin-2/src/outgrown.rs
+++ b/review/standin-2/src/outgrown.rs
@@ -19,7 +19,10 @@
 /// Steps and tasks of the lasting job: the most that the site has.
 const LASTING_STEPS: usize = 2;
 const LASTING_TASKS: usize = 48;
-/// A task of it fails this soon.
+/// Lasting jobs that are handed in within three seconds; one of them can't be done. The others have this many tasks each.
+const LASTING_JOBS: usize = 20;
+const SOUND_TASKS: usize = 2;
+/// A task of the one that can't be done fails this soon.
 const FAILS_AFTER_MS: u64 = 20;
 /// Tasks of the large job, and the same without trouble.
 const LARGE: usize = 3_000;
@@ -83,6 +86,12 @@
             },
             "lasting" => Work {
                 ms: LARGE_MS,
+                lasts: true,
+                ..work
+            },
+            "sound" => Work {
+                ms: LARGE_MS,
+                lasts: true,
                 ..work
             },
             "large" if is_short => Work {
@@ -130,6 +139,22 @@
     {
         return Verdict::NotRun("a small job isn't done".to_owned());
     }
+    if growing == Growing::Lasting {
+        let sound = json!({ "spec": "sound", "phases": [
+            { "count": SOUND_TASKS, "cpu": task_cpu, "memMb": 16, "estimateMs": 500, "longRunning": true },
+        ] });
+        for _ in 1..LASTING_JOBS {
+            let id = deployment.new_id();
+            if !deployment.submit(BATCH, &id, &sound).await {
+                return Verdict::NotRun("a lasting job isn't accepted".to_owned());
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        record.say(&format!(
+            "{} sound lasting jobs are accepted",
+            LASTING_JOBS - 1
+        ));
+    }
     let large_id = deployment.new_id();
     let job = match growing {
         Growing::Lasting => {
@@ -194,6 +219,9 @@
     if std::env::var("KEEP_LOGS").is_ok() {
         deployment.keep_logs(folder);
     }
+    if ids.is_empty() {
+        return Verdict::NotRun("no small job was accepted".to_owned());
+    }
     if most_used * 2 >= capacity {
         return Verdict::NotRun("half of the capacity is in use".to_owned());
     }
