Log what of a customer's limit is reserved, and for which gang

The `customer` line showed the waiting tasks and the use, and not what took the rest of the limit.

Hypotheses that the log could not tell apart: (1) the reservation for a gang; (2) the reserve for work of higher priority; (3) use that a new owner assumes on workers that haven't answered; (4) advice or capacity, recorded under another reason.

The line now has the job for which a part of the limit is reserved, how much that is, and what is assumed on workers that haven't answered. The pool keeps the latest scheduling pass's view of the limits for that.

--- a/crates/host/src/owner/customers.rs
+++ b/crates/host/src/owner/customers.rs
@@ -83,9 +83,15 @@
                 continue;
             }
             let waiting = |reason: WaitReason| it.waiting[reason as usize];
+            let (gang, reserved) = it
+                .reserved
+                .as_ref()
+                .map_or(("", Size::ZERO), |(gang, size)| (&*gang.job, *size));
             info!(
                 pool = self.pool_number, epoch = self.epoch, customer = &*it.customer, limit_used = share,
                 processors = it.used.millicores, memory = it.used.memory_mib, accelerators = it.used.accelerators,
+                reserved_for = gang, reserved_processors = reserved.millicores, reserved_memory = reserved.memory_mib,
+                unreported_processors = it.unreported.millicores,
                 waiting_capacity = waiting(WaitReason::Capacity), waiting_quota = waiting(WaitReason::Quota),
                 waiting_share = waiting(WaitReason::Share), waiting_advice = waiting(WaitReason::Advice);
                 "customer"
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -82,6 +82,7 @@
                 self.query_ahead(now, key, &job, step);
             }
         }
+        self.quota_pass = quota;
     }
 
     fn rank(&self, now: Ms, live: &LiveJob, key: &StageKey, capacity: &ServiceCapacity) -> Rank {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -18,6 +18,7 @@
 use crate::monitor::StalledRun;
 use crate::pace::PaceController;
 use crate::progress::Progress;
+use crate::quota::QuotaPass;
 use crate::rank::QueueStats;
 use crate::repeat::Budget;
 use crate::state::State;
@@ -76,6 +77,8 @@
     pub(crate) workers: FxHashMap<WorkerId, Worker>,
     /// What each customer uses and is entitled to.
     pub(crate) accounts: Accounts,
+    /// What customers could use beside their known runs in the latest scheduling pass.
+    pub(crate) quota_pass: QuotaPass,
     /// Steps whose dependencies are complete and that are not complete themselves.
     pub(crate) open_steps: BTreeSet<StageKey>,
     /// Jobs blocked until the worker's next report: it reported ends of their runs before the jobs were known here.
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -38,6 +38,10 @@
     pub largest: Size,
     /// What may be used in this pool.
     pub limit: Limit,
+    /// The gang for which resources of the limit are reserved in this pool, with their amount.
+    pub reserved: Option<(StageKey, Size)>,
+    /// The most that may run on workers that haven't reported.
+    pub unreported: Size,
     /// Number of waiting tasks by what they wait for, in the order of [`WaitReason::ALL`].
     pub waiting: [u64; WaitReason::ALL.len()],
 }
@@ -67,6 +71,14 @@
     reserved: FxHashMap<CustomerId, (StageKey, Size)>,
 }
 
+impl QuotaPass {
+    /// The most that a customer may have running on workers that haven't reported.
+    fn unreported_of(&self, customer: &str) -> Size {
+        let unreported = self.unreported.as_ref();
+        unreported.map_or(Size::ZERO, |it| it.of(customer))
+    }
+}
+
 /// Bounds of what may run on workers that haven't reported.
 #[derive(Debug)]
 struct Unreported {
@@ -121,6 +133,8 @@
                     wanted: Size::ZERO,
                     largest: Size::ZERO,
                     limit: account.limit(),
+                    reserved: self.quota_pass.reserved.get(customer).cloned(),
+                    unreported: self.quota_pass.unreported_of(customer),
                     waiting: [0; WaitReason::ALL.len()],
                 },
             );
@@ -317,10 +331,7 @@
         let Some(account) = account.filter(|account| !account.limit().is_unlimited()) else {
             return u32::MAX;
         };
-        let mut used = account.used;
-        if let Some(unreported) = &pass.unreported {
-            used = used.plus(unreported.of(&job.customer));
-        }
+        let mut used = account.used.plus(pass.unreported_of(&job.customer));
         if self.has(Mechanism::QuotaReserve) && self.quota_wait(pass.now, key) < RESERVE_PATIENCE {
             let reserve = self.accounts.reserve(&job.customer, job.policy.priority);
             used = used.plus(reserve);
