A gang that can't start within its customer's limit holds nothing back

A customer has a long-running job on 4 of its 40 cores and hands in a gang of 38. From a second later on nothing else of the customer starts, though it uses a tenth of its limit.

Cause: Pool::reserve_for_gang reserved the size of a gang that fitted the whole limit, until the gang started, as if all that ran would end.

Evidence: the fields that added to the `customer` line: reserved_for names the gang and reserved_processors is 38000 from a second after the gang to the end of the run, unreported_processors is 0. Ruled out: the reserve for priorities (it ends after 2 s of waiting), assumed use of unreported workers (0), capacity and advice (no task waits for them).

Change: a gang gets turns (pool::gang_turns). A turn begins only if the gang is expected to fit, by the expected ends of what runs, within the time that it has waited; other tasks of the customer that end before may start; the turn and the time between turns are bounded; a gang in its turn doesn't wait for the reserve for priorities. Long-running tasks are never held back. Log lines: `turn of a gang`, `gang waits for the limit of its customer`.

Why it works: what won't end releases nothing, so such a gang never gets a turn. For the others a wrong estimate costs a bounded time.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -334,6 +334,7 @@
                 self.log_overdue_runs();
                 self.log_down_steps();
                 self.log_idle_steps();
+                self.log_gang_waits();
                 self.log_load(std::mem::take(&mut stats));
                 self.log_customers();
             }
--- a/crates/host/src/owner/customers.rs
+++ b/crates/host/src/owner/customers.rs
@@ -4,13 +4,16 @@
 use pool::{CustomerId, Entitlement, Limit, WaitReason};
 use resource::Size;
 
-use super::Owner;
+use super::{Owner, events};
 use crate::host::lock;
 use crate::quota_parts::UNITS;
 
 /// Maximum number of customers in the log lines and metrics of one pool; those that use most come first.
 const MAX_REPORTED_CUSTOMERS: usize = 100;
 
+/// Maximum number of log lines about gangs that wait, per interval.
+const MAX_GANG_WAITS_LOGGED: usize = 8;
+
 /// The versions from which the pool's entitlements were derived.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct AppliedEntitlements {
@@ -98,4 +101,10 @@
             );
         }
     }
+
+    /// Logs the gangs that wait for their customers' limits.
+    pub(super) fn log_gang_waits(&self) {
+        let gangs = lock(&self.pool).gang_waits(MAX_GANG_WAITS_LOGGED);
+        gangs.iter().for_each(events::log_gang_wait);
+    }
 }
--- a/crates/host/src/owner/events.rs
+++ b/crates/host/src/owner/events.rs
@@ -2,8 +2,8 @@
 
 use log::{info, warn};
 use pool::{
-    AbandonedTask, DownStep, Hold, IdleStep, LostRun, Ms, Pool, StalledRun, StepTimes, WaitReason,
-    WorkerSuspicion,
+    AbandonedTask, DownStep, GangTurnEvent, GangWait, Hold, IdleStep, LostRun, Ms, Pool,
+    StalledRun, StepTimes, WaitReason, WorkerSuspicion,
 };
 
 /// Events of a pool since the last call of [`Events::take`].
@@ -13,6 +13,7 @@
     abandoned: Vec<AbandonedTask>,
     stalled: Vec<StalledRun>,
     suspicions: Vec<WorkerSuspicion>,
+    gang_turns: Vec<GangTurnEvent>,
 }
 
 impl Events {
@@ -23,6 +24,7 @@
             abandoned: pool.take_abandoned_tasks(),
             stalled: pool.take_stalled_runs(),
             suspicions: pool.take_worker_suspicions(),
+            gang_turns: pool.take_gang_turns(),
         }
     }
 
@@ -32,13 +34,18 @@
         self.abandoned.iter().for_each(log_abandoned_task);
         self.stalled.iter().for_each(log_stalled_run);
         self.suspicions.iter().for_each(log_worker_suspicion);
+        self.gang_turns.iter().for_each(log_gang_turn);
     }
 }
 
+/// A time for the log, or -1 for none.
+fn time(time: Option<Ms>) -> i64 {
+    time.map_or(-1, |time| time as i64)
+}
+
 /// Logs the times of a completed step; -1 stands for an event that did not happen under this owner.
 fn log_step(step: &StepTimes) {
     let key = &step.stage;
-    let time = |time: Option<Ms>| time.map_or(-1, |time| time as i64);
     let waited = |reason: WaitReason| step.waited[reason as usize];
     info!(
         job = &*key.job, occurrence = key.occurrence, step = key.step, queue = step.queue.as_str(),
@@ -98,6 +105,29 @@
     }
 }
 
+/// Logs that a gang's turn at its customer's limit has begun or ended.
+fn log_gang_turn(event: &GangTurnEvent) {
+    let (gang, key) = (&event.gang, &event.gang.stage);
+    info!(
+        job = &*key.job, occurrence = key.occurrence, step = key.step, customer = &*gang.customer,
+        change = event.change.name(), lasted = event.lasted, waited = gang.waited,
+        fits_after = time(gang.fits_after), processors = gang.size.millicores,
+        memory = gang.size.memory_mib, accelerators = gang.size.accelerators;
+        "turn of a gang"
+    );
+}
+
+/// Logs a gang that waits for its customer's limit.
+pub(super) fn log_gang_wait(gang: &GangWait) {
+    let key = &gang.stage;
+    info!(
+        job = &*key.job, occurrence = key.occurrence, step = key.step, customer = &*gang.customer,
+        waited = gang.waited, turns = gang.turns, fits_after = time(gang.fits_after),
+        processors = gang.size.millicores, memory = gang.size.memory_mib, accelerators = gang.size.accelerators;
+        "gang waits for the limit of its customer"
+    );
+}
+
 /// Logs a long-running step with tasks that wait to be started again.
 pub(super) fn log_down_step(down: &DownStep) {
     let (key, workers) = (&down.stage, &down.workers);
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -50,6 +50,8 @@
     pub advised: AdvisorState,
     /// When the advisor was queried about the step and when its tasks were started.
     pub timeline: Timeline,
+    /// Number of turns that the step, a gang, has had at its customer's limit without starting.
+    pub gang_turns: u32,
 }
 
 impl Stage {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -260,6 +260,9 @@
                 );
                 started += 1;
             }
+            if started > 0 {
+                self.gang_turns.record_start(&job.customer, key);
+            }
         }
         let left = (waiting.len() - started) as u32;
         if left > 0 && job.policy.advice.is_some() {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::command::Command;
 use crate::crash::{AbandonedTask, SuspectsByWorker};
 use crate::failure_score::WorkerSuspicion;
+use crate::gang_turns::GangTurns;
 use crate::handover::CrashHistory;
 use crate::job::Job;
 use crate::live::LiveJob;
@@ -77,6 +78,8 @@
     pub(crate) workers: FxHashMap<WorkerId, Worker>,
     /// What each customer uses and is entitled to.
     pub(crate) accounts: Accounts,
+    /// The gangs that have their turns at their customers' limits.
+    pub(crate) gang_turns: GangTurns,
     /// What customers could use beside their known runs in the latest scheduling pass.
     pub(crate) quota_pass: QuotaPass,
     /// Steps whose dependencies are complete and that are not complete themselves.
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -11,18 +11,18 @@
 use crate::accounts::Charge;
 use crate::customer::{CustomerId, Entitlement, Limit};
 use crate::fit;
+use crate::gang_turns::{GangTurnEvent, GangWait, Release, time_to_fit};
 use crate::job::{Job, Step};
 use crate::mechanism::Mechanism;
 use crate::pool::Pool;
 use crate::report::RunStatus;
 use crate::state::State;
-use crate::task::{Ms, StageKey, TaskKey, WorkerId};
+use crate::task::{Ms, Phase, StageKey, TaskKey, WorkerId};
 use crate::timeline::WaitReason;
 use crate::worker::{OrphanedRun, Worker};
 
-/// A gang that has waited this long for its customer's limit is reserved the resources that other tasks of the customer release.
-const GANG_PATIENCE: Ms = 1_000;
-/// A step that has waited this long for its customer's limit may use what is reserved for work of higher priority.
+/// A step that has waited this long for its customer's limit may use what is reserved for work of higher priority. So may a gang in
+/// its turn.
 const RESERVE_PATIENCE: Ms = 2_000;
 
 /// What a customer uses in this pool, and what it waits for.
@@ -67,8 +67,8 @@
     now: Ms,
     /// The most that may run on workers that haven't reported; `None` if all have.
     unreported: Option<Unreported>,
-    /// Gangs that are reserved resources, one for each customer.
-    reserved: FxHashMap<CustomerId, (StageKey, Size)>,
+    /// Gangs that wait for their customers' limits.
+    gangs: Vec<GangWait>,
 }
 
 impl QuotaPass {
@@ -133,7 +133,10 @@
                     wanted: Size::ZERO,
                     largest: Size::ZERO,
                     limit: account.limit(),
-                    reserved: self.quota_pass.reserved.get(customer).cloned(),
+                    reserved: self
+                        .gang_turns
+                        .of(customer)
+                        .map(|turn| (turn.gang.stage.clone(), turn.gang.size)),
                     unreported: self.quota_pass.unreported_of(customer),
                     waiting: [0; WaitReason::ALL.len()],
                 },
@@ -161,6 +164,21 @@
         demand.into_values().collect()
     }
 
+    /// The gangs that waited for their customers' limits in the latest scheduling pass, those that have waited longest first, at
+    /// most `limit`.
+    #[must_use]
+    pub fn gang_waits(&self, limit: usize) -> Vec<GangWait> {
+        let mut gangs = self.quota_pass.gangs.clone();
+        gangs.sort_by_key(|gang| std::cmp::Reverse(gang.waited));
+        gangs.truncate(limit);
+        gangs
+    }
+
+    /// Returns and clears the turns of gangs that have begun or ended since the last call.
+    pub fn take_gang_turns(&mut self) -> Vec<GangTurnEvent> {
+        self.gang_turns.take_events()
+    }
+
     /// Customers whose backlog of waiting jobs has reached its bound, with the time after which more of their jobs can be accepted.
     #[must_use]
     pub fn full_backlogs(&self) -> Vec<(CustomerId, Ms)> {
@@ -262,48 +280,140 @@
         }
     }
 
-    /// What customers may use in a scheduling pass, given the steps that wait.
+    /// What customers may use in a scheduling pass, given the steps that wait in the order of their ranks. Begins and ends the turns
+    /// of gangs.
     pub(crate) fn begin_quota_pass<'a>(
-        &self,
+        &mut self,
         now: Ms,
         waiting: impl Iterator<Item = &'a StageKey>,
     ) -> QuotaPass {
         let mut pass = QuotaPass {
             now,
             unreported: self.unreported(),
-            reserved: FxHashMap::default(),
+            gangs: Vec::new(),
         };
         if self.has(Mechanism::GangQuota) {
-            for key in waiting {
-                self.reserve_for_gang(now, key, &mut pass);
+            pass.gangs = self.waiting_gangs(now, waiting, &pass);
+            for key in self.gang_turns.update(now, &pass.gangs) {
+                if let Some(stage) = self.stage_mut(&key) {
+                    stage.gang_turns += 1;
+                }
             }
         }
         pass
     }
 
-    /// Reserves its customer's resources for a gang that has waited for them, so that the customer's other tasks don't take what
-    /// is released before it suffices for the whole gang.
-    fn reserve_for_gang(&self, now: Ms, key: &StageKey, pass: &mut QuotaPass) {
-        let Some((job, step)) = self.job_and_step(key) else {
-            return;
-        };
-        if !step.gang || job.customer.is_empty() || pass.reserved.contains_key(&job.customer) {
-            return;
+    /// The gangs that wait for their customers' limits, or have their turns, and when they fit within these limits.
+    fn waiting_gangs<'a>(
+        &self,
+        now: Ms,
+        waiting: impl Iterator<Item = &'a StageKey>,
+        pass: &QuotaPass,
+    ) -> Vec<GangWait> {
+        let gangs = waiting.filter_map(|key| self.waiting_gang(now, key));
+        let mut gangs: Vec<GangWait> = gangs.collect();
+        if gangs.is_empty() {
+            return gangs;
         }
-        let Some(account) = self.accounts.get(&job.customer) else {
-            return;
+        let mut releases: FxHashMap<CustomerId, Vec<Release>> = FxHashMap::default();
+        for gang in &gangs {
+            releases.entry(Arc::clone(&gang.customer)).or_default();
+        }
+        self.collect_releases(now, &mut releases);
+        for gang in &mut gangs {
+            let Some(account) = self.accounts.get(&gang.customer) else {
+                continue;
+            };
+            let used = account.used.plus(pass.unreported_of(&gang.customer));
+            let releases = releases.get(&gang.customer).cloned().unwrap_or_default();
+            gang.fits_after = time_to_fit(account.limit(), used, gang.size, releases);
+        }
+        gangs
+    }
+
+    /// The gang of a step, if all its members could start but for the customer's limit, or if it has its turn.
+    fn waiting_gang(&self, now: Ms, key: &StageKey) -> Option<GangWait> {
+        let (job, step) = self.job_and_step(key)?;
+        if !step.gang || job.customer.is_empty() {
+            return None;
+        }
+        let stage = self.stage(key)?;
+        let waits = stage.timeline.waiting_for() == Some(WaitReason::Quota)
+            || self.gang_turns.has_turn(&job.customer, key);
+        let startable = stage.tasks.iter().all(|task| task.is_startable(now));
+        (waits && startable).then(|| GangWait {
+            stage: key.clone(),
+            customer: Arc::clone(&job.customer),
+            size: step.charge().times(u64::from(step.count)),
+            duration: self.expected_duration(job, step),
+            waited: self.quota_wait(now, key),
+            turns: stage.gang_turns,
+            fits_after: None,
+        })
+    }
+
+    /// Adds what these customers' runs are expected to release.
+    fn collect_releases(&self, now: Ms, releases: &mut FxHashMap<CustomerId, Vec<Release>>) {
+        for worker in self.workers.values() {
+            // A run on a worker that can't be reached counts until the lease has expired.
+            let lease_left = worker
+                .is_unavailable(now)
+                .then(|| worker.lease_expires_at.saturating_sub(now));
+            for key in worker.runs.keys() {
+                let Some((job, step)) = self.job_and_step(&key.stage) else {
+                    continue;
+                };
+                if let Some(of_customer) = releases.get_mut(&job.customer)
+                    && let Some(after) = lease_left.or_else(|| self.time_left(now, key, job, step))
+                {
+                    let size = step.charge();
+                    of_customer.push(Release { after, size });
+                }
+            }
+            for orphan in worker.orphaned_runs.values() {
+                if let Some(of_customer) = releases.get_mut(&orphan.charge.customer) {
+                    of_customer.push(Release {
+                        after: lease_left.unwrap_or(self.options.stop_grace),
+                        size: orphan.charge.size,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Expected time until the current run of a task ends; `None` if it won't end by itself.
+    fn time_left(&self, now: Ms, key: &TaskKey, job: &Job, step: &Step) -> Option<Ms> {
+        let task = self.stage(&key.stage)?.tasks.get(key.index as usize)?;
+        let run = task.run.as_ref()?;
+        if run.phase == Phase::Stopping {
+            return Some(self.options.stop_grace);
+        }
+        if step.long_running {
+            return None;
+        }
+        let unfinished = 100 - u64::from(run.percent.min(100));
+        let ends = run.progressed_at + self.expected_duration(job, step) * unfinished / 100;
+        // A run that is overdue is expected to take as long again as it is overdue.
+        Some(ends.abs_diff(now))
+    }
+
+    /// Expected duration of a task, by its estimate and the observed durations of its queue.
+    fn expected_duration(&self, job: &Job, step: &Step) -> Ms {
+        (step.estimate as f64 * self.queue_stats.duration_ratio(&job.queue)) as Ms
+    }
+
+    /// What the turn of another gang of the customer keeps from a step: nothing if its tasks are expected to end before that gang can
+    /// start, or if they are long-running tasks, which must be up at all times.
+    fn reserved_for_gang(&self, pass: &QuotaPass, key: &StageKey, job: &Job, step: &Step) -> Size {
+        let turn = self.gang_turns.of(&job.customer);
+        let Some(turn) = turn.filter(|turn| turn.gang.stage != *key) else {
+            return Size::ZERO;
         };
-        let size = step.charge().times(u64::from(step.count));
-        let waits = self
-            .stage(key)
-            .is_some_and(|stage| stage.timeline.waiting_for() == Some(WaitReason::Quota));
-        if waits
-            && self.quota_wait(now, key) >= GANG_PATIENCE
-            && account.limit().allows(Size::ZERO, size)
-        {
-            pass.reserved
-                .insert(Arc::clone(&job.customer), (key.clone(), size));
+        let left = turn.fits_at.saturating_sub(pass.now);
+        if step.long_running || self.expected_duration(job, step) < left {
+            return Size::ZERO;
         }
+        turn.gang.size
     }
 
     /// Time for which the tasks of a step have waited for their customer's limit.
@@ -332,15 +442,14 @@
             return u32::MAX;
         };
         let mut used = account.used.plus(pass.unreported_of(&job.customer));
-        if self.has(Mechanism::QuotaReserve) && self.quota_wait(pass.now, key) < RESERVE_PATIENCE {
+        if self.has(Mechanism::QuotaReserve)
+            && self.quota_wait(pass.now, key) < RESERVE_PATIENCE
+            && !self.gang_turns.has_turn(&job.customer, key)
+        {
             let reserve = self.accounts.reserve(&job.customer, job.policy.priority);
             used = used.plus(reserve);
         }
-        if let Some((gang, size)) = pass.reserved.get(&job.customer)
-            && gang != key
-        {
-            used = used.plus(*size);
-        }
+        used = used.plus(self.reserved_for_gang(pass, key, job, step));
         let limit = account.limit();
         if !limit.allows(used, Size::ZERO) {
             return 0;
