Log what the first report of a worker to an owner lists

Hypotheses that the log could not tell apart: (1) the first report lists only a part of the ends; (2) it lists all, and some are lost when they are applied; (3) the wait for workers ends by time; (4) starts by the former owner that were carried out late.

The new line `first report of a worker` has the numbers of its runs and ends, the numbers of the first and the last end, and whether more ends may be unread.

--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -263,9 +263,14 @@
 fn apply_report(owner: &Owner, id: &WorkerId, poll: SentPoll, mut report: WorkerReport) {
     report.requested_at = poll.at;
     // The answer to another poll may have listed some of the ends meanwhile.
-    let known = lock(&owner.pool)
+    let (known, is_first) = lock(&owner.pool)
         .worker(id)
-        .map_or(poll.ends, |worker| worker.end_cursor().max(poll.ends));
+        .map_or((poll.ends, false), |worker| {
+            (worker.end_cursor().max(poll.ends), !worker.has_reported())
+        });
+    if is_first {
+        log_first_report(owner, id, &report);
+    }
     let same_incarnation = report.incarnation == known.0;
     if !same_incarnation && known.0 > 0 {
         log_restart(id, known.0, poll, &report);
@@ -304,15 +309,29 @@
     }
 }
 
+/// Number of an end; 0 for none.
+fn end_number(end: Option<&pool::RunEnd>) -> u64 {
+    end.map_or(0, |end| end.number)
+}
+
+/// Logs what the first report to this owner lists.
+fn log_first_report(owner: &Owner, id: &WorkerId, report: &WorkerReport) {
+    info!(
+        worker = &**id, epoch = owner.epoch(), incarnation = report.incarnation, runs = report.running.len(),
+        ends = report.ended.len(), first_end = end_number(report.ended.first()),
+        last_end = end_number(report.ended.last()), truncated = report.is_truncated();
+        "first report of a worker"
+    );
+}
+
 /// Logs that the answer to a poll came from another incarnation than the one that answered last, with what the poll acknowledged
 /// and what the answer lists.
 fn log_restart(id: &WorkerId, known: u64, poll: SentPoll, report: &WorkerReport) {
-    let number = |end: Option<&pool::RunEnd>| end.map_or(0, |end| end.number);
     info!(
         worker = &**id, known = known, incarnation = report.incarnation,
         ms = clock::now().saturating_sub(poll.at), acknowledged_of = poll.acknowledged.incarnation,
         acknowledged = poll.acknowledged.last_end, runs = report.running.len(), ends = report.ended.len(),
-        first_end = number(report.ended.first()), last_end = number(report.ended.last());
+        first_end = end_number(report.ended.first()), last_end = end_number(report.ended.last());
         "worker restarted"
     );
 }
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -86,7 +86,8 @@
 
 impl WorkerReport {
     /// Whether the worker may have ended runs that this report doesn't list.
-    pub(crate) fn is_truncated(&self) -> bool {
+    #[must_use]
+    pub fn is_truncated(&self) -> bool {
         self.ended.len() >= MAX_ENDS
     }
 
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -139,6 +139,12 @@
                 || now.saturating_sub(self.last_poll) >= Self::UNAVAILABLE_AFTER)
     }
 
+    /// Whether the worker has reported to this owner.
+    #[must_use]
+    pub fn has_reported(&self) -> bool {
+        self.fenced
+    }
+
     /// Whether the current incarnation has answered the latest poll.
     #[must_use]
     pub fn is_responsive(&self) -> bool {
