Move QuotaDemand to a module of its own

The type is read by the log and by the parts of limits among pools, and needs nothing of the pool. No change of behaviour.

--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -9,12 +9,13 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::accounts::Charge;
-use crate::customer::{CustomerId, Entitlement, Limit};
+use crate::customer::{CustomerId, Entitlement};
 use crate::fit;
 use crate::gang_turns::{GangTurnEvent, GangWait, Release, time_to_fit};
 use crate::job::{Job, Step};
 use crate::mechanism::Mechanism;
 use crate::pool::Pool;
+use crate::quota_demand::QuotaDemand;
 use crate::report::RunStatus;
 use crate::state::State;
 use crate::task::{Ms, Phase, StageKey, TaskKey, WorkerId};
@@ -25,42 +26,6 @@
 /// its turn.
 const RESERVE_PATIENCE: Ms = 2_000;
 
-/// What a customer uses in this pool, and what it waits for.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct QuotaDemand {
-    /// The customer.
-    pub customer: CustomerId,
-    /// Resources in use.
-    pub used: Size,
-    /// Resources of the tasks of open steps that have no run.
-    pub wanted: Size,
-    /// Resources of the largest start that waits: a task, or a whole gang.
-    pub largest: Size,
-    /// What may be used in this pool.
-    pub limit: Limit,
-    /// The gang for which resources of the limit are reserved in this pool, with their amount.
-    pub reserved: Option<(StageKey, Size)>,
-    /// The most that may run on workers that haven't reported.
-    pub unreported: Size,
-    /// Number of waiting tasks by what they wait for, in the order of [`WaitReason::ALL`].
-    pub waiting: [u64; WaitReason::ALL.len()],
-}
-
-impl QuotaDemand {
-    /// The used share of the limit, in the component in which that is largest; above 1 after the limit has fallen below the use.
-    #[must_use]
-    pub fn used_share(&self) -> f64 {
-        let (used, limit) = (self.used, self.limit);
-        let parts = [
-            (used.millicores, limit.millicores),
-            (used.memory_mib, limit.memory_mib),
-            (used.accelerators, limit.accelerators),
-        ];
-        let share = |(used, bound): (u64, Option<u64>)| Some(used as f64 / bound?.max(1) as f64);
-        parts.into_iter().filter_map(share).fold(0.0, f64::max)
-    }
-}
-
 /// What customers may use beside their known runs, as of one scheduling pass.
 #[derive(Debug, Default)]
 pub(crate) struct QuotaPass {
