Inherited tasks wait until all ends of their workers are read

The owner freezes while each worker has more than 500 ends that aren't acknowledged; the next owner starts tasks again that had ended done.

Cause: Pool::apply_report took the first report of a worker for all that the former owner had started there. A report lists 500 ends at most, and tasks whose ends come later looked as if they had never run.

Change: a truncated first report leaves the worker partly read; inherited jobs of its service and transfers wait until a report lists all ends, the worker restarts, or it is unreachable and its leases are over; the roster names it for the owner after. A truncated report says nothing of a run that it doesn't list, so unanswered starts, orphaned runs and stalled runs are left alone until the ends are read. A worker with more ends than it lists gets no starts, and the next page is asked for at once. Log: `all ends of a worker read`, `inherited jobs wait until all ends of workers are read`.

Why it works: from its first report on a worker rejects the former owner, so what was started there is among its runs and ends, and ends are listed in order. Without new starts the ends are bounded, so the last page comes once the store takes writes.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -372,16 +372,19 @@
         }
     }
 
-    /// Logs how many workers of the former owner haven't answered yet, if any.
+    /// Logs how many workers of the former owner haven't answered yet, or have unread ends, if any.
     fn log_unconfirmed_workers(&self) {
         let pool = lock(&self.pool);
+        let has_quorum = pool.has_quorum(clock::now());
         if let Some(first) = pool.unconfirmed_workers().first() {
-            let (count, has_quorum) = (
-                pool.unconfirmed_workers().len(),
-                pool.has_quorum(clock::now()),
-            );
+            let count = pool.unconfirmed_workers().len();
             warn!(epoch = self.epoch, workers = count, first = &**first, majority = has_quorum; "inherited jobs wait until workers have answered");
         }
+        let mut partly_read = pool.partly_read_workers();
+        let count = partly_read.len();
+        if let Some(first) = partly_read.next() {
+            warn!(epoch = self.epoch, workers = count, first = &**first, majority = has_quorum; "inherited jobs wait until all ends of workers are read");
+        }
     }
 
     /// Logs and counts the runs of finished jobs that have not stopped in time.
--- a/crates/host/src/owner/events.rs
+++ b/crates/host/src/owner/events.rs
@@ -2,7 +2,7 @@
 
 use log::{info, warn};
 use pool::{
-    AbandonedTask, DownStep, GangTurnEvent, GangWait, Hold, IdleStep, LostRun, Ms, Pool,
+    AbandonedTask, DownStep, EndsRead, GangTurnEvent, GangWait, Hold, IdleStep, LostRun, Ms, Pool,
     StalledRun, StepTimes, WaitReason, WorkerSuspicion,
 };
 
@@ -14,6 +14,7 @@
     stalled: Vec<StalledRun>,
     suspicions: Vec<WorkerSuspicion>,
     gang_turns: Vec<GangTurnEvent>,
+    ends_read: Vec<EndsRead>,
 }
 
 impl Events {
@@ -25,6 +26,7 @@
             stalled: pool.take_stalled_runs(),
             suspicions: pool.take_worker_suspicions(),
             gang_turns: pool.take_gang_turns(),
+            ends_read: pool.take_ends_read(),
         }
     }
 
@@ -35,6 +37,7 @@
         self.stalled.iter().for_each(log_stalled_run);
         self.suspicions.iter().for_each(log_worker_suspicion);
         self.gang_turns.iter().for_each(log_gang_turn);
+        self.ends_read.iter().for_each(log_ends_read);
     }
 }
 
@@ -105,6 +108,12 @@
     }
 }
 
+/// Logs that all ends of a worker have been read, after a first report that listed only a part of them.
+fn log_ends_read(read: &EndsRead) {
+    metrics::histogram!("lentilyoke_ends_read_ms").record(read.took as f64);
+    info!(worker = &*read.worker, ends = read.ends, ms = read.took; "all ends of a worker read");
+}
+
 /// Logs that a gang's turn at its customer's limit has begun or ended.
 fn log_gang_turn(event: &GangTurnEvent) {
     let (gang, key) = (&event.gang, &event.gang.stage);
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -95,15 +95,18 @@
             }
         }
         let sent_at = clock::now();
-        let (lease, responsive) = {
+        let (lease, responsive, has_more_ends) = {
             let mut pool = lock(&owner.pool);
             let lease = pool.extend_lease(sent_at, id);
+            let worker = pool.worker(id);
             (
                 lease,
-                pool.worker(id).is_some_and(pool::Worker::is_responsive),
+                worker.is_some_and(pool::Worker::is_responsive),
+                worker.is_some_and(pool::Worker::has_more_ends),
             )
         };
-        let all_stored = ends.1 <= ends.2;
+        // The next page of ends is listed at once.
+        let all_stored = ends.1 <= ends.2 && !has_more_ends;
         let wait = match lease {
             Some(_) if all_stored && lock(&owner.answer_loss).is_high() => POLL_WAIT_LOSSY,
             Some(_) if all_stored => POLL_WAIT,
@@ -128,12 +131,15 @@
                     info!(dependency = "worker", worker = &**id; "regained");
                     lost = false;
                 }
-                let unknown_ends = {
+                let (unknown_ends, any_new) = {
                     let pool = lock(&owner.pool);
-                    pool.worker(id)
-                        .is_some_and(pool::Worker::reports_unknown_ends)
+                    let worker = pool.worker(id);
+                    (
+                        worker.is_some_and(pool::Worker::reports_unknown_ends),
+                        worker.is_some_and(|worker| worker.end_cursor() > ends),
+                    )
                 };
-                if all_stored && !unknown_ends {
+                if (all_stored || has_more_ends && any_new) && !unknown_ends {
                     delay = UNSTORED_ENDS_DELAY;
                 } else {
                     tokio::time::sleep(delay).await;
--- a/crates/pool/src/idle.rs
+++ b/crates/pool/src/idle.rs
@@ -14,7 +14,8 @@
 /// What keeps all steps of a job from starting.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Hold {
-    /// Workers have listed ends of its runs before the job was known here, and must list them again.
+    /// Workers have listed ends of its runs before the job was known here, and must list them again; or they have more ends than they
+    /// have listed, and the former owner may have started tasks of the job there.
     EndsUnread,
     /// The job is being transferred to another pool.
     Transfer,
@@ -75,6 +76,9 @@
         if live.transferring {
             return Some(Hold::Transfer);
         }
+        if live.inherited && self.may_have_unread_ends(&live.job) {
+            return Some(Hold::EndsUnread);
+        }
         let inherited = live.inherited && self.may_run_on_unconfirmed(&live.job);
         inherited.then_some(Hold::Inheritance)
     }
--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -9,6 +9,17 @@
 use crate::task::{JobId, Ms, Phase, Run, WorkerId};
 use crate::worker::UnavailableWorker;
 
+/// All ends of a worker have been read, after a first report that was truncated.
+#[derive(Clone, Debug)]
+pub struct EndsRead {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Number of the last end.
+    pub ends: u64,
+    /// Time since the first report, in milliseconds.
+    pub took: Ms,
+}
+
 impl Pool {
     /// Sets the workers of the former owner that must report before inherited jobs may start new tasks. The wait ends when all
     /// commands and leases of the former owner have certainly expired. For workers that were already unavailable to the
@@ -140,13 +151,57 @@
         self.unavailable.retain(|entry| entry.worker != *id);
     }
 
-    /// Whether an inherited job may be running on a worker that hasn't reported yet. A worker whose service is known runs only
-    /// tasks of that service.
+    /// Whether an inherited job may be running on a worker that hasn't reported yet.
     pub(crate) fn may_run_on_unconfirmed(&self, job: &Job) -> bool {
-        self.unconfirmed_workers.iter().any(|id| {
-            let service = self.workers.get(id).map(|it| it.info.service.as_str());
-            service.is_none_or(|service| service.is_empty() || service == job.service)
-        })
+        let mut unconfirmed = self.unconfirmed_workers.iter();
+        unconfirmed.any(|id| self.may_run_service(id, &job.service))
+    }
+
+    /// Whether an inherited job may have ended runs that this owner hasn't read yet.
+    pub(crate) fn may_have_unread_ends(&self, job: &Job) -> bool {
+        let mut partly_read = self.partly_read_workers.keys();
+        partly_read.any(|id| self.may_run_service(id, &job.service))
+    }
+
+    /// Whether a worker may run tasks of a service. A worker whose service is known runs only tasks of that service.
+    fn may_run_service(&self, id: &WorkerId, service: &str) -> bool {
+        let known = self.workers.get(id).map(|it| it.info.service.as_str());
+        known.is_none_or(|known| known.is_empty() || known == service)
+    }
+
+    /// Records whether a report listed all ends of a worker. A report that is truncated and the first one of its incarnation leaves
+    /// ends of the former owner's runs unread, until a report that isn't truncated.
+    pub(crate) fn record_ends_read(
+        &mut self,
+        now: Ms,
+        id: &WorkerId,
+        truncated: bool,
+        first: bool,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.has_more_ends = truncated;
+        let ends = worker.ends_applied;
+        if truncated && first {
+            self.partly_read_workers.insert(Arc::clone(id), now);
+        } else if !truncated && let Some(since) = self.partly_read_workers.remove(id) {
+            self.ends_read.push(EndsRead {
+                worker: Arc::clone(id),
+                ends,
+                took: now.saturating_sub(since),
+            });
+        }
+    }
+
+    /// Workers with unread ends of runs that a former owner may have started; inherited jobs wait for them.
+    pub fn partly_read_workers(&self) -> impl ExactSizeIterator<Item = &WorkerId> {
+        self.partly_read_workers.keys()
+    }
+
+    /// Returns and clears the workers whose ends have all been read since the last call.
+    pub fn take_ends_read(&mut self) -> Vec<EndsRead> {
+        std::mem::take(&mut self.ends_read)
     }
 
     /// Workers of the former owner that haven't reported to this one; inherited jobs wait for them.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -63,6 +63,7 @@
 pub use gang_turns::{GangTurnEvent, GangWait, TurnChange};
 pub use handover::CrashHistory;
 pub use idle::{Hold, IdleStep};
+pub use inherit::EndsRead;
 pub use job::{AdvisorPolicy, InvalidJob, Job, Policy, Schedule, Step};
 pub use lease_bound::LeaseBound;
 pub use load::Load;
--- a/crates/pool/src/monitor.rs
+++ b/crates/pool/src/monitor.rs
@@ -52,7 +52,7 @@
         let Some(worker) = self.workers.get(id) else {
             return 0;
         };
-        if !self.has(Mechanism::GatherEnds) {
+        if !self.has(Mechanism::GatherEnds) || worker.has_more_ends {
             return 0;
         }
         let steps = worker.runs.keys().filter_map(|key| {
@@ -75,7 +75,8 @@
         let mut stalled = Vec::new();
         let mut paces = Vec::new();
         for worker in self.workers.values() {
-            // After 1.5 s without a report, nothing is known of the current state of the worker's runs.
+            // A run on a worker with more ends may have ended, with an end that isn't read yet, so it can't be told whether it has
+            // stalled. After 1.5 s without a report, nothing is known of the current state of the worker's runs.
             if now.saturating_sub(worker.last_poll) > 1_500 {
                 continue;
             }
@@ -103,7 +104,7 @@
                 }
                 if step.best_effort {
                     best_effort.push((key.clone(), run.number, run.pace));
-                } else if !step.long_running {
+                } else if !step.long_running && !worker.has_more_ends {
                     // One percent of a long task may take longer than the fixed limit.
                     let timeout = STALL_TIMEOUT.max(step.estimate / 10);
                     let doublings = stalls.saturating_sub(STALLS_OF_WORKERS);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -12,6 +12,7 @@
 use crate::failure_score::WorkerSuspicion;
 use crate::gang_turns::GangTurns;
 use crate::handover::CrashHistory;
+use crate::inherit::EndsRead;
 use crate::job::Job;
 use crate::live::LiveJob;
 use crate::loss::LostRun;
@@ -96,6 +97,9 @@
     pub(crate) dirty: FxHashSet<JobId>,
     /// Workers of the former owner that have not answered this owner.
     pub(crate) unconfirmed_workers: BTreeSet<WorkerId>,
+    /// Workers that have reported to this owner, but not all ends of runs that a former owner may have started, with the time of
+    /// the first report.
+    pub(crate) partly_read_workers: BTreeMap<WorkerId, Ms>,
     /// When the leases of former owners have lapsed on workers that don't answer, as the former owner handed it over.
     pub(crate) lease_bounds: FxHashMap<WorkerId, Ms>,
     /// Workers that were given up for the next owner.
@@ -148,6 +152,8 @@
     pub(crate) lost_runs: Vec<LostRun>,
     /// Runs that were stopped because they made no progress, to be logged.
     pub(crate) stalled_runs: Vec<StalledRun>,
+    /// Workers whose ends have all been read, to be logged.
+    pub(crate) ends_read: Vec<EndsRead>,
     /// Workers that have come under suspicion or have been cleared of it, to be logged.
     pub(crate) worker_suspicions: Vec<WorkerSuspicion>,
     /// Commands collected since the last scheduling pass; the next one returns them.
@@ -204,7 +210,9 @@
         // The former owner may have received, and started, a job that this owner learns of only now.
         let former_may_act = self.former_commands_end().is_none_or(|end| now < end);
         live.inherited = !accepted_for_us
-            && (inherited || former_may_act && !self.unconfirmed_workers.is_empty());
+            && (inherited
+                || former_may_act && !self.unconfirmed_workers.is_empty()
+                || !self.partly_read_workers.is_empty());
         self.jobs.insert(Arc::clone(&id), live);
         self.advance(&id, now, unix);
         self.apply_former_crashes(&id);
@@ -317,6 +325,7 @@
             })
             .map(|worker| Arc::clone(&worker.id))
             .chain(self.unconfirmed_workers.iter().cloned())
+            .chain(self.partly_read_workers.keys().cloned())
             .collect();
         ids.sort();
         ids.dedup();
@@ -325,7 +334,7 @@
 
     /// Workers that are unreachable or about to leave, with the runs that may be there. After this call, nothing is
     /// started on them until a roster that names them is stored: a run started while the list is being stored would be
-    /// missing from it.
+    /// missing from it. Workers with unread ends are left out: more runs than these may be there.
     #[must_use]
     pub fn unavailable_workers(&mut self, now: Ms) -> Vec<UnavailableWorker> {
         for worker in self.workers.values_mut() {
@@ -336,6 +345,7 @@
             .values()
             .filter(|worker| worker.is_unavailable(now) || worker.lease_expires_at == Ms::MAX)
             .filter(|worker| !worker.runs.is_empty())
+            .filter(|worker| !self.partly_read_workers.contains_key(&worker.id))
             .map(|worker| {
                 let runs = worker.runs.iter();
                 let mut runs: Vec<_> = runs.map(|(key, run)| (key.clone(), *run)).collect();
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -37,10 +37,11 @@
         };
         // The worker's clock may be slow, so only what it has reported tells the order of reports, not the time that has passed here.
         let newest = report.clock >= worker.clock.0;
+        let first = !worker.fenced || worker.incarnation != report.incarnation;
         if !worker.fenced {
             worker.lease_expires_at = 0;
         }
-        if !worker.fenced || worker.incarnation != report.incarnation {
+        if first {
             worker.incarnation_since = now;
         }
         worker.fenced = true;
@@ -68,6 +69,7 @@
             }
         }
         if newest {
+            self.record_ends_read(now, id, report.is_truncated(), first);
             self.end_runs_of_former_incarnation(now, unix, id, report);
             self.reconcile_runs(now, unix, id, report);
         }
@@ -204,6 +206,7 @@
         worker.applied_out_of_order.clear();
         worker.unknown_ends = None;
         worker.ends_stored = 0;
+        worker.has_more_ends = false;
         worker.clock = (0, 0);
         worker.lease_expires_at = 0;
         worker.last_poll_before_restart = worker.last_poll;
@@ -214,6 +217,7 @@
         }
         let keys: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         self.remove_orphans(id);
+        self.partly_read_workers.remove(id);
         for key in keys {
             if let Some(run) = self.task_mut(&key).and_then(|task| task.run.as_mut()) {
                 run.may_be_of_former_incarnation = true;
@@ -221,7 +225,8 @@
         }
     }
 
-    /// Compares the runs reported by a worker with the expected ones.
+    /// Compares the runs reported by a worker with the expected ones. A report that doesn't list all ends says nothing about a run
+    /// that it doesn't list.
     fn reconcile_runs(&mut self, now: Ms, unix: u64, id: &WorkerId, report: &WorkerReport) {
         for row in &report.running {
             self.observe_run(now, id, row);
@@ -229,10 +234,10 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        if worker.runs.is_empty() && worker.orphaned_runs.is_empty() {
+        let is_idle = worker.runs.is_empty() && worker.orphaned_runs.is_empty();
+        if is_idle || report.is_truncated() {
             return;
         }
-        let ends_truncated = report.is_truncated();
         let missing: Vec<TaskKey> = worker
             .runs
             .iter()
@@ -253,16 +258,12 @@
                 Phase::Starting | Phase::Unconfirmed => report.clock > run.start_deadline,
                 // A report that was long in transit says nothing about a run that was started in the meantime.
                 Phase::Running => {
-                    !ends_truncated
-                        && report
-                            .requested_at
-                            .saturating_sub(run.progressed_at.max(run.requested_at))
-                            > MISSING_RUN_TIMEOUT
+                    let since = run.progressed_at.max(run.requested_at);
+                    report.requested_at.saturating_sub(since) > MISSING_RUN_TIMEOUT
                 }
                 Phase::Stopping => {
-                    !ends_truncated
-                        && (report.clock > run.start_deadline
-                            || run.stop_confirmed > 0 && report.clock >= run.stop_confirmed)
+                    report.clock > run.start_deadline
+                        || run.stop_confirmed > 0 && report.clock >= run.stop_confirmed
                 }
             };
             if over {
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -59,8 +59,9 @@
             .workers
             .values()
             .filter(|worker| {
-                let affected =
-                    !worker.runs.is_empty() || self.jobs_awaiting_worker.contains_key(&worker.id);
+                let affected = !worker.runs.is_empty()
+                    || self.jobs_awaiting_worker.contains_key(&worker.id)
+                    || self.partly_read_workers.contains_key(&worker.id);
                 worker.lease_expires_at < now && affected
             })
             .map(|worker| {
@@ -71,6 +72,10 @@
             })
             .collect();
         for (id, keys) in expired {
+            let worker = self.workers.get(&id);
+            if worker.is_none_or(|worker| worker.is_unavailable(now)) {
+                self.partly_read_workers.remove(&id);
+            }
             for job in self.jobs_awaiting_worker.remove(&id).unwrap_or_default() {
                 if let Some(live) = self.jobs.get_mut(&job) {
                     live.awaited_workers = live.awaited_workers.saturating_sub(1);
@@ -100,10 +105,12 @@
         let unavailable = &self.unavailable;
         // The wait of these jobs ends with the next report of the worker or with its lease.
         let awaited = &self.jobs_awaiting_worker;
+        let partly_read = &self.partly_read_workers;
         self.workers.retain(|id, worker| {
             worker.registered
                 || unconfirmed.contains(id)
                 || awaited.contains_key(id)
+                || partly_read.contains_key(id)
                 || unavailable.iter().any(|other| other.worker == *id)
                 || !worker.runs.is_empty()
                 || !worker.orphaned_runs.is_empty()
--- a/crates/pool/src/unservable.rs
+++ b/crates/pool/src/unservable.rs
@@ -27,6 +27,7 @@
         if now < self.scanned_at + SCAN_INTERVAL
             || !self.has_quorum(now)
             || !self.unconfirmed_workers.is_empty()
+            || !self.partly_read_workers.is_empty()
         {
             return Vec::new();
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -119,6 +119,8 @@
     pub(crate) applied_out_of_order: BTreeSet<u64>,
     /// Ends up to and including this number are stored.
     pub(crate) ends_stored: u64,
+    /// Whether the newest report listed as many ends as fit, so that the worker may have more.
+    pub(crate) has_more_ends: bool,
     /// Nothing is started on the worker before this time.
     pub(crate) paused_until: Ms,
     /// Evidence that runs fail because of the worker; see [`crate::fit::SUSPECT_SCORE`].
@@ -157,6 +159,12 @@
         self.unknown_ends.is_some()
     }
 
+    /// Whether the newest report listed as many ends as fit. The next ones are listed once these are stored and acknowledged.
+    #[must_use]
+    pub fn has_more_ends(&self) -> bool {
+        self.has_more_ends
+    }
+
     /// Time without an answer after which an answer of this worker counts as overdue, in milliseconds.
     #[must_use]
     pub fn overdue_after(&self) -> Ms {
@@ -208,6 +216,8 @@
             && self.in_stored_roster
             && self.fenced
             && self.paused_until <= now
+            // Otherwise the worker might end runs faster than their ends are stored, and would never be read to the last one.
+            && !self.has_more_ends
             && !has_unknown_orphans
             && !self.is_unavailable(now)
     }
--- a/crates/pool/tests/simulation/workers.rs
+++ b/crates/pool/tests/simulation/workers.rs
@@ -11,6 +11,9 @@
 
 use super::{Message, Run, STEP, Simulation};
 
+/// Largest number of ends in a report.
+const MAX_LISTED_ENDS: usize = 500;
+
 impl Simulation {
     pub(super) fn start(&mut self, owner: usize, start: Start, answers: bool) {
         if !self.reaches(owner, &start.worker) {
@@ -244,7 +247,12 @@
                             load: 0,
                         })
                         .collect(),
-                    ended: worker.unstored_ends.clone(),
+                    ended: worker
+                        .unstored_ends
+                        .iter()
+                        .take(MAX_LISTED_ENDS)
+                        .cloned()
+                        .collect(),
                 };
                 if self.mute.contains(id) {
                     self.owners[owner].pool.mark_unresponsive(id);
