Units of a limit aren't held for a gang that can't start beside long-running tasks

What callers would see, by the test: a customer with work in two pools. Long-running tasks in one pool use 4 of its 40 cores, and a gang in the other wants 38. The first pool gives away all units but those of the long-running tasks and gets none back, so none of its other tasks starts.

Evidence: the test, a loop of decisions of both pools: the first ends with 100,000 units, all of them in use, and needs 200,000.

Change: a standing tells the units of long-running tasks (`k`; 0 from builds without it). The largest start counts beside them, and takes no precedence if it doesn't fit within the limit beside those of the other pool, or of its own.

Why it works: without precedence the units are divided by need, so both pools can start something, and a gang that does fit gets its units as before.

Test: a_gang_that_cannot_start_beside_long_running_tasks_of_another_pool_takes_no_precedence, failed before ("no task can start: own 100000, used 100000"). The example quota_ways, which has no long-running tasks, gives the figures of docs/design/customers.md to the last digit.

--- a/crates/host/src/quota_policy.rs
+++ b/crates/host/src/quota_policy.rs
@@ -29,7 +29,11 @@
     /// Units that its tasks use.
     #[serde(rename = "u")]
     pub used: u32,
-    /// Units that its largest waiting start takes alone, without which that one never starts; 0 if nothing waits.
+    /// Units that its long-running tasks use, which don't become free.
+    #[serde(default, rename = "k")]
+    pub kept: u32,
+    /// Units that its largest waiting start takes beside its long-running tasks, without which that one never starts; 0 if nothing
+    /// waits or if it exceeds the limit.
     #[serde(rename = "f")]
     pub first: u32,
     /// Units that it needs to run all that waits too.
@@ -42,15 +46,31 @@
     #[must_use]
     pub fn new(limit: Limit, own: u32, demand: &QuotaDemand) -> Self {
         let waits = demand.wanted != Size::ZERO;
-        let first = if waits { demand.largest } else { Size::ZERO };
+        let can_start = waits && limit.allows(demand.lasting, demand.largest);
+        let first = if can_start {
+            demand.lasting.plus(demand.largest)
+        } else {
+            Size::ZERO
+        };
         Self {
             own,
             used: units_for(limit, demand.used),
+            kept: units_for(limit, demand.lasting),
             first: units_for(limit, first),
             need: units_for(limit, demand.used.plus(demand.wanted)),
         }
     }
 
+    /// The same standing beside a pool whose long-running tasks use `kept` units: a start that doesn't fit within the limit beside
+    /// them takes no precedence.
+    fn beside(self, kept: u32) -> Self {
+        let fits = self.first.saturating_add(kept) <= UNITS;
+        Self {
+            first: if fits { self.first } else { 0 },
+            ..self
+        }
+    }
+
     /// Whether the pool should ask others for units.
     #[must_use]
     pub fn lacks(&self) -> bool {
@@ -130,16 +150,17 @@
 /// use host::quota_policy::{Decision, Standing, decide};
 ///
 /// // Nothing waits in the pool that is asked, so it gives what its tasks don't use.
-/// let mine = Standing { own: 500_000, used: 100_000, first: 0, need: 100_000 };
-/// let theirs = Standing { own: 0, used: 0, first: 10_000, need: 300_000 };
+/// let mine = Standing { own: 500_000, used: 100_000, kept: 0, first: 0, need: 100_000 };
+/// let theirs = Standing { own: 0, used: 0, kept: 0, first: 10_000, need: 300_000 };
 /// assert_eq!(decide(&mine, &theirs, 1, false).give, 300_000);
 ///
 /// // All its units are in use and more of its work waits: it holds back a fair part.
-/// let mine = Standing { own: 500_000, used: 500_000, first: 10_000, need: 600_000 };
+/// let mine = Standing { own: 500_000, used: 500_000, kept: 0, first: 10_000, need: 600_000 };
 /// assert_eq!(decide(&mine, &theirs, 1, false), Decision { give: 0, withhold: 166_666 });
 /// ```
 #[must_use]
 pub fn decide(mine: &Standing, theirs: &Standing, asked: u32, first: bool) -> Decision {
+    let (mine, theirs) = (&mine.beside(theirs.kept), &theirs.beside(mine.kept));
     let free = mine.own.saturating_sub(mine.used);
     let over = theirs.used.saturating_sub(theirs.own);
     if over > 0 {
--- a/crates/host/tests/quota_policy.rs
+++ b/crates/host/tests/quota_policy.rs
@@ -8,11 +8,13 @@
 use resource::Size;
 
 fn standing() -> impl Strategy<Value = Standing> {
-    (0..=UNITS, 0..=UNITS, 0..=UNITS, 0..=UNITS).prop_map(|(own, used, first, wanted)| {
+    let units = || 0..=UNITS;
+    (units(), units(), units(), units(), units()).prop_map(|(own, used, kept, first, wanted)| {
         let need = used.saturating_add(wanted).min(UNITS);
         Standing {
             own,
             used,
+            kept: kept.min(used),
             first: first.min(wanted),
             need,
         }
@@ -46,6 +48,7 @@
     Standing {
         own,
         used: own,
+        kept: 0,
         first: 10_000,
         need: UNITS,
     }
@@ -57,12 +60,14 @@
     let idle = Standing {
         own: 600_000,
         used: 0,
+        kept: 0,
         first: 0,
         need: 0,
     };
     let theirs = Standing {
         own: 0,
         used: 0,
+        kept: 0,
         first: 20_000,
         need: 200_000,
     };
@@ -82,12 +87,14 @@
     let mine = Standing {
         own: 500_000,
         used: 300_000,
+        kept: 0,
         first: 10_000,
         need: UNITS,
     };
     let theirs = Standing {
         own: 500_000,
         used: 900_000,
+        kept: 0,
         first: 10_000,
         need: UNITS,
     };
@@ -106,6 +113,7 @@
     let theirs = Standing {
         own: 0,
         used: 0,
+        kept: 0,
         first: 20_000,
         need: 200_000,
     };
@@ -133,6 +141,7 @@
     let gang = |own| Standing {
         own,
         used: 0,
+        kept: 0,
         first: 600_000,
         need: 600_000,
     };
@@ -152,6 +161,7 @@
     let running = Standing {
         own: 600_000,
         used: 600_000,
+        kept: 0,
         first: 600_000,
         need: UNITS,
     };
@@ -165,6 +175,67 @@
     );
 }
 
+/// Exchanges units between two pools until nothing moves any more.
+fn settle(a: &mut Standing, b: &mut Standing) {
+    for _ in 0..20 {
+        let given = decide(a, b, 1, false).give;
+        a.own -= given;
+        b.own += given;
+        let given = decide(b, a, 1, true).give;
+        b.own -= given;
+        a.own += given;
+    }
+}
+
+/// A gang in one pool doesn't fit within the limit beside the customer's long-running tasks in another. Guards against units that are
+/// given to the gang's pool, or held back for it, until nothing else can start in the other.
+#[test]
+fn a_gang_that_cannot_start_beside_long_running_tasks_of_another_pool_takes_no_precedence() {
+    let limit = Limit::from(Size::new(40_000, 0, 0));
+    let busy = QuotaDemand {
+        used: Size::new(4_000, 0, 0),
+        lasting: Size::new(4_000, 0, 0),
+        wanted: Size::new(4_000, 0, 0),
+        largest: Size::new(500, 0, 0),
+        ..QuotaDemand::default()
+    };
+    let gang = |millicores| QuotaDemand {
+        wanted: Size::new(millicores, 0, 0),
+        largest: Size::new(millicores, 0, 0),
+        ..QuotaDemand::default()
+    };
+    let mut a = Standing::new(limit, UNITS, &busy);
+    let mut b = Standing::new(limit, 0, &gang(38_000));
+    settle(&mut a, &mut b);
+    let least = units_for(limit, Size::new(4_500, 0, 0));
+    assert!(a.own >= least, "no task can start: {a:?}");
+    let decision = decide(&a, &b, 1, false);
+    assert!(a.own - decision.withhold >= least, "{decision:?}");
+
+    // The same beside long-running tasks of its own pool.
+    let own = QuotaDemand {
+        largest: Size::new(38_000, 0, 0),
+        wanted: Size::new(38_000, 0, 0),
+        ..busy.clone()
+    };
+    let small = QuotaDemand {
+        wanted: Size::new(4_000, 0, 0),
+        largest: Size::new(500, 0, 0),
+        ..QuotaDemand::default()
+    };
+    let mut a = Standing::new(limit, UNITS, &own);
+    let mut b = Standing::new(limit, 0, &small);
+    settle(&mut a, &mut b);
+    assert!(b.own >= b.first, "no task can start: {b:?}");
+
+    // One that fits beside them gets its units.
+    let mut a = Standing::new(limit, UNITS, &busy);
+    let mut b = Standing::new(limit, 0, &gang(35_000));
+    settle(&mut a, &mut b);
+    assert!(b.own >= b.first, "the gang can't start: {b:?}");
+    assert!(a.own >= least, "no task can start: {a:?}");
+}
+
 /// Guards against a component without a limit that takes units.
 #[test]
 fn components_without_a_limit_need_no_units() {
@@ -179,6 +250,7 @@
     let expected = Standing {
         own: 9,
         used: 500_000,
+        kept: 0,
         first: 0,
         need: 500_000,
     };
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -95,6 +95,7 @@
                 QuotaDemand {
                     customer: Arc::clone(customer),
                     used: account.used,
+                    lasting: Size::ZERO,
                     wanted: Size::ZERO,
                     largest: Size::ZERO,
                     limit: account.limit(),
@@ -116,6 +117,10 @@
                 continue;
             };
             let waiting = stage.waiting_count() as u64;
+            if step.long_running {
+                let running = stage.tasks.len() as u64 - waiting;
+                entry.lasting = entry.lasting.plus(step.charge().times(running));
+            }
             if waiting == 0 {
                 continue;
             }
--- a/crates/pool/src/quota_demand.rs
+++ b/crates/pool/src/quota_demand.rs
@@ -13,6 +13,8 @@
     pub customer: CustomerId,
     /// Resources in use.
     pub used: Size,
+    /// Those of them that long-running tasks use.
+    pub lasting: Size,
     /// Resources of the tasks of open steps that have no run.
     pub wanted: Size,
     /// Resources of the largest start that waits: a task, or a whole gang.
