Update the turns of gangs at most every 100 ms

For an update all runs of the customers with waiting gangs are looked at, which a scheduling pass, up to 250 a second, should not do each time: a gang beside a long-running job waits for as long as that runs. `caught_up` in the poll loop is named apart from `all_stored`, which also counts ends that aren't listed yet.

--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -105,12 +105,12 @@
                 worker.is_some_and(pool::Worker::has_more_ends),
             )
         };
-        // The next page of ends is listed at once.
-        let all_stored = ends.1 <= ends.2 && !has_more_ends;
+        // Otherwise the worker has ends to list, and is asked for them at once.
+        let caught_up = ends.1 <= ends.2 && !has_more_ends;
         let wait = match lease {
-            Some(_) if all_stored && lock(&owner.answer_loss).is_high() => POLL_WAIT_LOSSY,
-            Some(_) if all_stored => POLL_WAIT,
-            None if all_stored && responsive => POLL_WAIT_UNCONFIRMED,
+            Some(_) if caught_up && lock(&owner.answer_loss).is_high() => POLL_WAIT_LOSSY,
+            Some(_) if caught_up => POLL_WAIT,
+            None if caught_up && responsive => POLL_WAIT_UNCONFIRMED,
             _ => Duration::ZERO,
         };
         // A worker that did not answer may have restarted. Its new incarnation numbers ends from the start, and must not forget
@@ -139,7 +139,7 @@
                         worker.is_some_and(|worker| worker.end_cursor() > ends),
                     )
                 };
-                if (all_stored || has_more_ends && any_new) && !unknown_ends {
+                if (caught_up || has_more_ends && any_new) && !unknown_ends {
                     delay = UNSTORED_ENDS_DELAY;
                 } else {
                     tokio::time::sleep(delay).await;
--- a/crates/pool/src/gang_turns.rs
+++ b/crates/pool/src/gang_turns.rs
@@ -21,6 +21,9 @@
 /// A turn ends if the gang hasn't started this long after the limit allowed it: it lacks workers or advice.
 const START_TIMEOUT: Ms = 1_500;
 
+/// Minimum time between two updates of the turns, for which all runs of the customers are looked at.
+const UPDATE_INTERVAL: Ms = 100;
+
 /// Resources in use that are expected to be released after this time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Release {
@@ -204,6 +207,7 @@
 pub(crate) struct GangTurns {
     current: FxHashMap<CustomerId, Turn>,
     pauses: FxHashMap<CustomerId, Pause>,
+    updated_at: Option<Ms>,
     events: Vec<GangTurnEvent>,
 }
 
@@ -219,9 +223,17 @@
             .is_some_and(|turn| turn.gang.stage == *gang)
     }
 
+    /// Whether the turns should be updated.
+    pub(crate) fn are_due(&self, now: Ms) -> bool {
+        let since = |updated_at| now.saturating_sub(updated_at);
+        self.updated_at
+            .is_none_or(|it| since(it) >= UPDATE_INTERVAL)
+    }
+
     /// Ends and begins turns, given all gangs that wait, in the order in which they should start. Returns the gangs whose turns have
     /// ended and that still wait.
     pub(crate) fn update(&mut self, now: Ms, waiting: &[GangWait]) -> Vec<StageKey> {
+        self.updated_at = Some(now);
         self.pauses.retain(|_, pause| !pause.is_over(now));
         let mut ended = Vec::new();
         for (customer, turn) in &mut self.current {
--- a/crates/pool/src/quota.rs
+++ b/crates/pool/src/quota.rs
@@ -262,7 +262,9 @@
             unreported: self.unreported(),
             gangs: Vec::new(),
         };
-        if self.has(Mechanism::GangQuota) {
+        if !self.gang_turns.are_due(now) {
+            pass.gangs = std::mem::take(&mut self.quota_pass.gangs);
+        } else if self.has(Mechanism::GangQuota) {
             pass.gangs = self.waiting_gangs(now, waiting, &pass);
             for key in self.gang_turns.update(now, &pass.gangs) {
                 if let Some(stage) = self.stage_mut(&key) {
