Don't keep the failures of long-running tasks

A long-running job whose tasks fail at each start stops its whole pool after some 50 s: accepted jobs never start.

Cause: Task::record_end kept the number of each failed run, which serves to count attempts. Long-running tasks have no limit of attempts, so the row of the job grew until the store refused it; the owner then acknowledged no end of the pool, and with 500 of them on each worker it learned of no further one.

Evidence: 298 lines `store rejected the write of progress` with rows 1 and status 400, from some 50 s to the end. Ruled out: an outage (one row alone is refused, and for good) and workers taken for faulty (no such line explains refusals).

Change: an end `failed` of a long-running task is recorded like one that was stopped; numbers that are stored already are not loaded.

Why it works: nothing else in the row grows with the number of failures.

--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -64,7 +64,13 @@
         } else {
             end.outcome
         };
-        let store = task.record_end(end.run, outcome, &end.checkpoint);
+        // A long-running task may fail any number of times, so its failures aren't kept: its row would grow without bound.
+        let recorded = if step.long_running {
+            RunOutcome::Stopped
+        } else {
+            outcome
+        };
+        let store = task.record_end(end.run, recorded, &end.checkpoint);
         let current = task
             .run
             .as_ref()
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -62,7 +62,8 @@
                 task.done = progress.is_done(index as u32);
                 task.highest_run = progress.highest_run;
             }
-            for (index, runs) in &progress.failed {
+            let failed = progress.failed.iter().filter(|_| !step.long_running);
+            for (index, runs) in failed {
                 if let Some(task) = tasks.get_mut(*index as usize) {
                     task.failed.clone_from(runs);
                 }
