Leave out checkpoints that don't fit the row of their job

Cause: a row has all checkpoints of a job's unfinished tasks, whatever the store's bound.

Why it works: all else in a row is bounded by the job's size and its attempts. A checkpoint only saves work: without it a task begins anew under the next owner, and its present owner still has it.

Ruled out: acknowledging ends whose progress isn't stored (they would be lost with the owner), and acknowledging up to the first end of the refused job (workers forget by number, so the pool would stop a little later).

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -52,6 +52,7 @@
 mod peers;
 pub mod pool_map;
 mod pool_state;
+pub mod progress_row;
 pub mod quota_keeper;
 pub mod quota_parts;
 pub mod quota_policy;
--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -16,6 +16,7 @@
 use crate::host::lock;
 use crate::interfaces::{Row, StoreError, Transaction};
 use crate::owner::Owner;
+use crate::progress_row::ProgressRow;
 use crate::rows::{CANCEL_PREFIX, JOBS, PROGRESS, RosterRow, job_part, pool_part};
 use crate::transfer::{self, TransferOutcome};
 
@@ -285,9 +286,10 @@
         checks: version.checks(),
         ..Transaction::default()
     };
+    let max_bytes = owner.host().settings.max_row_bytes;
     for (id, progress) in &batch.rows {
-        if let Ok(value) = serde_json::to_vec(progress) {
-            let put = (PROGRESS.to_owned(), id.to_string(), value);
+        if let Some(row) = ProgressRow::of_job(id, progress, max_bytes) {
+            let put = (PROGRESS.to_owned(), id.to_string(), row.value);
             transaction.puts.push(put);
         }
     }
