--- a/crates/pool/src/gang_turns.rs
+++ b/crates/pool/src/gang_turns.rs
@@ -2,7 +2,7 @@
 //!
 //! A gang needs resources for all its members at once, but small tasks of its customer take whatever the limit leaves. So a gang
 //! that has waited gets a turn: until the turn ends, other tasks of the customer leave free what the gang needs, unless they end
-//! before it can start. Guards against a reservation that outlasts its use: a gang that can't start beside what won't end gets no
+//! before it can start (backfilling). Guards against a reservation that outlasts its use: a gang that can't start beside what won't end gets no
 //! turn, a turn is bounded in time, and between two turns the customer's other tasks start freely.
 
 use resource::Size;
@@ -131,6 +131,7 @@
     pub gang: GangWait,
     /// When it is expected to fit within the limit.
     pub fits_at: Ms,
+    /// When the turn began.
     began: Ms,
     /// The turn ends at this time at the latest.
     ends: Ms,
@@ -176,8 +177,11 @@
 struct Pause {
     /// The gang that had its turn.
     gang: StageKey,
+    /// When the pause ends if another task has started.
     min_end: Ms,
+    /// When it ends otherwise: the gang has ended by then.
     max_end: Ms,
+    /// Whether a task of another step of the customer has started since.
     others_started: bool,
 }
 
@@ -207,6 +211,7 @@
 pub(crate) struct GangTurns {
     current: FxHashMap<CustomerId, Turn>,
     pauses: FxHashMap<CustomerId, Pause>,
+    /// When the turns were last updated.
     updated_at: Option<Ms>,
     events: Vec<GangTurnEvent>,
 }
