A reply to a start counts with the lease that it shows, whichever incarnation sent it

What callers saw: two runs of a task at the same time, under one owner; the second one ends done (TWICE). Shown by a test of our own, not by the record alone. Cause: what the owner counts as the end of a lease follows from what it asked for, on the clock of the incarnation that it asked. Since a start goes only over a connection on which that incarnation has listed its runs. Where a connection outlives the incarnation, the start reaches the next one all the same, gives it the longest lease, and the owner counts 1 s. Ruled out: another evidence of the incarnation in the call. The platform's header names the id alone, which stays the same. Change: the reply shows the worker's clock, so the owner counts what is left of the deadline on that clock, at most the longest lease that the platform allows. A restart that is read later doesn't take it back. Why it works: the worker reckons the lease from the deadline and its own clock in the same way. A start on the incarnation that it is meant for shows 1 s as before, so nothing waits longer.

--- a/crates/host/src/interfaces.rs
+++ b/crates/host/src/interfaces.rs
@@ -179,12 +179,32 @@
     pub last_end: u64,
 }
 
+/// The reply to a start command.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartReply {
+    /// The outcome.
+    pub answer: StartAnswer,
+    /// The clock of the incarnation that replied, if the reply shows it.
+    pub clock: Option<Ms>,
+}
+
+impl From<StartAnswer> for StartReply {
+    fn from(answer: StartAnswer) -> Self {
+        Self {
+            answer,
+            clock: None,
+        }
+    }
+}
+
 /// Calls to workers.
 #[async_trait]
 pub trait Workers: Send + Sync {
     /// Starts a task on the incarnation that the command names, and on no other: its deadline is a time on the clock of that
     /// incarnation. A task that may have crashed workers starts only on one that has answered right before.
-    async fn start(&self, address: &str, epoch: u64, start: &Start) -> StartAnswer;
+    ///
+    /// Where connections outlive an incarnation, the start may reach the next one; the clock of the reply shows what lease that one has.
+    async fn start(&self, address: &str, epoch: u64, start: &Start) -> StartReply;
 
     /// Stops a run.
     async fn stop(&self, address: &str, epoch: u64, stop: &Stop) -> StopAnswer;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -80,8 +80,8 @@
 pub use catalog::{Catalog, Customer, Queue};
 pub use host::Host;
 pub use interfaces::{
-    Acknowledgement, Advisor, Decode, Feed, Page, PollFailure, Row, Store, StoreError, Tickets,
-    Transaction, Workers,
+    Acknowledgement, Advisor, Decode, Feed, Page, PollFailure, Row, StartReply, Store, StoreError,
+    Tickets, Transaction, Workers,
 };
 pub use invalid_catalog::{InvalidCatalog, check_customers};
 pub use key::{KeyDigest, MAX_KEY_BYTES};
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -433,7 +433,8 @@
                 };
                 self.host.stop.spawn_until_end(async move {
                     let began = clock::now();
-                    let answer = workers.start(&address, epoch, &start).await;
+                    let reply = workers.start(&address, epoch, &start).await;
+                    let answer = reply.answer;
                     let now = clock::now();
                     metrics::counter!("lentilyoke_starts_total", "outcome" => answer.name())
                         .increment(1);
@@ -443,11 +444,17 @@
                         info!(
                             job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
                             task = key.index, run = start.run, worker = &*start.worker, epoch = epoch,
-                            incarnation = start.incarnation, deadline = start.start_deadline, crashes = start.crashes, outcome:? = answer, ms = now.saturating_sub(began);
+                            incarnation = start.incarnation, deadline = start.start_deadline, clock = reply.clock.unwrap_or(0), crashes = start.crashes, outcome:? = answer, ms = now.saturating_sub(began);
                             "start"
                         );
                     }
-                    lock(&owner.pool).start_answered(now, &start, answer);
+                    {
+                        let mut pool = lock(&owner.pool);
+                        if let Some(clock) = reply.clock {
+                            pool.record_start_lease(now, &start, clock);
+                        }
+                        pool.start_answered(now, &start, answer);
+                    }
                     if answer != pool::StartAnswer::Running {
                         owner.wake.notify_one();
                     }
--- a/crates/host/tests/stopping/platform.rs
+++ b/crates/host/tests/stopping/platform.rs
@@ -9,11 +9,9 @@
 use async_trait::async_trait;
 use host::{
     Acknowledgement, Advisor, Catalog, Decode, Feed, InvalidCatalog, Page, PollFailure, PoolMap,
-    Row, Store, StoreError, Tickets, Transaction, Workers,
-};
-use pool::{
-    Ms, Pace, StageKey, Start, StartAnswer, Stop, StopAnswer, WorkerId, WorkerInfo, WorkerReport,
+    Row, StartReply, Store, StoreError, Tickets, Transaction, Workers,
 };
+use pool::{Ms, Pace, StageKey, Start, Stop, StopAnswer, WorkerId, WorkerInfo, WorkerReport};
 use resource::Size;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -196,7 +194,7 @@
 
 #[async_trait]
 impl Workers for IdleWorkers {
-    async fn start(&self, _: &str, _: u64, _: &Start) -> StartAnswer {
+    async fn start(&self, _: &str, _: u64, _: &Start) -> StartReply {
         self.starts.fetch_add(1, Ordering::Relaxed);
         std::future::pending().await
     }
--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::job::Job;
+use crate::lease_bound::lapse_time;
 use crate::loss::LeaseBasis;
 use crate::pool::Pool;
 use crate::task::{JobId, Ms, Phase, Run, WorkerId};
@@ -111,9 +112,8 @@
 
     /// Time after which all leases of the former owner have expired. `None` until this owner has a majority.
     pub(crate) fn former_leases_end(&self) -> Option<Ms> {
-        // Clocks of workers may be 2% slow; 400 ms cover network delays and timers.
-        let leases = self.options.max_lease + self.options.max_lease / 33 + 400;
-        Some(self.former_commands_end()? + leases)
+        let last_request = self.former_commands_end()?;
+        Some(lapse_time(last_request, self.options.max_lease))
     }
 
     /// Ends the wait for unreported workers once all commands and leases of the former owner have expired. Unless the former owner
--- a/crates/pool/src/lease_bound.rs
+++ b/crates/pool/src/lease_bound.rs
@@ -1,4 +1,4 @@
-//! What an owner that leaves tells the next one about workers that don't answer.
+//! Until when leases on workers may last, and what an owner that leaves tells the next one about that.
 //!
 //! A new owner that can't reach a worker of the former one waits until all leases there have certainly lapsed, counted from its own
 //! majority. The former owner knows better: it has asked for these leases, or has waited for those of its predecessors. So it hands
@@ -7,10 +7,19 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::command::Start;
 use crate::pool::Pool;
 use crate::task::{Ms, WorkerId};
 use crate::worker::Worker;
 
+/// Margin for network delay, timers and rounding when the lease of a worker is converted to this process's clock.
+const LEASE_MARGIN: Ms = 400;
+
+/// When a lease of this length has certainly lapsed that was requested at `requested_at`. The worker's clock may be 2% slow.
+pub(crate) const fn lapse_time(requested_at: Ms, length: Ms) -> Ms {
+    requested_at + length + length / 33 + LEASE_MARGIN
+}
+
 /// Time after which nothing that an owner or an earlier one has sent to a worker can run there or take effect.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseBound {
@@ -21,6 +30,23 @@
 }
 
 impl Pool {
+    /// Counts the lease that a start command has given to its worker, whose clock showed `clock` in its reply.
+    ///
+    /// The reply may come from another incarnation than the one that the command was meant for. On its clock the deadline may be further
+    /// ahead, and no lease is ever shortened.
+    pub fn record_start_lease(&mut self, now: Ms, start: &Start, clock: Ms) {
+        let length = self.granted_lease(start.start_deadline, clock);
+        if let Some(worker) = self.workers.get_mut(&start.worker) {
+            worker.lease_expires_at = worker.lease_expires_at.max(lapse_time(now, length));
+        }
+    }
+
+    /// Length of the lease that a call with this deadline gives to a worker whose clock shows `clock`.
+    pub(crate) fn granted_lease(&self, deadline: Ms, clock: Ms) -> Ms {
+        let requested = deadline.saturating_sub(clock);
+        requested.min(self.options.longest_lease)
+    }
+
     /// Gives up the workers that don't answer, for the next owner, and returns how long that one has to wait for each; at most `limit`
     /// of them. From now on this owner ignores what they report, so that it gives them neither leases nor commands. Only an owner
     /// that will not own the pool again may call this.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -38,8 +38,10 @@
     /// Time after which a worker must no longer carry out a start command, in milliseconds. It exceeds every response
     /// time on a healthy network; a smaller value frees capacity of starts with unknown outcome sooner.
     pub command_ttl: Ms,
-    /// Maximum length of a worker's lease, in milliseconds.
+    /// Length of the leases that this owner requests, in milliseconds.
     pub max_lease: Ms,
+    /// Longest lease that a worker grants, in milliseconds; it shortens longer ones to this.
+    pub longest_lease: Ms,
     /// Time for which an owner may act after a majority of its workers last confirmed it, in milliseconds.
     pub quorum_validity: Ms,
     /// Maximum number of concurrent advisor queries.
@@ -61,6 +63,7 @@
             switches: Switches::default(),
             command_ttl: 1_000,
             max_lease: 6_000,
+            longest_lease: 6_000,
             quorum_validity: 1_600,
             max_queries: 1,
             max_query_workers: 30,
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::lease_bound::lapse_time;
 use crate::loss::Loss;
 use crate::pool::Pool;
 use crate::report::{RunStatus, WorkerReport};
@@ -14,8 +15,6 @@
 /// A run that should be in progress but is reported neither as running nor as ended for this long counts as lost. Ends are
 /// reported completely and in order, so this happens only if the worker contradicts itself.
 const MISSING_RUN_TIMEOUT: Ms = 4_000;
-/// Margin for network delay, timers and rounding when the lease of a worker is converted to this process's clock.
-const LEASE_MARGIN: Ms = 400;
 
 impl Pool {
     /// Applies a worker's answer to a poll.
@@ -32,6 +31,12 @@
         if report.incarnation > worker.incarnation && (worker.fenced || worker.incarnation > 0) {
             self.worker_restarted(id);
         }
+        // If this owner hasn't requested a lease yet, the former owner may just have requested one of the maximum length.
+        let lease_left = if report.lease > 0 {
+            report.lease.saturating_sub(report.clock)
+        } else {
+            self.options.max_lease
+        };
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -51,16 +56,7 @@
         if report.clock > worker.clock.0 {
             worker.clock = (report.clock, now);
         }
-        // If this owner hasn't requested a lease yet, the former owner may just have requested one of the maximum length.
-        let lease_left = if report.lease > 0 {
-            report.lease.saturating_sub(report.clock)
-        } else {
-            self.options.max_lease
-        };
-        // The worker's clock may be 2% slow.
-        worker.lease_expires_at = worker
-            .lease_expires_at
-            .max(now + lease_left + lease_left / 33 + LEASE_MARGIN);
+        worker.lease_expires_at = worker.lease_expires_at.max(lapse_time(now, lease_left));
         self.unconfirmed_workers.remove(id);
         self.apply_ends(now, unix, id, report);
         for job in self.jobs_awaiting_worker.remove(id).unwrap_or_default() {
@@ -182,9 +178,7 @@
         if worker.unresponsive || clock == 0 || self.released_workers.contains(id) {
             return None;
         }
-        worker.lease_expires_at = worker
-            .lease_expires_at
-            .max(now + max_lease + max_lease / 33 + LEASE_MARGIN);
+        worker.lease_expires_at = worker.lease_expires_at.max(lapse_time(now, max_lease));
         Some(clock + max_lease)
     }
 
@@ -197,7 +191,8 @@
         }
     }
 
-    /// Handles a restart of the worker: the new incarnation has none of the runs that the former one carried out.
+    /// Handles a restart of the worker: the new incarnation has none of the runs that the former one carried out. The end of the lease
+    /// stays, since the new incarnation may have replied to a start before.
     fn worker_restarted(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -208,7 +203,6 @@
         worker.ends_stored = 0;
         worker.has_more_ends = false;
         worker.clock = (0, 0);
-        worker.lease_expires_at = 0;
         worker.last_poll_before_restart = worker.last_poll;
         worker.failure_score = 0.0;
         worker.slowness = 1.0;
--- a/crates/pool/src/start.rs
+++ b/crates/pool/src/start.rs
@@ -5,6 +5,7 @@
 use crate::command::{Command, Start};
 use crate::crash::{MIN_CRASHES_TO_ISOLATE, SteadyWorker};
 use crate::job::Job;
+use crate::lease_bound::lapse_time;
 use crate::pool::Pool;
 use crate::task::{Ms, Run, TaskKey, WorkerId};
 
@@ -29,9 +30,8 @@
         let incarnation = target.incarnation;
         let steady_worker = SteadyWorker::new(target, self.unix);
         let is_test = target.is_suspected();
-        // A start acts as a lease until its deadline, and the worker's clock may be 2% slow. 400 ms cover the network,
-        // timers and rounding, as for any lease.
-        target.lease_expires_at = target.lease_expires_at.max(now + ttl + ttl / 33 + 400);
+        // A start acts as a lease until its deadline.
+        target.lease_expires_at = target.lease_expires_at.max(lapse_time(now, ttl));
         let ticket = self
             .stage(&key.stage)
             .and_then(|stage| stage.advised.allowed.get(worker))
--- a/crates/pool/tests/restarts.rs
+++ b/crates/pool/tests/restarts.rs
@@ -179,3 +179,35 @@
     describe(&mut pool, 1_200, &id, 2);
     assert_eq!(run(&mut pool, 1_210).len(), 1);
 }
+
+/// Guards against a second run beside the first: the new incarnation replied to the start, whose deadline is far ahead on its clock, so that
+/// it has the longest lease there is, and was silent from then on.
+#[test]
+fn a_reply_of_another_clock_counts_with_the_longest_lease() {
+    let (mut pool, start) = start_task();
+    pool.record_start_lease(4_000, &start, 10);
+    pool.start_answered(4_000, &start, StartAnswer::Running);
+    drop(pool.schedule(10_500, UNIX + 10_500));
+    assert_eq!(pool.take_lost_runs().len(), 0, "it may be running");
+    drop(pool.schedule(10_700, UNIX + 10_700));
+    assert_eq!(pool.take_lost_runs().len(), 1);
+}
+
+/// Guards against a lease that is forgotten with the report that tells of the restart: the new incarnation had replied to the start before.
+#[test]
+fn a_lease_of_a_new_incarnation_counts_after_its_first_report() {
+    let (mut pool, start) = start_task();
+    pool.record_start_lease(4_000, &start, 10);
+    pool.start_answered(4_000, &start, StartAnswer::Running);
+    let report = WorkerReport {
+        clock: 100,
+        incarnation: 2,
+        lease: 200,
+        requested_at: 4_010,
+        running: vec![status(&start)],
+        ..WorkerReport::default()
+    };
+    pool.apply_report(4_020, UNIX + 4_020, &start.worker, &report);
+    drop(pool.schedule(10_500, UNIX + 10_500));
+    assert_eq!(pool.take_lost_runs().len(), 0, "it may be running");
+}
