A lease by a former clock counts for the longest lease at most

What callers would see: tasks that are down for up to as long as the clocks of two incarnations of a worker differ, with room for them. Cause: the answer to a poll counted with the time from the worker's clock to the lease that the poll requested. If the next incarnation answers, on a connection that outlives the former one, that is the difference of the clocks; and then the worker falls silent. Evidence: a_lease_by_a_former_clock_holds_tasks_back_no_longer_than_the_longest_lease failed before: an hour's lease was waited for. Change: no lease counts for longer than the platform allows. Why it works: the worker shortens it to that itself.

--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -33,7 +33,7 @@
         }
         // If this owner hasn't requested a lease yet, the former owner may just have requested one of the maximum length.
         let lease_left = if report.lease > 0 {
-            report.lease.saturating_sub(report.clock)
+            self.granted_lease(report.lease, report.clock)
         } else {
             self.options.max_lease
         };
--- a/crates/pool/tests/restarts.rs
+++ b/crates/pool/tests/restarts.rs
@@ -211,3 +211,24 @@
     drop(pool.schedule(10_500, UNIX + 10_500));
     assert_eq!(pool.take_lost_runs().len(), 0, "it may be running");
 }
+
+/// Guards against tasks that are down for as long as the clocks of two incarnations differ: the new one answers a poll that requested a lease
+/// by the former clock. No worker grants more than its longest lease.
+#[test]
+fn a_lease_by_a_former_clock_holds_tasks_back_no_longer_than_the_longest_lease() {
+    let (mut pool, start) = start_task();
+    pool.start_answered(1_015, &start, StartAnswer::Running);
+    let report = WorkerReport {
+        clock: 10,
+        incarnation: 2,
+        lease: 3_600_000,
+        requested_at: 1_020,
+        running: vec![status(&start)],
+        ..WorkerReport::default()
+    };
+    pool.apply_report(1_030, UNIX + 1_030, &start.worker, &report);
+    drop(pool.schedule(7_500, UNIX + 7_500));
+    assert_eq!(pool.take_lost_runs().len(), 0, "it may be running");
+    drop(pool.schedule(7_700, UNIX + 7_700));
+    assert_eq!(pool.take_lost_runs().len(), 1);
+}
