A job that becomes known late waits for the leases of the former owner

What callers would see: two runs of a task at the same time after a change of owner (TWICE). Cause: a job counted as inherited only while the former owner could send commands, 2.6 s from the first majority. What it has started runs for as long as a lease, 8.2 s, on a worker that doesn't answer the new owner. A job whose row comes between the two was started at once. Change: a job is inherited as long as a worker of the former owner hasn't reported. Jobs accepted for the present epoch still start at once. Why it works: these workers are waited for until all leases of the former owner have lapsed, and only on them could such a run go on.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -212,11 +212,11 @@
         live.is_owed = self
             .accounts
             .count_job(&live.job.customer, live.job.accepted);
-        // The former owner may have received, and started, a job that this owner learns of only now.
-        let former_may_act = self.former_commands_end().is_none_or(|end| now < end);
+        // The former owner may have received, and started, a job that this owner learns of only now. The run may go on for as long as
+        // the lease of a worker that hasn't reported.
         live.inherited = !accepted_for_us
             && (inherited
-                || former_may_act && !self.unconfirmed_workers.is_empty()
+                || !self.unconfirmed_workers.is_empty()
                 || !self.partly_read_workers.is_empty());
         self.jobs.insert(Arc::clone(&id), live);
         self.advance(&id, now, unix);
