A job that is submitted again is announced with the epoch of its row

What callers would see: two runs of a task at the same time, after a change of owner and a repeated submission (TWICE). Cause: an owner starts a job at once whose epoch is its own, since no former owner has started it. A host that found the job's row, written by another submission under the former owner, told the new owner the epoch that it knew itself. If the row hadn't come by the feed before, the job started beside a run on a worker that the new owner doesn't reach. Where the row names another pool, the epoch was even that of the pool that the second submission chose. Change: what an insert returns has the epoch of the row. Hosts of an earlier build leave it out, which counts as 0: the job waits for the workers of the former owner. Why it works: the row is written once, with the epoch that bounds who may have started the job.

--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -21,11 +21,14 @@
 
 /// Pool of a job and version of its row.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
 pub struct JobLocation {
     /// The pool that the job is in.
     pub pool: u32,
     /// The transaction that wrote the row.
     pub version: u64,
+    /// Epoch of the pool's owner as known to the host that wrote the row; 0 if it knew none.
+    pub epoch: u64,
     /// The job came to the pool with progress, which its row holds too: it was transferred from another pool, or cancelled before it
     /// was submitted.
     pub moved: bool,
@@ -194,6 +197,7 @@
                 return Inserted::Present(JobLocation {
                     pool,
                     version,
+                    epoch: job.epoch,
                     moved,
                 });
             }
@@ -216,6 +220,7 @@
                     Some(Inserted::Present(JobLocation {
                         pool: header.pool,
                         version: row.version,
+                        epoch: header.job.epoch,
                         moved: header.moved.is_some(),
                     }))
                 });
--- a/crates/host/src/job_rows.rs
+++ b/crates/host/src/job_rows.rs
@@ -126,7 +126,9 @@
         warn!(row = row.key.as_str(); "job row can't be decoded");
     }
     let header = header.filter(|header| header.pool == pool_number)?;
-    let JobAccess { queue, customer } = header.job;
+    let JobAccess {
+        queue, customer, ..
+    } = header.job;
     Some(Job {
         id: row.key.as_str().into(),
         queue,
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -187,8 +187,11 @@
         }
     }
 
-    /// Notifies the owner of the pool that a job's row has been written.
+    /// Notifies the owner of the pool that a job's row has been written. An earlier submission may have written it under a former
+    /// owner, which may have started the job.
     pub(crate) fn notify_accepted(&self, location: JobLocation, job: Job) {
+        let epoch = location.epoch;
+        let job = Job { epoch, ..job };
         let state = self.pool_state(location.pool);
         if let Some(owner) = state.owner {
             owner.add_accepted_job(job, location);
--- a/crates/host/src/rows.rs
+++ b/crates/host/src/rows.rs
@@ -86,7 +86,7 @@
     pub progress: pool::Progress,
 }
 
-/// The fields of a job that say who may access it.
+/// The fields of a job that say who may access it, and which owners may have started it.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct JobAccess {
     /// Queue that the job was submitted to.
@@ -94,6 +94,9 @@
     /// Customer that the job belongs to; empty for none.
     #[serde(default)]
     pub customer: CustomerId,
+    /// Epoch of the pool's owner as known to the accepting host; 0 if it knew none.
+    #[serde(default)]
+    pub epoch: u64,
 }
 
 /// The fields of a job's row that say which pool it is in and who may access it, without the rest of the job.
--- a/crates/host/tests/insert.rs
+++ b/crates/host/tests/insert.rs
@@ -17,6 +17,7 @@
     Inserted::Present(JobLocation {
         pool,
         version: 1,
+        epoch: 0,
         moved: false,
     })
 }
