A silent worker with a run of an unread job is named to the next owner

What callers would see: two runs of a task at the same time, after two changes of owner (TWICE). Cause: an owner that hasn't read all jobs, since a part of the store is down, keeps a run of an unread job as an orphaned one. If its worker falls silent, the worker is neither in the roster, as it can't be reached, nor among the unavailable workers, as it has no current run. The next owner waits for nothing. Evidence: a_silent_worker_with_a_run_of_an_unread_job_is_named_to_the_next_owner failed before: start at 3 s, lease until 6 s. Change: orphaned runs are listed with the current ones, and keep a worker in the roster that the directory has dropped. Why it works: the list names each run that the worker may have, whichever jobs this owner knows. A stray run that is being stopped only keeps the next owner from starting that task until the worker answers or its lease has lapsed.

--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -8,8 +8,8 @@
 use crate::lease_bound::lapse_time;
 use crate::loss::LeaseBasis;
 use crate::pool::Pool;
-use crate::task::{JobId, Ms, Phase, Run, WorkerId};
-use crate::worker::UnavailableWorker;
+use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
+use crate::worker::{UnavailableWorker, Worker};
 
 /// All ends of a worker have been read, after a first report that was truncated.
 #[derive(Clone, Debug)]
@@ -55,6 +55,16 @@
         }
     }
 
+    /// Runs that a worker may have, in order. Those of jobs that this owner hasn't read are among them: the next owner may know the jobs.
+    pub(crate) fn possible_runs(&self, worker: &Worker) -> Vec<(TaskKey, u32)> {
+        let current = worker.runs.iter().map(|(key, run)| (key.clone(), *run));
+        let orphaned = worker.orphaned_runs.iter();
+        let orphaned = orphaned.map(|(key, orphan)| (key.clone(), orphan.run));
+        let mut runs: Vec<(TaskKey, u32)> = current.chain(orphaned).collect();
+        runs.sort();
+        runs
+    }
+
     /// Holds back the tasks of a job that may run on workers that neither the former owner could reach nor this owner has
     /// reached yet.
     pub(crate) fn assume_unreported_runs(&mut self, now: Ms, job: &JobId) {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -326,7 +326,7 @@
             .workers
             .values()
             .filter(|worker| {
-                !worker.is_unavailable(now) && (worker.registered || !worker.runs.is_empty())
+                !worker.is_unavailable(now) && (worker.registered || worker.has_runs())
             })
             .map(|worker| Arc::clone(&worker.id))
             .chain(self.unconfirmed_workers.iter().cloned())
@@ -349,18 +349,13 @@
             .workers
             .values()
             .filter(|worker| worker.is_unavailable(now) || worker.lease_expires_at == Ms::MAX)
-            .filter(|worker| !worker.runs.is_empty())
             .filter(|worker| !self.partly_read_workers.contains_key(&worker.id))
-            .map(|worker| {
-                let runs = worker.runs.iter();
-                let mut runs: Vec<_> = runs.map(|(key, run)| (key.clone(), *run)).collect();
-                runs.sort();
-                UnavailableWorker {
-                    worker: Arc::clone(&worker.id),
-                    runs,
-                    incarnation: worker.incarnation,
-                }
+            .map(|worker| UnavailableWorker {
+                worker: Arc::clone(&worker.id),
+                runs: self.possible_runs(worker),
+                incarnation: worker.incarnation,
             })
+            .filter(|entry| !entry.runs.is_empty())
             .collect();
         unavailable.sort_by(|a, b| a.worker.cmp(&b.worker));
         unavailable
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -185,6 +185,11 @@
         self.last_poll >= sent_at
     }
 
+    /// Whether the worker may have runs, of known jobs or others.
+    pub(crate) fn has_runs(&self) -> bool {
+        !self.runs.is_empty() || !self.orphaned_runs.is_empty()
+    }
+
     /// Estimate of the worker's clock at `now`; 0 if it was never reported.
     #[must_use]
     pub fn clock(&self, now: Ms) -> Ms {
