Runs of unread jobs on unavailable workers are handed on

Cause: an owner that can't reach a worker which its predecessor couldn't reach either wrote only those of its runs whose jobs it had read. Evidence: runs_of_unread_jobs_on_unavailable_workers_are_handed_on failed before: start at 1.5 s, lease until 5.8 s; with the worker in the directory and without. Change: what the predecessor listed for unread jobs is listed again until the worker answers. Why it works: only the worker's answer, or the end of the wait, shows that such a run is over.

--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -61,6 +61,14 @@
         let orphaned = worker.orphaned_runs.iter();
         let orphaned = orphaned.map(|(key, orphan)| (key.clone(), orphan.run));
         let mut runs: Vec<(TaskKey, u32)> = current.chain(orphaned).collect();
+        let handed_over = self.unavailable.iter();
+        let handed_over = handed_over.filter(|it| !worker.fenced && it.worker == worker.id);
+        let unread = |(key, _): &&(TaskKey, u32)| !self.jobs.contains_key(&key.stage.job);
+        runs.extend(
+            handed_over
+                .flat_map(|it| it.runs.iter().filter(unread))
+                .cloned(),
+        );
         runs.sort();
         runs
     }
--- a/crates/pool/tests/orphaned_runs.rs
+++ b/crates/pool/tests/orphaned_runs.rs
@@ -11,6 +11,7 @@
 use pool::{Job, Ms, Options, Pool, RunStatus, StageKey, TaskKey, UnavailableWorker, WorkerId};
 use simulation::{UNIX, job};
 
+const KNOWN: &str = "00000000000000a1";
 /// A job that the second owner hasn't read: a part of the store is down.
 const UNREAD: &str = "00000000000000a2";
 /// When the silent worker answered last, with a lease of 5 s.
@@ -103,3 +104,45 @@
     let start = start.expect("it starts in the end");
     assert!(start >= LAST_ANSWER + LEASE, "{start}");
 }
+
+/// Guards against a second run beside the first: an owner can't reach a worker that the one before couldn't reach either, hasn't read one
+/// of the jobs that may run there, and names the worker to the next owner without that run.
+#[test]
+fn runs_of_unread_jobs_on_unavailable_workers_are_handed_on() {
+    let (last_answer, takeover) = (800, 1_000);
+    for registered in [true, false] {
+        let handed_over = UnavailableWorker {
+            worker: silent(),
+            runs: vec![(task(KNOWN), 1), (task(UNREAD), 1)],
+            incarnation: 1,
+        };
+        let mut second = pool(2);
+        second.set_jobs_incomplete(takeover, true);
+        if registered {
+            // Only its row is known; it doesn't answer this owner.
+            let info = pool::WorkerInfo {
+                service: "s".into(),
+                incarnation: 1,
+                ..pool::WorkerInfo::default()
+            };
+            second.update_worker(takeover, &silent(), info);
+            load(&mut second, takeover, KNOWN);
+        }
+        register_workers(&mut second, 3);
+        second.inherit(takeover, [], &[handed_over]);
+        let mut now = takeover;
+        for _ in 0..5 {
+            now += 100;
+            answer(&mut second, now);
+            drop(second.schedule(now, UNIX + now));
+        }
+        let roster = second.roster(now);
+        let unavailable = second.unavailable_workers(now);
+        let start = start_under_next_owner(3, now, roster, &unavailable);
+        let start = start.expect("it starts in the end");
+        assert!(
+            start >= last_answer + LEASE,
+            "{start}, registered: {registered}"
+        );
+    }
+}
