A stop that the former incarnation confirmed ends nothing on the next one

What callers would see: two runs of a task at the same time (TWICE). Cause: the answer to a stop has a time on the worker's clock, and the first report after it without the run counted as its end. If the worker restarted meanwhile, the time is on the former clock, and the new incarnation may yet carry the start out. Evidence: a_stop_that_the_former_incarnation_confirmed_ends_nothing_on_the_new_one failed before: started elsewhere while it may still start there. Change: a stop names the incarnation that it was made for, and its answer counts only while that one answers. It is sent again otherwise. Why it works: no time of one clock is compared with another's.

--- a/crates/pool/src/command.rs
+++ b/crates/pool/src/command.rs
@@ -37,6 +37,8 @@
     pub run: u32,
     /// The worker it is on.
     pub worker: WorkerId,
+    /// Incarnation of the worker that is known when the command is made, in Unix milliseconds; its clock counts for the answer.
+    pub incarnation: u64,
     /// The reason, for the log.
     pub reason: &'static str,
 }
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -359,6 +359,7 @@
                         task: key.clone(),
                         run: orphan.run,
                         worker: Arc::clone(&worker.id),
+                        incarnation: worker.incarnation,
                         reason: "run is not the current run of its task",
                     }));
                 }
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -134,6 +134,11 @@
         match answer {
             StopAnswer::Fenced => self.deposed = true,
             StopAnswer::Stopped(clock) => {
+                let worker = self.workers.get(&stop.worker);
+                // The clock is that of the former incarnation, and the start may still reach the next one.
+                if worker.is_none_or(|worker| worker.incarnation != stop.incarnation) {
+                    return;
+                }
                 if let Some(run) = self.task_mut(&stop.task).and_then(|task| task.run.as_mut())
                     && run.number == stop.run
                     && run.worker == stop.worker
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -143,10 +143,9 @@
                 continue;
             };
             let since_stop = now.saturating_sub(run.stop_sent);
-            let response_time = self
-                .workers
-                .get(&run.worker)
-                .map_or(0, |worker| worker.response_time);
+            let worker = self.workers.get(&run.worker);
+            let response_time = worker.map_or(0, |worker| worker.response_time);
+            let incarnation = worker.map_or(0, |worker| worker.incarnation);
             let command = match run.phase {
                 Phase::Stopping => {
                     let retry_delay = if run.stop_confirmed > 0 {
@@ -159,6 +158,7 @@
                             task: key.clone(),
                             run: run.number,
                             worker: Arc::clone(&run.worker),
+                            incarnation,
                             reason: "the run is not wanted any more",
                         })
                     })
--- a/crates/pool/tests/restarts.rs
+++ b/crates/pool/tests/restarts.rs
@@ -232,3 +232,33 @@
     drop(pool.schedule(7_700, UNIX + 7_700));
     assert_eq!(pool.take_lost_runs().len(), 1);
 }
+
+/// Guards against a second run beside a start command that is still in transit: the former incarnation has confirmed a stop, and its answer
+/// arrives after the first report of the new one, which may still carry the start out.
+#[test]
+fn a_stop_that_the_former_incarnation_confirmed_ends_nothing_on_the_new_one() {
+    let (mut pool, start) = start_task();
+    // The clock of the new incarnation is a little ahead of that of the former one, and the start isn't late there yet.
+    let report = |pool: &mut Pool, now: Ms| {
+        let clock = now + 50_400;
+        assert!(clock < start.start_deadline);
+        let report = WorkerReport {
+            clock,
+            incarnation: 2,
+            lease: clock + 5_000,
+            requested_at: now - 5,
+            ..WorkerReport::default()
+        };
+        pool.apply_report(now, UNIX + now, &start.worker, &report);
+    };
+    pool.start_answered(1_015, &start, StartAnswer::Lost);
+    pool.start_answered(1_016, &start, StartAnswer::Room);
+    let commands = pool.schedule(1_020, UNIX + 1_020);
+    let [Command::Stop(stop)] = &commands[..] else {
+        panic!("one stop command is expected: {commands:?}");
+    };
+    report(&mut pool, 1_100);
+    pool.stop_answered(1_110, stop, StopAnswer::Stopped(51_025));
+    report(&mut pool, 1_200);
+    assert_eq!(run(&mut pool, 1_205).len(), 0, "it may still start there");
+}
