A worker that has reported keeps its lease when the former owner's roster is read

What callers would see: a task that is never started again (LOST). Found by reading. Cause: the sessions of a new owner begin before it applies the list of workers that its predecessor couldn't use. One that has reported by then, for example a draining one, got a lease without an end, which only a first report replaces; if it is lost later, its runs never lapse. Evidence: the_lease_of_a_worker_that_reported_before_the_inheritance_ends failed before: no run lost, one expected. Whether a host loses this race wasn't run. Change: the list says nothing about workers that have reported. Why it works: their reports are newer than the list.

--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -43,6 +43,10 @@
             .collect();
         for entry in unavailable {
             let worker = self.workers.entry(Arc::clone(&entry.worker)).or_default();
+            // Sessions with workers begin before the former owner's roster is known.
+            if worker.fenced {
+                continue;
+            }
             worker.id = Arc::clone(&entry.worker);
             worker.slowness = 1.0;
             worker.lease_expires_at = Ms::MAX;
