--- a/crates/pool/tests/lease_upper_bounds.rs
+++ b/crates/pool/tests/lease_upper_bounds.rs
@@ -93,3 +93,42 @@
     drop(pool.schedule(1_480 + 9_900, UNIX + 1_480 + 9_900));
     assert_eq!(pool.take_lost_runs().len(), 0, "it may be running");
 }
+
+/// Guards against a second run beside the first: a new owner gets a first report, which requested no lease, and counts for it only the leases
+/// that owners request. The former owner's start gave the longest lease, and the worker is cut off.
+#[test]
+fn a_first_report_counts_with_the_longest_lease_that_the_former_owner_may_have_given() {
+    let first_report = 1_500;
+    let mut pool = Pool::new(options(2));
+    let former_job = Job {
+        epoch: 1,
+        ..job("00000000000000a1", &[(1, 1_000, 60_000)])
+    };
+    pool.adopt(MAJORITY, UNIX, Arc::new(former_job), None, true);
+    register_workers(&mut pool, 3);
+    let id = WorkerId::from("w99");
+    pool.inherit(MAJORITY, [id.clone()], &[]);
+    pool.update_worker(MAJORITY, &id, pool::WorkerInfo::default());
+    let stage = pool::StageKey {
+        job: "00000000000000a1".into(),
+        occurrence: 0,
+        step: 0,
+    };
+    let run = pool::RunStatus {
+        task: stage.task(0),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 5,
+        load: 0,
+    };
+    let report = WorkerReport {
+        clock: 600,
+        incarnation: 2,
+        requested_at: first_report - 5,
+        running: vec![run],
+        ..WorkerReport::default()
+    };
+    pool.apply_report(first_report, UNIX, &id, &report);
+    drop(pool.schedule(first_report + 9_300, UNIX));
+    assert_eq!(pool.take_lost_runs().len(), 0, "it may be running");
+}
