A lease bound that was handed over holds beyond the usual wait

What callers would see: two runs of a task at the same time, after a planned change of owner (TWICE). Found by a review of the fixes. Cause: a leaving owner hands over when the lease on a silent worker lapses. The next one took the earlier of that time and its own, which counts the leases that owners ask for; where a start had given a longer one, the former owner's time is the right one. Evidence: a_lease_bound_that_was_handed_over_holds_for_longer_than_usual_leases failed before: start at 8.2 s, bound 9.5 s. Change: the handed-over time decides for its worker, earlier or later; the wait for any other worker ends as before. Why it works: the former owner gives these workers up when it hands the time over. Counting the longest lease at each such change would hold inherited work back for 5 s longer wherever leases may last 10 s.

--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -139,32 +139,35 @@
     }
 
     /// Ends the wait for unreported workers once all commands and leases of the former owner have expired. Unless the former owner
-    /// has handed the time over, it is bounded only from when this owner first had a majority.
+    /// has handed the time over, which may be later too, it is bounded only from when this owner first had a majority.
     pub(crate) fn settle_inheritance(&mut self, now: Ms) {
         if self.quorum_since.is_none() && self.has_quorum(now) {
             self.quorum_since = Some(now);
         }
         if self.former_leases_end().is_some_and(|end| now >= end) {
-            for id in std::mem::take(&mut self.unconfirmed_workers) {
-                self.record_lapsed_lease(now, &id, LeaseBasis::FormerOwner);
-            }
-            self.unavailable.clear();
-            self.lease_bounds.clear();
-            for worker in self.workers.values_mut() {
-                if !worker.fenced {
-                    worker.lease_expires_at = worker.lease_expires_at.min(now);
-                }
+            for id in self.unbounded_workers() {
+                self.end_wait_for(now, &id, LeaseBasis::FormerOwner);
             }
         }
         let lapsed = self.lease_bounds.extract_if(|_, at| *at <= now);
         let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| id).collect();
         for id in lapsed {
-            self.end_wait_for(now, &id);
+            self.end_wait_for(now, &id, LeaseBasis::HandedOver);
         }
     }
 
+    /// The workers that this owner waits for without a time that the former owner has handed over.
+    fn unbounded_workers(&self) -> Vec<WorkerId> {
+        let unavailable = self.unavailable.iter().map(|entry| &entry.worker);
+        let awaited = self.unconfirmed_workers.iter().chain(unavailable);
+        let unbounded = awaited.filter(|id| !self.lease_bounds.contains_key(*id));
+        unbounded.cloned().collect()
+    }
+
     /// Ends the wait for a worker whose leases have expired, unless it has reported.
-    fn end_wait_for(&mut self, now: Ms, id: &WorkerId) {
+    fn end_wait_for(&mut self, now: Ms, id: &WorkerId, basis: LeaseBasis) {
+        self.unconfirmed_workers.remove(id);
+        self.unavailable.retain(|entry| entry.worker != *id);
         let worker = self.workers.get_mut(id);
         if worker.as_ref().is_some_and(|worker| worker.fenced) {
             return;
@@ -172,9 +175,7 @@
         if let Some(worker) = worker {
             worker.lease_expires_at = worker.lease_expires_at.min(now);
         }
-        self.record_lapsed_lease(now, id, LeaseBasis::HandedOver);
-        self.unconfirmed_workers.remove(id);
-        self.unavailable.retain(|entry| entry.worker != *id);
+        self.record_lapsed_lease(now, id, basis);
     }
 
     /// Whether an inherited job may be running on a worker that hasn't reported yet.
--- a/crates/pool/src/lease_bound.rs
+++ b/crates/pool/src/lease_bound.rs
@@ -77,8 +77,7 @@
     /// When all leases of former owners on a worker that hasn't reported have certainly lapsed; `None` if that isn't bounded yet.
     fn unreported_leases_end(&self, id: &WorkerId) -> Option<Ms> {
         let handed_over = self.lease_bounds.get(id).copied();
-        let own = self.former_leases_end();
-        [handed_over, own].into_iter().flatten().min()
+        handed_over.or_else(|| self.former_leases_end())
     }
 }
 
