Log one basis for the end of a wait

What operators saw: 'lease of a worker counts as over' twice for one worker, with basis handed_over and then calls, though it had never answered. Evidence: the_end_of_a_handed_over_wait_has_one_basis failed before ([HandedOver, Calls]). Change: the pass that ends the runs of a worker logs only workers that have reported; the wait for any other is logged where it ends, also for the unavailable ones.

--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -9,6 +9,7 @@
 use crate::pool::Pool;
 use crate::repeat;
 use crate::task::{Ms, Phase, TaskKey, WorkerId};
+use crate::worker::Worker;
 
 /// Time after which an unconfirmed stop is sent again.
 const STOP_RETRY_DELAY: Ms = 400;
@@ -76,12 +77,15 @@
             if worker.is_none_or(|worker| worker.is_unavailable(now)) {
                 self.partly_read_workers.remove(&id);
             }
+            // The end of the wait for any other worker is recorded where it ends.
+            if worker.is_some_and(Worker::has_reported) {
+                self.record_lapsed_lease(now, &id, LeaseBasis::Calls);
+            }
             for job in self.jobs_awaiting_worker.remove(&id).unwrap_or_default() {
                 if let Some(live) = self.jobs.get_mut(&job) {
                     live.awaited_workers = live.awaited_workers.saturating_sub(1);
                 }
             }
-            self.record_lapsed_lease(now, &id, LeaseBasis::Calls);
             for key in &keys {
                 self.record_loss(now, key, Loss::Lapsed);
             }
