A run that the next incarnation lists counts with the lease that its start gave

What callers would see: two runs of a task at the same time (TWICE). Cause: a start that is meant for the former incarnation reaches the next one over a connection that stayed open, and its reply is lost. The report that lists the run requested no lease, so 5 s counted; the start had given the longest one. Evidence: a_listed_run_of_a_start_without_an_answer_has_the_lease_that_the_start_gave failed before: lost while it may be running. Change: the first report of a run by another incarnation than the one that its start was meant for counts with the start's deadline on that clock. Why it works: the run itself shows that the start has reached this incarnation. No run is listed so where connections end with the incarnation, so nothing waits longer there. Not covered: a start whose reply is lost, on an incarnation that never reports.

--- a/crates/pool/src/lease_bound.rs
+++ b/crates/pool/src/lease_bound.rs
@@ -35,8 +35,13 @@
     /// The reply may come from another incarnation than the one that the command was meant for. On its clock the deadline may be further
     /// ahead, and no lease is ever shortened.
     pub fn record_start_lease(&mut self, now: Ms, start: &Start, clock: Ms) {
-        let length = self.granted_lease(start.start_deadline, clock);
-        if let Some(worker) = self.workers.get_mut(&start.worker) {
+        self.record_lease(now, &start.worker, start.start_deadline, clock);
+    }
+
+    /// Counts the lease that a call with this deadline has given to a worker whose clock shows `clock`.
+    pub(crate) fn record_lease(&mut self, now: Ms, id: &WorkerId, deadline: Ms, clock: Ms) {
+        let length = self.granted_lease(deadline, clock);
+        if let Some(worker) = self.workers.get_mut(id) {
             worker.lease_expires_at = worker.lease_expires_at.max(lapse_time(now, length));
         }
     }
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -280,6 +280,8 @@
             .jobs
             .get(&key.stage.job)
             .is_some_and(|live| live.state.is_final());
+        let worker = self.workers.get(id);
+        let (incarnation, clock) = worker.map_or((0, 0), |it| (it.incarnation, it.clock.0));
         let Some(task) = self.task_mut(key) else {
             self.record_orphaned_run(now, id, row);
             return;
@@ -300,13 +302,22 @@
                 self.unconfirmed_runs.remove(key);
             }
             let run = self.task_mut(key).and_then(|task| task.run.as_mut());
+            let mut former_deadline = None;
             if let Some(run) = run {
+                if run.incarnation > 0 && run.incarnation != incarnation {
+                    former_deadline = Some(run.start_deadline);
+                    run.incarnation = incarnation;
+                }
                 if run.percent != row.percent {
                     run.percent = row.percent;
                     run.progressed_at = now;
                 }
                 run.load = row.load;
             }
+            // This incarnation has carried out a start that was meant for the former one, and has the lease that it gave.
+            if let Some(deadline) = former_deadline {
+                self.record_lease(now, id, deadline, clock);
+            }
             if suspect {
                 self.handle_survival(now, key);
             }
--- a/crates/pool/src/task.rs
+++ b/crates/pool/src/task.rs
@@ -65,7 +65,8 @@
     pub number: u32,
     /// Worker that the start command was sent to.
     pub worker: WorkerId,
-    /// Incarnation of the worker that the start command is meant for; 0 if this owner hasn't sent one.
+    /// Incarnation of the worker that carries the run out, and until it reports the run, the one that the start command is meant for; 0 if
+    /// this owner hasn't sent one.
     pub incarnation: u64,
     /// Execution state.
     pub phase: Phase,
