A task that may have several runs on silent workers waits for all of them

Found by a review: since orphaned runs are handed over, a task can be listed with a stray run and its current one. Cause: a new owner took the first listed run for the task's run and forgot the others, also their numbers. When the stray run's worker reported that it has none, the task started beside the current run elsewhere, or with the number of one that a silent worker may have. Change: all listed numbers count; the latest run is current, and after its end the one before, until each worker has reported or its lease has lapsed. A worker that hasn't reported is handed on with all runs that were listed. Why it works: a task starts only when no listed run can be going on.

--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -1,6 +1,7 @@
 //! Restrictions on a new owner: tasks that the former owner may have started on workers that haven't reported yet, and jobs that
 //! the new owner could not read yet.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -60,25 +61,22 @@
     }
 
     /// Runs that a worker may have, in order. Those of jobs that this owner hasn't read are among them: the next owner may know the jobs.
+    /// A worker that hasn't reported may have all runs that the former owner has listed.
     pub(crate) fn possible_runs(&self, worker: &Worker) -> Vec<(TaskKey, u32)> {
         let current = worker.runs.iter().map(|(key, run)| (key.clone(), *run));
         let orphaned = worker.orphaned_runs.iter();
         let orphaned = orphaned.map(|(key, orphan)| (key.clone(), orphan.run));
-        let mut runs: Vec<(TaskKey, u32)> = current.chain(orphaned).collect();
-        let handed_over = self.unavailable.iter();
-        let handed_over = handed_over.filter(|it| !worker.fenced && it.worker == worker.id);
-        let unread = |(key, _): &&(TaskKey, u32)| !self.jobs.contains_key(&key.stage.job);
-        runs.extend(
-            handed_over
-                .flat_map(|it| it.runs.iter().filter(unread))
-                .cloned(),
-        );
+        let unreported = self.unavailable.iter();
+        let unreported = unreported.filter(|it| !worker.fenced && it.worker == worker.id);
+        let unreported = unreported.flat_map(|it| it.runs.iter().cloned());
+        let mut runs: Vec<(TaskKey, u32)> = current.chain(orphaned).chain(unreported).collect();
         runs.sort();
+        runs.dedup();
         runs
     }
 
     /// Holds back the tasks of a job that may run on workers that neither the former owner could reach nor this owner has
-    /// reached yet.
+    /// reached yet. If a task may have several runs there, the latest one counts as current, and after its end the one before.
     pub(crate) fn assume_unreported_runs(&mut self, now: Ms, job: &JobId) {
         let mut runs = Vec::new();
         for entry in &self.unavailable {
@@ -90,14 +88,15 @@
                     .map(|(key, number)| (key.clone(), *number, Arc::clone(&entry.worker))),
             );
         }
+        runs.sort_by_key(|(_, number, _)| Reverse(*number));
         for (key, number, worker) in runs {
             let Some(task) = self.task_mut(&key) else {
                 continue;
             };
+            task.highest_run = task.highest_run.max(number);
             if task.done || task.run.is_some() {
                 continue;
             }
-            task.highest_run = task.highest_run.max(number);
             task.run = Some(Run {
                 phase: Phase::Unconfirmed,
                 inherited: true,
@@ -107,6 +106,14 @@
         }
     }
 
+    /// Ends the current run of a task, and holds the task back if it may have another run on a worker that hasn't reported.
+    pub(crate) fn end_reported_run(&mut self, now: Ms, key: &TaskKey, retry: Ms) {
+        self.end_run(now, key, retry);
+        if !self.unavailable.is_empty() {
+            self.assume_unreported_runs(now, &key.stage.job);
+        }
+    }
+
     /// Sets whether jobs accepted before this owner took over may be missing, because a part of the store doesn't answer. Until
     /// all are known, runs and ends of unknown jobs are left alone, however long that takes.
     pub fn set_jobs_incomplete(&mut self, now: Ms, incomplete: bool) {
