A job's location without a pool is an error

A missing epoch counts as 0, for hosts of an earlier build; the default of the whole location would also have turned a missing pool into pool 0.

--- a/crates/host/src/insert.rs
+++ b/crates/host/src/insert.rs
@@ -21,13 +21,13 @@
 
 /// Pool of a job and version of its row.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default)]
 pub struct JobLocation {
     /// The pool that the job is in.
     pub pool: u32,
     /// The transaction that wrote the row.
     pub version: u64,
     /// Epoch of the pool's owner as known to the host that wrote the row; 0 if it knew none.
+    #[serde(default)]
     pub epoch: u64,
     /// The job came to the pool with progress, which its row holds too: it was transferred from another pool, or cancelled before it
     /// was submitted.
