--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -31,7 +31,6 @@
 use crate::host::{Host, lock};
 use crate::interfaces::Page;
 use crate::job_rows::ProgressById;
-use crate::log_sampling::is_logged_in_full;
 use crate::owner_rows;
 use crate::peers::Handover;
 use crate::quota_keeper::QuotaKeeper;
@@ -434,20 +433,9 @@
                 self.host.stop.spawn_until_end(async move {
                     let began = clock::now();
                     let reply = workers.start(&address, epoch, &start).await;
-                    let answer = reply.answer;
                     let now = clock::now();
-                    metrics::counter!("lentilyoke_starts_total", "outcome" => answer.name())
-                        .increment(1);
-                    let key = &start.task;
-                    let in_full = start.crashes > 0 || start.run > 1 || is_logged_in_full(&key.stage.job);
-                    if answer != pool::StartAnswer::Running || in_full {
-                        info!(
-                            job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
-                            task = key.index, run = start.run, worker = &*start.worker, epoch = epoch,
-                            incarnation = start.incarnation, deadline = start.start_deadline, clock = reply.clock.unwrap_or(0), crashes = start.crashes, outcome:? = answer, ms = now.saturating_sub(began);
-                            "start"
-                        );
-                    }
+                    let answer = reply.answer;
+                    events::log_start(&start, reply, epoch, now.saturating_sub(began));
                     {
                         let mut pool = lock(&owner.pool);
                         if let Some(clock) = reply.clock {
--- a/crates/host/src/owner/events.rs
+++ b/crates/host/src/owner/events.rs
@@ -1,9 +1,12 @@
 //! What the pool has decided or found out since the last scheduling pass, for the log and the metrics.
 
 use log::{info, warn};
+
+use crate::interfaces::StartReply;
+use crate::log_sampling::is_logged_in_full;
 use pool::{
     AbandonedTask, DownStep, EndsRead, GangTurnEvent, GangWait, Hold, IdleStep, LapsedLease,
-    LostRun, Ms, Pool, StalledRun, StepTimes, WaitReason, WorkerSuspicion,
+    LostRun, Ms, Pool, StalledRun, Start, StartAnswer, StepTimes, WaitReason, WorkerSuspicion,
 };
 
 /// Events of a pool since the last call of [`Events::take`].
@@ -66,12 +69,29 @@
     );
 }
 
+/// Counts a start command and its reply, which came after `took` ms. Logs it unless it is a successful first start outside of the log sample.
+pub(super) fn log_start(start: &Start, reply: StartReply, epoch: u64, took: Ms) {
+    let (key, answer) = (&start.task, reply.answer);
+    metrics::counter!("lentilyoke_starts_total", "outcome" => answer.name()).increment(1);
+    let is_first = start.run == 1 && start.crashes == 0;
+    if answer == StartAnswer::Running && is_first && !is_logged_in_full(&key.stage.job) {
+        return;
+    }
+    info!(
+        job = &*key.stage.job, occurrence = key.stage.occurrence, step = key.stage.step,
+        task = key.index, run = start.run, worker = &*start.worker, epoch = epoch,
+        incarnation = start.incarnation, deadline = start.start_deadline, clock = reply.clock.unwrap_or(0),
+        crashes = start.crashes, outcome:? = answer, ms = took;
+        "start"
+    );
+}
+
 /// Logs and counts a lease that counts as over although its worker doesn't answer.
 fn log_lapsed_lease(lease: &LapsedLease) {
     metrics::counter!("lentilyoke_leases_lapsed_total", "basis" => lease.basis.name()).increment(1);
     warn!(
         worker = &*lease.worker, incarnation = lease.incarnation, basis = lease.basis.name(),
-        silent = time(lease.silent), runs = lease.runs;
+        silence = time(lease.silence), runs = lease.runs;
         "lease of a worker counts as over"
     );
 }
--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use crate::job::Job;
+use crate::lapsed_lease::LeaseBasis;
 use crate::lease_bound::lapse_time;
-use crate::loss::LeaseBasis;
 use crate::pool::Pool;
 use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
 use crate::worker::{UnavailableWorker, Worker};
@@ -142,7 +142,7 @@
     /// Time after which all leases of the former owner have expired. `None` until this owner has a majority.
     pub(crate) fn former_leases_end(&self) -> Option<Ms> {
         let last_request = self.former_commands_end()?;
-        Some(lapse_time(last_request, self.options.max_lease))
+        Some(lapse_time(last_request, self.options.requested_lease))
     }
 
     /// Ends the wait for unreported workers once all commands and leases of the former owner have expired. Unless the former owner
--- a/crates/pool/src/lease_bound.rs
+++ b/crates/pool/src/lease_bound.rs
@@ -1,4 +1,4 @@
-//! Until when leases on workers may last, and what an owner that leaves tells the next one about that.
+//! Until when leases on workers may last, and what an owner that leaves tells the next one about workers that don't answer.
 //!
 //! A new owner that can't reach a worker of the former one waits until all leases there have certainly lapsed, counted from its own
 //! majority. The former owner knows better: it has asked for these leases, or has waited for those of its predecessors. So it hands
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -14,8 +14,9 @@
 use crate::handover::CrashHistory;
 use crate::inherit::EndsRead;
 use crate::job::Job;
+use crate::lapsed_lease::LapsedLease;
 use crate::live::LiveJob;
-use crate::loss::{LapsedLease, LostRun};
+use crate::loss::LostRun;
 use crate::mechanism::{Mechanism, Switches};
 use crate::monitor::StalledRun;
 use crate::pace::PaceController;
@@ -39,7 +40,7 @@
     /// time on a healthy network; a smaller value frees capacity of starts with unknown outcome sooner.
     pub command_ttl: Ms,
     /// Length of the leases that this owner requests, in milliseconds.
-    pub max_lease: Ms,
+    pub requested_lease: Ms,
     /// Longest lease that a worker grants, in milliseconds; it shortens longer ones to this.
     pub longest_lease: Ms,
     /// Time for which an owner may act after a majority of its workers last confirmed it, in milliseconds.
@@ -62,7 +63,7 @@
             epoch: 0,
             switches: Switches::default(),
             command_ttl: 1_000,
-            max_lease: 6_000,
+            requested_lease: 6_000,
             longest_lease: 6_000,
             quorum_validity: 1_600,
             max_queries: 1,
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -35,7 +35,7 @@
         let lease_left = if report.lease > 0 {
             self.granted_lease(report.lease, report.clock)
         } else {
-            self.options.max_lease
+            self.options.requested_lease
         };
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -169,7 +169,7 @@
     /// that this owner considers expired, next to the ones it starts in their place. An owner without a recent majority renews
     /// nothing: it may have been replaced by an owner that can't reach this worker and relies on the lease to expire.
     pub fn extend_lease(&mut self, now: Ms, id: &WorkerId) -> Option<Ms> {
-        let max_lease = self.options.max_lease;
+        let requested_lease = self.options.requested_lease;
         if !self.has_quorum(now) {
             return None;
         }
@@ -178,8 +178,10 @@
         if worker.unresponsive || clock == 0 || self.released_workers.contains(id) {
             return None;
         }
-        worker.lease_expires_at = worker.lease_expires_at.max(lapse_time(now, max_lease));
-        Some(clock + max_lease)
+        worker.lease_expires_at = worker
+            .lease_expires_at
+            .max(lapse_time(now, requested_lease));
+        Some(clock + requested_lease)
     }
 
     /// Records that a poll got no answer. Nothing is started on the worker until it answers one: the outcome of a start command
--- a/crates/pool/src/replies.rs
+++ b/crates/pool/src/replies.rs
@@ -135,7 +135,7 @@
             StopAnswer::Fenced => self.deposed = true,
             StopAnswer::Stopped(clock) => {
                 let worker = self.workers.get(&stop.worker);
-                // The clock is that of the former incarnation, and the start may still reach the next one.
+                // What a former incarnation has confirmed doesn't keep the start from reaching the present one.
                 if worker.is_none_or(|worker| worker.incarnation != stop.incarnation) {
                     return;
                 }
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use crate::command::{Command, Start, Stop};
+use crate::lapsed_lease::LeaseBasis;
 use crate::live::LiveJob;
-use crate::loss::{LeaseBasis, Loss};
+use crate::loss::Loss;
 use crate::mechanism::Mechanism;
 use crate::pool::Pool;
 use crate::repeat;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -185,7 +185,7 @@
         self.last_poll >= sent_at
     }
 
-    /// Whether the worker may have runs, of known jobs or others.
+    /// Whether the worker may have runs, also of jobs that aren't known.
     pub(crate) fn has_runs(&self) -> bool {
         !self.runs.is_empty() || !self.orphaned_runs.is_empty()
     }
--- a/crates/pool/tests/competing_runs.rs
+++ b/crates/pool/tests/competing_runs.rs
@@ -38,7 +38,7 @@
 fn next_owner(list: &[UnavailableWorker]) -> Pool {
     let options = Options {
         epoch: 2,
-        max_lease: 5_000,
+        requested_lease: 5_000,
         ..Options::default()
     };
     let mut pool = Pool::new(options);
--- a/crates/pool/tests/late_jobs.rs
+++ b/crates/pool/tests/late_jobs.rs
@@ -25,7 +25,7 @@
 fn options() -> Options {
     Options {
         epoch: 2,
-        max_lease: 5_000,
+        requested_lease: 5_000,
         ..Options::default()
     }
 }
@@ -34,7 +34,7 @@
 /// that are 2% slow.
 fn leases_end() -> Ms {
     let options = options();
-    let lease = options.max_lease + options.max_lease / 33 + 400;
+    let lease = options.requested_lease + options.requested_lease / 33 + 400;
     options.quorum_validity + options.command_ttl + lease
 }
 
--- a/crates/pool/tests/lease_upper_bounds.rs
+++ b/crates/pool/tests/lease_upper_bounds.rs
@@ -20,7 +20,7 @@
 fn options(epoch: u64) -> Options {
     Options {
         epoch,
-        max_lease: 5_000,
+        requested_lease: 5_000,
         longest_lease: LONGEST_LEASE,
         ..Options::default()
     }
--- a/crates/pool/tests/losses.rs
+++ b/crates/pool/tests/losses.rs
@@ -79,7 +79,7 @@
     assert_eq!(lapsed.len(), 1, "{lapsed:?}");
     assert_eq!(lapsed[0].worker, started[0].worker);
     assert_eq!(lapsed[0].basis, LeaseBasis::Calls);
-    assert_eq!(lapsed[0].silent, Some(6_100));
+    assert_eq!(lapsed[0].silence, Some(6_100));
     assert_eq!(lapsed[0].runs, 1);
     assert!(pool.take_lapsed_leases().is_empty());
 }
--- a/crates/pool/tests/orphaned_runs.rs
+++ b/crates/pool/tests/orphaned_runs.rs
@@ -21,7 +21,7 @@
 fn pool(epoch: u64) -> Pool {
     let options = Options {
         epoch,
-        max_lease: LEASE,
+        requested_lease: LEASE,
         ..Options::default()
     };
     Pool::new(options)
