--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -85,7 +85,7 @@
                 RunOutcome::Failed => FAILED_RETRY_DELAY,
                 _ => 0,
             };
-            self.end_reported_run(now, key, retry);
+            self.end_current_run(now, key, retry);
         }
         if other_is_current {
             self.stop_run(key);
--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -106,8 +106,8 @@
         }
     }
 
-    /// Ends the current run of a task, and holds the task back if it may have another run on a worker that hasn't reported.
-    pub(crate) fn end_reported_run(&mut self, now: Ms, key: &TaskKey, retry: Ms) {
+    /// Ends the current run of a task. If the task may have another run on a worker that hasn't reported, that one is current from now on.
+    pub(crate) fn end_current_run(&mut self, now: Ms, key: &TaskKey, retry: Ms) {
         self.end_run(now, key, retry);
         if !self.unavailable.is_empty() {
             self.assume_unreported_runs(now, &key.stage.job);
@@ -173,7 +173,8 @@
 
     /// Ends the wait for a worker whose leases have expired, unless it has reported.
     fn end_wait_for(&mut self, now: Ms, id: &WorkerId, basis: LeaseBasis) {
-        self.unconfirmed_workers.remove(id);
+        let unavailable = self.unavailable.iter().any(|entry| entry.worker == *id);
+        let awaited = self.unconfirmed_workers.remove(id) || unavailable;
         self.unavailable.retain(|entry| entry.worker != *id);
         let worker = self.workers.get_mut(id);
         if worker.as_ref().is_some_and(|worker| worker.fenced) {
@@ -182,7 +183,9 @@
         if let Some(worker) = worker {
             worker.lease_expires_at = worker.lease_expires_at.min(now);
         }
-        self.record_lapsed_lease(now, id, basis);
+        if awaited {
+            self.record_lapsed_lease(now, id, basis);
+        }
     }
 
     /// Whether an inherited job may be running on a worker that hasn't reported yet.
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -266,7 +266,7 @@
                 if run.phase == Phase::Running {
                     self.record_loss(now, &key, Loss::Missing);
                 }
-                self.end_reported_run(now, &key, 0);
+                self.end_current_run(now, &key, 0);
                 self.complete_or_advance(now, unix, &key.stage.job);
             }
         }
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -91,7 +91,7 @@
                 self.record_loss(now, key, Loss::Lapsed);
             }
             for key in keys {
-                self.end_reported_run(now, &key, 0);
+                self.end_current_run(now, &key, 0);
                 self.complete_or_advance(now, unix, &key.stage.job);
             }
         }
