--- a/crates/pool/tests/late_jobs.rs
+++ b/crates/pool/tests/late_jobs.rs
@@ -14,10 +14,10 @@
 /// When the new owner first has a majority.
 const MAJORITY: Ms = 1_000;
 
-/// A job that the former owner received and may have started.
-fn former_job() -> Job {
+/// A job that the former owner received and may have started. The host that accepted it knew the owner of this epoch; 0 for none.
+fn former_job(epoch: u64) -> Job {
     Job {
-        epoch: 1,
+        epoch,
         ..job("00000000000000a1", &[(1, 1_000, 60_000)])
     }
 }
@@ -50,8 +50,8 @@
     pool
 }
 
-/// Time from the majority until the job starts, if it becomes known after `delay`. The three workers answer every 100 ms.
-fn first_start(delay: Ms) -> Option<Ms> {
+/// Time from the majority until a job of this epoch starts, if it becomes known after `delay`. The three workers answer every 100 ms.
+fn first_start(epoch: u64, delay: Ms) -> Option<Ms> {
     let mut pool = next_owner();
     for passed in (100..20_000).step_by(100) {
         let now = MAJORITY + passed;
@@ -60,7 +60,7 @@
             report(&mut pool, now, &id, vec![], vec![]);
         }
         if passed == delay {
-            pool.adopt(now, UNIX + now, Arc::new(former_job()), None, false);
+            pool.adopt(now, UNIX + now, Arc::new(former_job(epoch)), None, false);
         }
         if !starts(pool.schedule(now, UNIX + now)).is_empty() {
             return Some(passed);
@@ -73,11 +73,20 @@
 /// more, but a silent worker may run the job under a lease that the former one gave.
 #[test]
 fn a_job_that_becomes_known_late_waits_for_the_leases_of_the_former_owner() {
-    let starts: Vec<_> = [500, 2_000, 3_000, 6_000].map(first_start).to_vec();
-    let waited = |start: &Option<Ms>| start.is_some_and(|at| at >= leases_end());
-    assert!(
-        starts.iter().all(waited),
-        "{starts:?}, leases until {}",
-        leases_end()
-    );
+    for epoch in [0, 1] {
+        let first_start = |delay| first_start(epoch, delay);
+        let starts: Vec<_> = [500, 2_000, 3_000, 6_000].map(first_start).to_vec();
+        let waited = |start: &Option<Ms>| start.is_some_and(|at| at >= leases_end());
+        assert!(
+            starts.iter().all(waited),
+            "{starts:?}, leases until {}",
+            leases_end()
+        );
+    }
+}
+
+/// Guards against a wait without a reason: no former owner has started a job that was accepted for the present one.
+#[test]
+fn a_job_for_the_present_owner_does_not_wait_for_the_former_one() {
+    assert_eq!(first_start(2, 3_000), Some(3_000));
 }
--- a/crates/pool/tests/orphaned_runs.rs
+++ b/crates/pool/tests/orphaned_runs.rs
@@ -105,6 +105,25 @@
     assert!(start >= LAST_ANSWER + LEASE, "{start}");
 }
 
+/// Guards against the same for a worker that answers, but that the directory has dropped.
+#[test]
+fn a_dropped_worker_with_a_run_of_an_unread_job_stays_in_the_roster() {
+    let mut second = pool(2);
+    second.set_jobs_incomplete(LAST_ANSWER, true);
+    register_workers(&mut second, 4);
+    let run = RunStatus {
+        task: task(UNREAD),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 5,
+        load: 0,
+    };
+    report(&mut second, LAST_ANSWER, &silent(), vec![run], vec![]);
+    second.deregister_worker(&silent());
+    let roster = second.roster(LAST_ANSWER + 100);
+    assert!(roster.contains(&silent()), "{roster:?}");
+}
+
 /// Guards against a second run beside the first: an owner can't reach a worker that the one before couldn't reach either, hasn't read one
 /// of the jobs that may run there, and names the worker to the next owner without that run.
 #[test]
