--- a/crates/pool/tests/orphaned_runs.rs
+++ b/crates/pool/tests/orphaned_runs.rs
@@ -47,6 +47,16 @@
     "w03".into()
 }
 
+fn unread_run() -> RunStatus {
+    RunStatus {
+        task: task(UNREAD),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 5,
+        load: 0,
+    }
+}
+
 fn load(pool: &mut Pool, now: Ms, id: &str) {
     let job = Arc::new(job_of_first_owner(id));
     pool.adopt(now, UNIX + now, job, None, true);
@@ -84,14 +94,13 @@
     let mut second = pool(2);
     second.set_jobs_incomplete(LAST_ANSWER, true);
     register_workers(&mut second, 4);
-    let run = RunStatus {
-        task: task(UNREAD),
-        run: 1,
-        checkpoint: String::new(),
-        percent: 5,
-        load: 0,
-    };
-    report(&mut second, LAST_ANSWER, &silent(), vec![run], vec![]);
+    report(
+        &mut second,
+        LAST_ANSWER,
+        &silent(),
+        vec![unread_run()],
+        vec![],
+    );
     let mut now = LAST_ANSWER;
     for _ in 0..20 {
         now += 100;
@@ -111,14 +120,13 @@
     let mut second = pool(2);
     second.set_jobs_incomplete(LAST_ANSWER, true);
     register_workers(&mut second, 4);
-    let run = RunStatus {
-        task: task(UNREAD),
-        run: 1,
-        checkpoint: String::new(),
-        percent: 5,
-        load: 0,
-    };
-    report(&mut second, LAST_ANSWER, &silent(), vec![run], vec![]);
+    report(
+        &mut second,
+        LAST_ANSWER,
+        &silent(),
+        vec![unread_run()],
+        vec![],
+    );
     second.deregister_worker(&silent());
     let roster = second.roster(LAST_ANSWER + 100);
     assert!(roster.contains(&silent()), "{roster:?}");
