--- a/crates/pool/tests/orphaned_runs.rs
+++ b/crates/pool/tests/orphaned_runs.rs
@@ -70,6 +70,16 @@
     }
 }
 
+/// An owner to which a worker has reported a run of a job that it hasn't read.
+fn second_owner() -> Pool {
+    let mut pool = pool(2);
+    pool.set_jobs_incomplete(LAST_ANSWER, true);
+    register_workers(&mut pool, 4);
+    let runs = vec![unread_run()];
+    report(&mut pool, LAST_ANSWER, &silent(), runs, vec![]);
+    pool
+}
+
 /// When the next owner starts the job that the one before hasn't read. It begins at `from`, and three workers answer it.
 fn start_under_next_owner(
     epoch: u64,
@@ -91,16 +101,7 @@
 /// the worker to the next one neither among those that may be used nor among those that can't be reached.
 #[test]
 fn a_silent_worker_with_a_run_of_an_unread_job_is_named_to_the_next_owner() {
-    let mut second = pool(2);
-    second.set_jobs_incomplete(LAST_ANSWER, true);
-    register_workers(&mut second, 4);
-    report(
-        &mut second,
-        LAST_ANSWER,
-        &silent(),
-        vec![unread_run()],
-        vec![],
-    );
+    let mut second = second_owner();
     let mut now = LAST_ANSWER;
     for _ in 0..20 {
         now += 100;
@@ -117,16 +118,7 @@
 /// Guards against the same for a worker that answers, but that the directory has dropped.
 #[test]
 fn a_dropped_worker_with_a_run_of_an_unread_job_stays_in_the_roster() {
-    let mut second = pool(2);
-    second.set_jobs_incomplete(LAST_ANSWER, true);
-    register_workers(&mut second, 4);
-    report(
-        &mut second,
-        LAST_ANSWER,
-        &silent(),
-        vec![unread_run()],
-        vec![],
-    );
+    let mut second = second_owner();
     second.deregister_worker(&silent());
     let roster = second.roster(LAST_ANSWER + 100);
     assert!(roster.contains(&silent()), "{roster:?}");
