--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,6 +5,7 @@
 mod crash_case;
 mod executor;
 mod http;
+mod isolation_case;
 mod json;
 mod memory_case;
 mod row_case;
@@ -72,6 +73,7 @@
         }
         ["rows", _] => row_case::run,
         ["crashes", _] => crash_case::run,
+        ["isolation", _] => isolation_case::run,
         ["memory", _] => memory_case::run,
         _ => {
             eprintln!("usage: review-standin-3 CASE RECORD");
