--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,7 +7,8 @@
 [ -x "$stand_in" ] || { echo "build it first: review/build-3.sh" >&2; exit 2; }
 # The case has a process group of its own, so that all that it started ends with it.
 set -m
+folder=$(dirname "$(mktemp -u)")
 "$stand_in" rows review/8/record.txt &
 case=$!
-trap 'kill -KILL -- "-$case" 2>/dev/null; rm -rf "${TMPDIR:-/tmp}/review-3-$case"; exit 2' INT TERM
+trap 'kill -KILL -- "-$case" 2>/dev/null; rm -rf "$folder/review-3-$case"; exit 2' INT TERM
 wait "$case"
