Log what becomes of ends of unknown jobs, and of workers that the directory drops

No line told the hypotheses apart: (1) the owner forgets the workers that list ends of unknown jobs, (2) such ends are skipped because their jobs don't become known in time, (3) the wait for such a worker ends with its lease.

Change: `worker forgotten` with what this owner knew of the worker, and `ends of unknown jobs` with `held_back` or `skipped`. The code that decides either moves to modules of its own, unchanged. An end that is held back was logged and counted at each poll; with hundreds of them the other lines were lost. It is logged once now, by the highest number that the incarnation has listed.

--- a/crates/host/src/owner/events.rs
+++ b/crates/host/src/owner/events.rs
@@ -5,8 +5,9 @@
 use crate::interfaces::StartReply;
 use crate::log_sampling::is_logged_in_full;
 use pool::{
-    AbandonedTask, DownStep, EndsRead, GangTurnEvent, GangWait, Hold, IdleStep, LapsedLease,
-    LostRun, Ms, Pool, StalledRun, Start, StartAnswer, StepTimes, WaitReason, WorkerSuspicion,
+    AbandonedTask, DownStep, EndsRead, ForgottenWorker, GangTurnEvent, GangWait, Hold, IdleStep,
+    LapsedLease, LostRun, Ms, Pool, StalledRun, Start, StartAnswer, StepTimes, UnknownEndsEvent,
+    WaitReason, WorkerSuspicion,
 };
 
 /// Events of a pool since the last call of [`Events::take`].
@@ -19,6 +20,8 @@
     suspicions: Vec<WorkerSuspicion>,
     gang_turns: Vec<GangTurnEvent>,
     ends_read: Vec<EndsRead>,
+    unknown_ends: Vec<UnknownEndsEvent>,
+    forgotten: Vec<ForgottenWorker>,
 }
 
 impl Events {
@@ -32,6 +35,8 @@
             suspicions: pool.take_worker_suspicions(),
             gang_turns: pool.take_gang_turns(),
             ends_read: pool.take_ends_read(),
+            unknown_ends: pool.take_unknown_ends_events(),
+            forgotten: pool.take_forgotten_workers(),
         }
     }
 
@@ -44,6 +49,8 @@
         self.suspicions.iter().for_each(log_worker_suspicion);
         self.gang_turns.iter().for_each(log_gang_turn);
         self.ends_read.iter().for_each(log_ends_read);
+        self.unknown_ends.iter().for_each(log_unknown_ends);
+        self.forgotten.iter().for_each(log_forgotten_worker);
     }
 }
 
@@ -147,6 +154,27 @@
     info!(worker = &*read.worker, ends = read.ends, ms = read.took; "all ends of a worker read");
 }
 
+/// Logs that a worker has listed ends of unknown jobs, or that the first of them was skipped.
+fn log_unknown_ends(event: &UnknownEndsEvent) {
+    let change = event.change.name();
+    metrics::counter!("lentilyoke_unknown_ends_total", "change" => change).increment(1);
+    info!(
+        worker = &*event.worker, change = change, job = &*event.job, first = event.first,
+        since = event.since, jobs_incomplete = event.jobs_incomplete;
+        "ends of unknown jobs"
+    );
+}
+
+/// Logs that a worker which the directory no longer lists was forgotten, with what this owner knew of it.
+fn log_forgotten_worker(forgotten: &ForgottenWorker) {
+    info!(
+        worker = &*forgotten.worker, incarnation = forgotten.incarnation,
+        unknown_ends = forgotten.unknown_ends, unstored_ends = forgotten.unstored_ends,
+        lease_left = forgotten.lease_left;
+        "worker forgotten"
+    );
+}
+
 /// Logs that a gang's turn at its customer's limit has begun or ended.
 fn log_gang_turn(event: &GangTurnEvent) {
     let (gang, key) = (&event.gang, &event.gang.stage);
--- a/crates/host/src/session.rs
+++ b/crates/host/src/session.rs
@@ -273,12 +273,13 @@
     report.requested_at = poll.at;
     // The answer to another poll may have listed some of the ends meanwhile.
     let now = clock::now();
-    let (known, is_first, former_clock) =
+    let (known, last_listed, is_first, former_clock) =
         lock(&owner.pool)
             .worker(id)
-            .map_or((poll.ends, false, 0), |worker| {
+            .map_or((poll.ends, 0, false, 0), |worker| {
                 let known = worker.end_cursor().max(poll.ends);
-                (known, !worker.has_reported(), worker.clock(now))
+                let first = !worker.has_reported();
+                (known, worker.last_listed_end(), first, worker.clock(now))
             });
     if is_first {
         log_first_report(owner, id, &report);
@@ -290,7 +291,7 @@
     for end in report
         .ended
         .iter()
-        .filter(|end| !same_incarnation || end.number > known.1)
+        .filter(|end| !same_incarnation || end.number > known.1.max(last_listed))
     {
         log_end(id, report.incarnation, end);
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::command::Command;
 use crate::crash::{AbandonedTask, SuspectsByWorker};
 use crate::failure_score::WorkerSuspicion;
+use crate::forget::ForgottenWorker;
 use crate::gang_turns::GangTurns;
 use crate::handover::CrashHistory;
 use crate::inherit::EndsRead;
@@ -27,6 +28,7 @@
 use crate::state::State;
 use crate::task::{JobId, Ms, StageKey, TaskKey, WorkerId};
 use crate::timeline::{JobTimes, StepTimes};
+use crate::unknown_ends::UnknownEndsEvent;
 use crate::worker::{UnavailableWorker, Worker, WorkerInfo};
 
 /// Configuration of a pool's decisions.
@@ -156,6 +158,10 @@
     pub(crate) lost_runs: Vec<LostRun>,
     /// Leases that count as over, to be logged.
     pub(crate) lapsed_leases: Vec<LapsedLease>,
+    /// Workers that were forgotten, to be logged.
+    pub(crate) forgotten_workers: Vec<ForgottenWorker>,
+    /// What became of ends of unknown jobs, to be logged.
+    pub(crate) unknown_ends_events: Vec<UnknownEndsEvent>,
     /// Runs that were stopped because they made no progress, to be logged.
     pub(crate) stalled_runs: Vec<StalledRun>,
     /// Workers whose ends have all been read, to be logged.
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -6,12 +6,9 @@
 use crate::loss::Loss;
 use crate::pool::Pool;
 use crate::report::{RunStatus, WorkerReport};
-use crate::task::{JobId, Ms, Phase, Run, TaskKey, WorkerId};
-use crate::worker::UnknownEnds;
+use crate::task::{Ms, Phase, Run, TaskKey, WorkerId};
+use crate::unknown_ends::UNKNOWN_JOB_TIMEOUT;
 
-/// A run of an unknown job is stopped after this time, and the end of such a run is skipped. The row of a job may reach this
-/// owner after the report of its run: usually by a few milliseconds, but by seconds while the store has problems.
-const UNKNOWN_JOB_TIMEOUT: Ms = 3_000;
 /// A run that should be in progress but is reported neither as running nor as ended for this long counts as lost. Ends are
 /// reported completely and in order, so this happens only if the worker contradicts itself.
 const MISSING_RUN_TIMEOUT: Ms = 4_000;
@@ -71,96 +68,6 @@
         }
     }
 
-    /// Applies new ends. An end of an unknown job, and all ends after it, are not acknowledged: the row of the job is still to
-    /// come, and an end that was skipped would be lost. The later ends are applied nevertheless. The same holds for a job whose
-    /// transfer is in doubt, which is not stored here until the outcome is known.
-    fn apply_ends(&mut self, now: Ms, unix: u64, id: &WorkerId, report: &WorkerReport) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let applied = worker.ends_applied;
-        let previous = worker.unknown_ends.take();
-        let mut out_of_order = std::mem::take(&mut worker.applied_out_of_order);
-        let mut unknown: Option<UnknownEnds> = None;
-        for end in report.ended.iter().filter(|end| end.number > applied) {
-            let job = &end.task.stage.job;
-            let in_doubt = self.is_transfer_in_doubt(job);
-            if in_doubt || !self.jobs.contains_key(job) {
-                let found = unknown.get_or_insert_with(|| UnknownEnds {
-                    first: end.number,
-                    since: previous
-                        .as_ref()
-                        .filter(|previous| previous.first == end.number)
-                        .map_or(now, |previous| previous.since),
-                    jobs: Vec::new(),
-                });
-                if in_doubt
-                    || self.jobs_incomplete
-                    || now.saturating_sub(found.since) < UNKNOWN_JOB_TIMEOUT
-                {
-                    found.jobs.push(Arc::clone(job));
-                    continue;
-                }
-                unknown = None;
-            }
-            if !out_of_order.remove(&end.number) {
-                self.apply_end(now, unix, id, end);
-            }
-            if unknown.is_some() {
-                out_of_order.insert(end.number);
-            } else if let Some(worker) = self.workers.get_mut(id) {
-                worker.ends_applied = end.number;
-            }
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.applied_out_of_order = out_of_order;
-            worker.unknown_ends = unknown;
-        }
-    }
-
-    /// Handles a job that has become known after workers may already have reported runs and ends of it. It adopts these runs, and
-    /// starts nothing before the ends have been reported again.
-    ///
-    /// The former owner may have started the job just before it was fenced, while the row of the job reached this owner after
-    /// the workers' reports. Without this, the job would be started a second time next to the first.
-    pub(crate) fn adopt_observed_runs(&mut self, now: Ms, job: &JobId) {
-        let mut runs = Vec::new();
-        let mut awaited = Vec::new();
-        for worker in self.workers.values() {
-            let of_job = |key: &&TaskKey| key.stage.job == *job;
-            for key in worker.orphaned_runs.keys().filter(of_job) {
-                let run = worker.orphaned_runs.get(key).map_or(0, |orphan| orphan.run);
-                runs.push((Arc::clone(&worker.id), key.clone(), run));
-            }
-            if worker
-                .unknown_ends
-                .as_ref()
-                .is_some_and(|unknown| unknown.jobs.contains(job))
-            {
-                awaited.push(Arc::clone(&worker.id));
-            }
-        }
-        for (worker, task, run) in runs {
-            let row = RunStatus {
-                task,
-                run,
-                checkpoint: String::new(),
-                percent: 0,
-                load: 0,
-            };
-            self.observe_run(now, &worker, &row);
-        }
-        if let Some(live) = self.jobs.get_mut(job) {
-            live.awaited_workers = awaited.len();
-        }
-        for worker in awaited {
-            self.jobs_awaiting_worker
-                .entry(worker)
-                .or_default()
-                .push(Arc::clone(job));
-        }
-    }
-
     /// Extends the lease of a worker that is about to be polled. Returns the end of the lease to request, on the worker's clock,
     /// or `None` if the lease must not be renewed.
     ///
@@ -203,6 +110,7 @@
         worker.applied_out_of_order.clear();
         worker.unknown_ends = None;
         worker.ends_stored = 0;
+        worker.last_listed_end = 0;
         worker.has_more_ends = false;
         worker.clock = (0, 0);
         worker.last_poll_before_restart = worker.last_poll;
@@ -276,7 +184,7 @@
     }
 
     /// Handles a run reported by a worker.
-    fn observe_run(&mut self, now: Ms, id: &WorkerId, row: &RunStatus) {
+    pub(crate) fn observe_run(&mut self, now: Ms, id: &WorkerId, row: &RunStatus) {
         let key = &row.task;
         let closed = self
             .jobs
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -37,6 +37,7 @@
         self.accounts.set_time(now);
         self.unix = unix;
         self.expire_leases(now, unix);
+        self.forget_workers(now);
         self.check_runs(now);
         self.resend_commands(now);
         self.stop_orphaned_runs(now);
@@ -55,7 +56,7 @@
         self.scheduled_jobs.iter().filter_map(due).min()
     }
 
-    /// Ends the runs on workers whose lease has certainly expired, and drops workers that are no longer needed.
+    /// Ends the runs on workers whose lease has certainly expired.
     fn expire_leases(&mut self, now: Ms, unix: u64) {
         let expired: Vec<(WorkerId, Vec<TaskKey>)> = self
             .workers
@@ -107,20 +108,6 @@
         for id in lapsed {
             self.remove_orphans(&id);
         }
-        let unconfirmed = &self.unconfirmed_workers;
-        let unavailable = &self.unavailable;
-        // The wait of these jobs ends with the next report of the worker or with its lease.
-        let awaited = &self.jobs_awaiting_worker;
-        let partly_read = &self.partly_read_workers;
-        self.workers.retain(|id, worker| {
-            worker.registered
-                || unconfirmed.contains(id)
-                || awaited.contains_key(id)
-                || partly_read.contains_key(id)
-                || unavailable.iter().any(|other| other.worker == *id)
-                || !worker.runs.is_empty()
-                || !worker.orphaned_runs.is_empty()
-        });
     }
 
     /// Resends unanswered starts and sends stops for runs that are to be stopped.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -9,7 +9,8 @@
 use crate::accounts::Charge;
 use crate::loss::Loss;
 use crate::repeat;
-use crate::task::{JobId, Ms, TaskKey, WorkerId};
+use crate::task::{Ms, TaskKey, WorkerId};
+use crate::unknown_ends::UnknownEnds;
 
 /// Description of a worker in the directory of workers.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
@@ -63,17 +64,6 @@
     pub stop_sent: Ms,
 }
 
-/// Reported ends of runs whose jobs aren't known.
-#[derive(Clone, Debug)]
-pub(crate) struct UnknownEnds {
-    /// Number of the first such end.
-    pub first: u64,
-    /// Since when it has been the first one.
-    pub since: Ms,
-    /// Jobs of these ends.
-    pub jobs: Vec<JobId>,
-}
-
 /// State of one worker.
 #[derive(Clone, Debug, Default)]
 pub struct Worker {
@@ -117,6 +107,8 @@
     pub(crate) ends_applied: u64,
     /// Numbers of ends that were applied although an earlier one was not.
     pub(crate) applied_out_of_order: BTreeSet<u64>,
+    /// Highest number of an end that the incarnation has listed.
+    pub(crate) last_listed_end: u64,
     /// Ends up to and including this number are stored.
     pub(crate) ends_stored: u64,
     /// Whether the newest report listed as many ends as fit, so that the worker may have more.
@@ -159,6 +151,12 @@
         self.unknown_ends.is_some()
     }
 
+    /// Highest number of an end that the current incarnation has listed. Ends that are held back are listed again and again.
+    #[must_use]
+    pub fn last_listed_end(&self) -> u64 {
+        self.last_listed_end
+    }
+
     /// Whether the newest report listed as many ends as fit. The next ones are listed once these are stored and acknowledged.
     #[must_use]
     pub fn has_more_ends(&self) -> bool {
