--- a/crates/pool/src/forget.rs
+++ b/crates/pool/src/forget.rs
@@ -1,4 +1,8 @@
 //! When a worker that the directory no longer lists is forgotten.
+//!
+//! The directory drops workers that live: their entries expire while the store is down, and are back some seconds after its return. So a
+//! missing entry only means that nothing is started on the worker. The worker is forgotten once nothing that it has can matter to any
+//! task, by [`Worker::is_needed`]; if it doesn't answer, that is when its lease has certainly lapsed.
 
 use std::sync::Arc;
 
@@ -49,7 +53,7 @@
                 || awaited.contains_key(id)
                 || partly_read.contains_key(id)
                 || unavailable.iter().any(|other| other.worker == *id)
-                || worker.has_runs();
+                || worker.is_needed(now);
             if !needed {
                 forgotten.push(ForgottenWorker::new(now, worker));
             }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -332,9 +332,8 @@
         let mut ids: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| {
-                !worker.is_unavailable(now) && (worker.registered || worker.has_runs())
-            })
+            .filter(|worker| !worker.is_unavailable(now) || worker.has_unstored_ends())
+            .filter(|worker| worker.registered || worker.is_needed(now))
             .map(|worker| Arc::clone(&worker.id))
             .chain(self.unconfirmed_workers.iter().cloned())
             .chain(self.partly_read_workers.keys().cloned())
@@ -346,7 +345,8 @@
 
     /// Workers that are unreachable or about to leave, with the runs that may be there. After this call, nothing is
     /// started on them until a roster that names them is stored: a run started while the list is being stored would be
-    /// missing from it. Workers with unread ends are left out: more runs than these may be there.
+    /// missing from it. Workers with ends that are unread or not stored are left out: the next owner has to read these ends, and the roster
+    /// names them.
     #[must_use]
     pub fn unavailable_workers(&mut self, now: Ms) -> Vec<UnavailableWorker> {
         for worker in self.workers.values_mut() {
@@ -357,6 +357,7 @@
             .values()
             .filter(|worker| worker.is_unavailable(now) || worker.lease_expires_at == Ms::MAX)
             .filter(|worker| !self.partly_read_workers.contains_key(&worker.id))
+            .filter(|worker| !worker.has_unstored_ends())
             .map(|worker| UnavailableWorker {
                 worker: Arc::clone(&worker.id),
                 runs: self.possible_runs(worker),
