An overtaken report doesn't replace the ends that a newer one has listed

Cause: polls are repeated when their answers are overdue, so answers overtake each other. An older answer replaced the list of ends of unknown jobs, and ended the wait of jobs for the worker's next listing, although it was made before the ends that they wait for. The tasks of these ends started again (TWICE, if the ends are acknowledged later).

Evidence: two tests of crates/pool/tests/listed_ends.rs (missing_entries.rs before), both failed before.

Change: only the newest report of an incarnation, by the worker's clock, changes what is known of its ends and ends waits. It lists all that an older one does, since ends are listed until they are acknowledged.

--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -55,13 +55,10 @@
         }
         worker.lease_expires_at = worker.lease_expires_at.max(lapse_time(now, lease_left));
         self.unconfirmed_workers.remove(id);
-        self.apply_ends(now, unix, id, report);
-        for job in self.jobs_awaiting_worker.remove(id).unwrap_or_default() {
-            if let Some(live) = self.jobs.get_mut(&job) {
-                live.awaited_workers = live.awaited_workers.saturating_sub(1);
-            }
-        }
+        // An overtaken report lists no end that the newest one doesn't, and may lack some of them.
         if newest {
+            self.apply_ends(now, unix, id, report);
+            self.end_waits_for(id);
             self.record_ends_read(now, id, report.is_truncated(), first);
             self.end_runs_of_former_incarnation(now, unix, id, report);
             self.reconcile_runs(now, unix, id, report);
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -83,11 +83,7 @@
             if worker.is_some_and(Worker::has_reported) {
                 self.record_lapsed_lease(now, &id, LeaseBasis::Calls);
             }
-            for job in self.jobs_awaiting_worker.remove(&id).unwrap_or_default() {
-                if let Some(live) = self.jobs.get_mut(&job) {
-                    live.awaited_workers = live.awaited_workers.saturating_sub(1);
-                }
-            }
+            self.end_waits_for(&id);
             for key in &keys {
                 self.record_loss(now, key, Loss::Lapsed);
             }
--- a/crates/pool/src/unknown_ends.rs
+++ b/crates/pool/src/unknown_ends.rs
@@ -164,6 +164,15 @@
         }
     }
 
+    /// Ends the wait of jobs for a worker that has listed its ends again, or whose lease has lapsed.
+    pub(crate) fn end_waits_for(&mut self, id: &WorkerId) {
+        for job in self.jobs_awaiting_worker.remove(id).unwrap_or_default() {
+            if let Some(live) = self.jobs.get_mut(&job) {
+                live.awaited_workers = live.awaited_workers.saturating_sub(1);
+            }
+        }
+    }
+
     /// Returns and clears what has become of ends of unknown jobs since the last call.
     pub fn take_unknown_ends_events(&mut self) -> Vec<UnknownEndsEvent> {
         std::mem::take(&mut self.unknown_ends_events)
--- a/crates/pool/tests/missing_entries.rs
+++ b/crates/pool/tests/listed_ends.rs
@@ -1,4 +1,5 @@
-//! Workers whose entries in the directory expire while they live, as in an outage of the store.
+//! Ends that a worker has listed must count, whatever else is known of the worker: its entry in the directory expires while it lives, as in
+//! an outage of the store, or its reports overtake each other.
 
 #[allow(dead_code, reason = "other test files use the rest")]
 mod case;
@@ -8,7 +9,7 @@
 use std::sync::Arc;
 
 use case::{answer, describe, end, register_workers, report, starts, store};
-use pool::{Job, Ms, Options, Pool, RunEnd, RunOutcome, Start, State, WorkerId};
+use pool::{Job, Ms, Options, Pool, RunEnd, RunOutcome, Start, State, WorkerId, WorkerReport};
 use simulation::{UNIX, job};
 
 const JOB: &str = "00000000000000a1";
@@ -164,3 +165,35 @@
         assert!(!pool.roster(1_950).contains(&id), "{unresponsive}");
     }
 }
+
+/// A report of the worker that lists nothing, sent before the ends that it has listed.
+fn overtaken_report() -> WorkerReport {
+    WorkerReport {
+        clock: EXPIRED + 50_000 - 20,
+        incarnation: 1,
+        lease: EXPIRED + 55_000 - 20,
+        requested_at: EXPIRED - 20,
+        ..WorkerReport::default()
+    }
+}
+
+/// Guards against a task that starts again: a report that was overtaken by one that lists the end of its run makes the owner forget the end.
+#[test]
+fn an_overtaken_report_does_not_replace_the_listed_ends() {
+    let (mut pool, _) = next_owner_with_unknown_end(RunOutcome::Done);
+    pool.apply_report(1_150, UNIX + 1_150, &worker(), &overtaken_report());
+    load_job(&mut pool, 1_200);
+    assert!(pass(&mut pool, 1_200).is_empty());
+}
+
+/// As above; the overtaken report arrives while the job waits for the worker to list the end again.
+#[test]
+fn an_overtaken_report_does_not_end_the_wait_for_listed_ends() {
+    let (mut pool, ended) = next_owner_with_unknown_end(RunOutcome::Done);
+    load_job(&mut pool, 1_200);
+    pool.apply_report(1_250, UNIX + 1_250, &worker(), &overtaken_report());
+    assert!(pass(&mut pool, 1_300).is_empty());
+    answer(&mut pool, 1_400, &worker(), vec![ended]);
+    assert!(pass(&mut pool, 1_400).is_empty());
+    assert_eq!(store(&mut pool).map(|it| it.state), Some(State::Completed));
+}
