--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -48,6 +48,7 @@
             self.remove_orphan(worker, key);
         }
         let id = Arc::clone(&key.stage.job);
+        self.begin_named_occurrence(now, &key.stage);
         let Some(live) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -108,7 +109,7 @@
                     self.finalize_job(unix, &id, State::Failed);
                 }
             }
-            _ => self.complete_or_advance(now, unix, &key.stage.job),
+            _ => self.complete_or_advance(now, unix, &id, key.stage.occurrence),
         }
     }
 
@@ -164,7 +165,7 @@
         if complete {
             self.open_steps.remove(key);
             self.record_step_times(now, key);
-            self.complete_or_advance(now, unix, &key.job);
+            self.complete_or_advance(now, unix, &key.job, key.occurrence);
         }
     }
 
@@ -205,18 +206,29 @@
         std::mem::take(&mut self.steps_done)
     }
 
-    /// Completes a job if its last run is over, and otherwise opens the steps that have become ready.
-    pub(crate) fn complete_or_advance(&mut self, now: Ms, unix: u64, id: &JobId) {
+    /// Closes an occurrence if its last run is over, and completes the job if that was its last one. Otherwise opens the steps that have
+    /// become ready, and the occurrences that have waited for the window.
+    pub(crate) fn complete_or_advance(&mut self, now: Ms, unix: u64, id: &JobId, occurrence: u32) {
         let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
-        if live.close_occurrences() && !live.state.is_final() {
+        live.close(occurrence);
+        self.complete_if_over(unix, id);
+        self.open_steps_of(id, &[occurrence], now);
+        self.advance(id, now, unix);
+    }
+
+    /// Completes a job if all its occurrences are finished.
+    pub(crate) fn complete_if_over(&mut self, unix: u64, id: &JobId) {
+        if let Some(live) = self.jobs.get_mut(id)
+            && live.is_over()
+            && !live.state.is_final()
+        {
             live.state = State::Completed;
             live.closed = unix;
             self.scheduled_jobs.remove(id);
             self.mark_dirty(id);
         }
-        self.advance(id, now, unix);
     }
 
     /// Marks a task's run to be stopped.
--- a/crates/pool/src/handover.rs
+++ b/crates/pool/src/handover.rs
@@ -10,7 +10,7 @@
 use crate::live::LiveJob;
 use crate::pool::Pool;
 use crate::progress::UnresolvedStart;
-use crate::task::{Task, TaskKey};
+use crate::task::{Ms, Task, TaskKey};
 
 /// The crash records of a task.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -89,8 +89,9 @@
     }
 
     /// Applies what the former owner has handed over about the tasks of a job.
-    pub(crate) fn apply_former_crashes(&mut self, job: &str) {
+    pub(crate) fn apply_former_crashes(&mut self, now: Ms, job: &str) {
         for history in self.former_crashes.remove(job).unwrap_or_default() {
+            self.begin_named_occurrence(now, &history.task.stage);
             if let Some(task) = self.task_mut(&history.task)
                 && !task.done
             {
--- a/crates/pool/src/inherit.rs
+++ b/crates/pool/src/inherit.rs
@@ -90,6 +90,7 @@
         }
         runs.sort_by_key(|(_, number, _)| Reverse(*number));
         for (key, number, worker) in runs {
+            self.begin_named_occurrence(now, &key.stage);
             let Some(task) = self.task_mut(&key) else {
                 continue;
             };
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -175,6 +175,15 @@
         Ok(())
     }
 
+    /// When an occurrence is due, in Unix milliseconds; 0 for a job that runs once.
+    #[must_use]
+    pub fn due(&self, occurrence: u32) -> u64 {
+        self.schedule.map_or(0, |schedule| {
+            let since_first = schedule.every.saturating_mul(u64::from(occurrence));
+            schedule.first.saturating_add(since_first)
+        })
+    }
+
     /// Longest chain of estimated work from the start of `step` to the end of the job, in milliseconds.
     #[must_use]
     pub fn chain_from(&self, step: usize) -> Ms {
@@ -184,7 +193,7 @@
                 .filter(|&later| self.steps[later].after.contains(&(index as u16)))
                 .map(|later| longest[later])
                 .max();
-            longest[index] = self.steps[index].estimate + next.unwrap_or(0);
+            longest[index] = self.steps[index].estimate.saturating_add(next.unwrap_or(0));
         }
         longest.get(step).copied().unwrap_or(0)
     }
@@ -201,7 +210,8 @@
     /// Target for the time from acceptance to completion, in milliseconds.
     #[must_use]
     pub fn objective(&self) -> Ms {
-        (self.chain() as f64 * self.policy.stretch) as Ms + self.policy.objective
+        let scaled = (self.chain() as f64 * self.policy.stretch) as Ms;
+        scaled.saturating_add(self.policy.objective)
     }
 
     /// Whether the job runs until it is cancelled.
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -6,10 +6,12 @@
 use rustc_hash::FxHashMap;
 
 use crate::job::{Job, Step};
+use crate::numbers::Numbers;
 use crate::progress::{OccurrenceProgress, Progress, StepProgress};
 use crate::state::State;
 use crate::task::{Ms, StageKey, Task, TaskKey, WorkerId};
 use crate::timeline::Timeline;
+use crate::window::Window;
 
 /// Permission from the advisor to run a step on one worker.
 #[derive(Clone, Debug)]
@@ -186,12 +188,12 @@
 pub(crate) struct Occurrence {
     /// Its steps.
     pub stages: Vec<Stage>,
-    /// When it was due.
-    pub due: Ms,
+    /// When it was due, in Unix milliseconds.
+    pub due: u64,
 }
 
 impl Occurrence {
-    fn new(job: &Job, progress: Option<&OccurrenceProgress>, due: Ms) -> Self {
+    fn new(job: &Job, number: u32, progress: Option<&OccurrenceProgress>) -> Self {
         let stages = job
             .steps
             .iter()
@@ -203,7 +205,10 @@
                 )
             })
             .collect();
-        Self { stages, due }
+        Self {
+            stages,
+            due: job.due(number),
+        }
     }
 
     /// Opens the steps whose dependencies are complete, and returns their indices.
@@ -240,8 +245,8 @@
     /// Occurrences in progress.
     pub open: BTreeMap<u32, Occurrence>,
     /// Finished occurrences.
-    pub finished: BTreeSet<u32>,
-    /// The next occurrence to become due.
+    pub finished: Numbers,
+    /// The next occurrence to begin, unless it has begun already.
     pub next: u32,
     /// Whether the job was accepted before this owner took over. If so, workers that have not reported to this owner may be
     /// running tasks of it.
@@ -272,9 +277,7 @@
             may_be_stored_as_final: false,
             closed: progress.map_or(0, |progress| progress.closed),
             open: BTreeMap::new(),
-            finished: progress.map_or_else(BTreeSet::new, |progress| {
-                progress.over.iter().copied().collect()
-            }),
+            finished: progress.map_or_else(Numbers::default, Progress::finished),
             next: 0,
             inherited: false,
             awaited_workers: 0,
@@ -290,7 +293,7 @@
         };
         if !state.is_final() {
             for stored in progress.iter().flat_map(|progress| &progress.open) {
-                let occurrence = Occurrence::new(&live.job, Some(stored), now);
+                let occurrence = Occurrence::new(&live.job, stored.number, Some(stored));
                 live.open.insert(stored.number, occurrence);
             }
         }
@@ -323,53 +326,65 @@
         if self.state.is_final() || self.next >= self.occurrence_count() {
             return None;
         }
-        Some(self.job.schedule.map_or(0, |schedule| {
-            schedule.first + u64::from(self.next) * schedule.every
-        }))
+        Some(self.job.due(self.next))
     }
 
-    /// Begins all occurrences that are due and opens steps whose dependencies are complete; returns the steps that were opened.
-    pub(crate) fn advance(&mut self, now: Ms, unix: u64) -> Vec<StageKey> {
+    /// Begins the occurrences that are due, in order and as far as the window allows; returns the steps that this opened.
+    pub(crate) fn begin_due(&mut self, now: Ms, unix: u64, window: Window) -> Vec<StageKey> {
+        let tasks: usize = self.job.steps.iter().map(|step| step.count as usize).sum();
+        let window = window.occurrences_of(tasks);
         let mut opened = Vec::new();
-        while self.next_due().is_some_and(|due| due <= unix) {
+        while self.open.len() < window && self.next_due().is_some_and(|due| due <= unix) {
             let number = self.next;
-            self.next += 1;
-            if self.finished.contains(&number) {
+            if let Some(last) = self.finished.end_of_range(number) {
+                self.next = last.saturating_add(1);
                 continue;
             }
-            let job = &self.job;
-            self.open
-                .entry(number)
-                .or_insert_with(|| Occurrence::new(job, None, now));
-        }
-        if self.state.is_final() {
-            return opened;
-        }
-        for (&number, occurrence) in &mut self.open {
-            for step in occurrence.open(&self.job, now) {
-                opened.push(StageKey {
-                    job: Arc::clone(&self.job.id),
-                    occurrence: number,
-                    step: step as u16,
-                });
+            self.next += 1;
+            if !self.open.contains_key(&number) {
+                opened.extend(self.begin(number, now));
             }
         }
         opened
     }
 
-    /// Closes finished occurrences; returns whether that completes the job.
-    pub(crate) fn close_occurrences(&mut self) -> bool {
-        let over: Vec<u32> = self
-            .open
-            .iter()
-            .filter(|(_, occurrence)| occurrence.stages.iter().all(Stage::is_finished))
-            .map(|(&number, _)| number)
-            .collect();
-        for number in over {
+    /// Begins an occurrence; returns the steps that this opened.
+    pub(crate) fn begin(&mut self, number: u32, now: Ms) -> Vec<StageKey> {
+        let occurrence = Occurrence::new(&self.job, number, None);
+        self.open.insert(number, occurrence);
+        self.open_steps(number, now)
+    }
+
+    /// Opens the steps of an occurrence in progress whose dependencies are complete, and returns them.
+    pub(crate) fn open_steps(&mut self, number: u32, now: Ms) -> Vec<StageKey> {
+        let Some(occurrence) = self.open.get_mut(&number) else {
+            return Vec::new();
+        };
+        if self.state.is_final() {
+            return Vec::new();
+        }
+        let key = |step: usize| StageKey {
+            job: Arc::clone(&self.job.id),
+            occurrence: number,
+            step: step as u16,
+        };
+        let opened = occurrence.open(&self.job, now);
+        opened.into_iter().map(key).collect()
+    }
+
+    /// Closes an occurrence if it is finished.
+    pub(crate) fn close(&mut self, number: u32) {
+        let occurrence = self.open.get(&number);
+        if occurrence.is_some_and(|it| it.stages.iter().all(Stage::is_finished)) {
             self.open.remove(&number);
             self.finished.insert(number);
         }
-        self.finished.len() as u32 >= self.occurrence_count() && !self.job.is_long_running()
+    }
+
+    /// Whether all occurrences are finished.
+    pub(crate) fn is_over(&self) -> bool {
+        let all = u64::from(self.occurrence_count());
+        self.finished.count() >= all && !self.job.is_long_running()
     }
 
     /// The progress to be stored.
@@ -377,7 +392,6 @@
         Progress {
             state: self.state,
             closed: self.closed,
-            over: self.finished.iter().copied().collect(),
             open: if self.state.is_final() {
                 Vec::new()
             } else {
@@ -387,8 +401,11 @@
                         number,
                         steps: occurrence.stages.iter().map(Stage::progress).collect(),
                     })
+                    // What has nothing to be stored begins again as one that is due.
+                    .filter(|occurrence| !occurrence.is_empty())
                     .collect()
             },
+            ..Progress::of_finished(&self.finished)
         }
     }
 
--- a/crates/pool/src/loss.rs
+++ b/crates/pool/src/loss.rs
@@ -145,9 +145,8 @@
                 run.stop_confirmed = 0;
                 self.unconfirmed_runs.insert(key);
             } else {
-                let job = Arc::clone(&key.stage.job);
                 self.end_run(now, &key, 0);
-                self.complete_or_advance(now, unix, &job);
+                self.complete_or_advance(now, unix, &key.stage.job, key.stage.occurrence);
             }
         }
     }
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -90,10 +90,9 @@
         let ratio = self.queue_stats.duration_ratio(&job.queue);
         let scaled = |chain: Ms| (chain as f64 * ratio) as Ms;
         let occurrence = live.open.get(&key.occurrence);
-        let since = if job.schedule.is_some() {
-            occurrence.map_or(live.accepted_at, |occurrence| occurrence.due)
-        } else {
-            live.accepted_at
+        let age = match occurrence.filter(|_| job.schedule.is_some()) {
+            Some(occurrence) => self.unix.saturating_sub(occurrence.due),
+            None => now.saturating_sub(live.accepted_at),
         };
         let work: f64 = occurrence.map_or(0.0, |occurrence| {
             occurrence
@@ -109,13 +108,13 @@
         if !self.has(Mechanism::Order) {
             // The rank is the time of arrival.
             return Rank {
-                work: since,
+                work: now.saturating_sub(age),
                 ..Rank::default()
             };
         }
         let rank = rank(&RankInput {
             priority: job.policy.priority,
-            age: now.saturating_sub(since),
+            age,
             objective: self.objective(live),
             chain: scaled(live.chains.get(usize::from(key.step)).copied().unwrap_or(0)),
             work: (work * WORK_UNIT) as u64,
@@ -143,7 +142,8 @@
         let policy = &live.job.policy;
         let longest = live.chains.iter().max().copied().unwrap_or(0);
         let scaled = (longest as f64 * self.queue_stats.duration_ratio(&live.job.queue)) as Ms;
-        (scaled as f64 * policy.stretch) as Ms + policy.objective
+        let stretched = (scaled as f64 * policy.stretch) as Ms;
+        stretched.saturating_add(policy.objective)
     }
 
     /// Counts the latency-sensitive and the best-effort tasks on each worker.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -29,6 +29,7 @@
 use crate::task::{JobId, Ms, StageKey, TaskKey, WorkerId};
 use crate::timeline::{JobTimes, StepTimes};
 use crate::unknown_ends::UnknownEndsEvent;
+use crate::window::Window;
 use crate::worker::{UnavailableWorker, Worker, WorkerInfo};
 
 /// Configuration of a pool's decisions.
@@ -97,8 +98,10 @@
     pub(crate) unconfirmed_runs: FxHashSet<TaskKey>,
     /// Budget for resending unanswered commands.
     pub(crate) retry_budget: Budget,
-    /// Jobs with future occurrences.
+    /// Jobs with occurrences that haven't begun.
     pub(crate) scheduled_jobs: BTreeSet<JobId>,
+    /// Limit on the occurrences of each job that are in progress, as of the latest scheduling pass in which some were due.
+    pub(crate) window: Window,
     /// Jobs whose progress has unsaved changes.
     pub(crate) dirty: FxHashSet<JobId>,
     /// Workers of the former owner that have not answered this owner.
@@ -225,26 +228,41 @@
             && (inherited
                 || !self.unconfirmed_workers.is_empty()
                 || !self.partly_read_workers.is_empty());
+        let open: Vec<u32> = live.open.keys().copied().collect();
         self.jobs.insert(Arc::clone(&id), live);
+        self.open_steps_of(&id, &open, now);
         self.advance(&id, now, unix);
-        self.apply_former_crashes(&id);
+        self.apply_former_crashes(now, &id);
         self.find_suspects(&id);
         self.assume_unreported_runs(now, &id);
         self.adopt_observed_runs(now, &id);
         // The former owner may have stored the last end without the state that follows from it.
-        self.complete_or_advance(now, unix, &id);
+        for occurrence in open {
+            self.complete_or_advance(now, unix, &id, occurrence);
+        }
+        self.complete_if_over(unix, &id);
         if !self.early_cancels.remove(&id) {
             return None;
         }
         self.cancel(unix, &id)
     }
 
-    /// Opens the occurrences that are due and the steps whose dependencies are complete.
+    /// Opens the steps of these occurrences whose dependencies are complete.
+    pub(crate) fn open_steps_of(&mut self, id: &JobId, occurrences: &[u32], now: Ms) {
+        if let Some(live) = self.jobs.get_mut(id) {
+            for &number in occurrences {
+                self.open_steps.extend(live.open_steps(number, now));
+            }
+        }
+    }
+
+    /// Begins the occurrences that are due, as far as the job's window allows.
     pub(crate) fn advance(&mut self, id: &JobId, now: Ms, unix: u64) {
+        let window = self.window;
         let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
-        self.open_steps.extend(live.advance(now, unix));
+        self.open_steps.extend(live.begin_due(now, unix, window));
         if live.next_due().is_some() {
             self.scheduled_jobs.insert(Arc::clone(id));
         } else {
--- a/crates/pool/src/progress.rs
+++ b/crates/pool/src/progress.rs
@@ -2,9 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::numbers::Numbers;
 use crate::state::State;
 use crate::task::WorkerId;
 
+/// Maximum number of finished occurrences that are listed one by one, as hosts of earlier versions read them.
+const MAX_LISTED: u64 = 128;
+
 /// A start of a suspect on a steady worker, whose outcome wasn't known when the progress was stored.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct UnresolvedStart {
@@ -82,6 +86,13 @@
     pub steps: Vec<StepProgress>,
 }
 
+impl OccurrenceProgress {
+    /// Whether nothing of it has begun.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.steps.iter().all(|step| step.highest_run == 0)
+    }
+}
+
 /// Progress of a job: what the next owner needs to continue it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
@@ -90,8 +101,37 @@
     pub state: State,
     /// When the state became final, in Unix milliseconds; 0 before.
     pub closed: u64,
-    /// Indices of finished occurrences.
+    /// Indices of finished occurrences. If there are more than [`MAX_LISTED`], they are in `over_ranges` instead.
     pub over: Vec<u32>,
+    /// Ranges of finished occurrences, each with the index of the first and of the last one.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub over_ranges: Vec<(u32, u32)>,
     /// Occurrences in progress.
     pub open: Vec<OccurrenceProgress>,
 }
+
+impl Progress {
+    /// Progress with nothing but these finished occurrences.
+    pub(crate) fn of_finished(finished: &Numbers) -> Self {
+        let mut progress = Self::default();
+        if finished.count() <= MAX_LISTED {
+            let numbers = finished.ranges().flat_map(|(first, last)| first..=last);
+            progress.over = numbers.collect();
+        } else {
+            progress.over_ranges = finished.ranges().collect();
+        }
+        progress
+    }
+
+    /// The finished occurrences.
+    pub(crate) fn finished(&self) -> Numbers {
+        let mut finished = Numbers::default();
+        for &number in &self.over {
+            finished.insert(number);
+        }
+        for &(first, last) in &self.over_ranges {
+            finished.insert_range(first, last);
+        }
+        finished
+    }
+}
--- a/crates/pool/src/rank.rs
+++ b/crates/pool/src/rank.rs
@@ -94,9 +94,9 @@
 /// ```
 #[must_use]
 pub fn rank(input: &RankInput) -> Rank {
-    let end = input.age + input.chain;
+    let end = input.age.saturating_add(input.chain);
     Rank {
-        hopeless: !input.long_running && end > input.objective * MAX_OBJECTIVE_RATIO,
+        hopeless: !input.long_running && end > input.objective.saturating_mul(MAX_OBJECTIVE_RATIO),
         beyond_share: input.beyond_share,
         priority: input.priority,
         excess: input.excess,
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -172,7 +172,7 @@
                     self.record_loss(now, &key, Loss::Missing);
                 }
                 self.end_current_run(now, &key, 0);
-                self.complete_or_advance(now, unix, &key.stage.job);
+                self.complete_or_advance(now, unix, &key.stage.job, key.stage.occurrence);
             }
         }
         for key in gone_orphans {
@@ -187,6 +187,7 @@
             .jobs
             .get(&key.stage.job)
             .is_some_and(|live| live.state.is_final());
+        self.begin_named_occurrence(now, &key.stage);
         let worker = self.workers.get(id);
         let (incarnation, clock) = worker.map_or((0, 0), |it| (it.incarnation, it.clock.0));
         let Some(task) = self.task_mut(key) else {
--- a/crates/pool/src/schedule.rs
+++ b/crates/pool/src/schedule.rs
@@ -22,20 +22,9 @@
 impl Pool {
     /// Runs one scheduling pass and returns the commands to send.
     pub fn schedule(&mut self, now: Ms, unix: u64) -> Vec<Command> {
-        let due: Vec<_> = self
-            .scheduled_jobs
-            .iter()
-            .filter(|id| {
-                let next = self.jobs.get(*id).and_then(LiveJob::next_due);
-                next.is_some_and(|due| due <= unix)
-            })
-            .cloned()
-            .collect();
-        for id in due {
-            self.advance(&id, now, unix);
-        }
         self.accounts.set_time(now);
         self.unix = unix;
+        self.begin_occurrences(now, unix);
         self.expire_leases(now, unix);
         self.forget_workers(now);
         self.check_runs(now);
@@ -89,7 +78,7 @@
             }
             for key in keys {
                 self.end_current_run(now, &key, 0);
-                self.complete_or_advance(now, unix, &key.stage.job);
+                self.complete_or_advance(now, unix, &key.stage.job, key.stage.occurrence);
             }
         }
         let lapsed = |worker: &&crate::Worker| {
--- a/crates/pool/tests/simulation/mod.rs
+++ b/crates/pool/tests/simulation/mod.rs
@@ -483,6 +483,11 @@
             .count()
     }
 
+    /// The stored progress of a job.
+    pub(crate) fn stored_progress(&self, id: &str) -> &Progress {
+        &self.stored[id]
+    }
+
     /// The stored state of a job.
     pub(crate) fn stored(&self, id: &str) -> Option<pool::State> {
         self.stored.get(id).map(|progress| progress.state)
