The occurrences in progress of all repeating jobs together keep their limit

Change: the pool counts what is left of its limit, and a job above it begins only its first occurrence.

--- a/crates/pool/src/ends.rs
+++ b/crates/pool/src/ends.rs
@@ -212,7 +212,9 @@
         let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
-        live.close(occurrence);
+        if live.close(occurrence) {
+            self.window.give_back(live.tasks_per_occurrence());
+        }
         self.complete_if_over(unix, id);
         self.open_steps_of(id, &[occurrence], now);
         self.advance(id, now, unix);
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -316,6 +316,11 @@
         (0..self.job.steps.len()).filter(left).collect()
     }
 
+    /// Number of tasks of each occurrence.
+    pub(crate) fn tasks_per_occurrence(&self) -> usize {
+        self.job.steps.iter().map(|step| step.count as usize).sum()
+    }
+
     /// Number of occurrences.
     pub(crate) fn occurrence_count(&self) -> u32 {
         self.job.schedule.map_or(1, |schedule| schedule.times)
@@ -330,11 +335,10 @@
     }
 
     /// Begins the occurrences that are due, in order and as far as the window allows; returns the steps that this opened.
-    pub(crate) fn begin_due(&mut self, now: Ms, unix: u64, window: Window) -> Vec<StageKey> {
-        let tasks: usize = self.job.steps.iter().map(|step| step.count as usize).sum();
-        let window = window.occurrences_of(tasks);
+    pub(crate) fn begin_due(&mut self, now: Ms, unix: u64, window: &Window) -> Vec<StageKey> {
+        let limit = window.limit(self.open.len(), self.tasks_per_occurrence());
         let mut opened = Vec::new();
-        while self.open.len() < window && self.next_due().is_some_and(|due| due <= unix) {
+        while self.open.len() < limit && self.next_due().is_some_and(|due| due <= unix) {
             let number = self.next;
             if let Some(last) = self.finished.end_of_range(number) {
                 self.next = last.saturating_add(1);
@@ -372,13 +376,15 @@
         opened.into_iter().map(key).collect()
     }
 
-    /// Closes an occurrence if it is finished.
-    pub(crate) fn close(&mut self, number: u32) {
+    /// Closes an occurrence if it is finished; returns whether it is.
+    pub(crate) fn close(&mut self, number: u32) -> bool {
         let occurrence = self.open.get(&number);
-        if occurrence.is_some_and(|it| it.stages.iter().all(Stage::is_finished)) {
+        let finished = occurrence.is_some_and(|it| it.stages.iter().all(Stage::is_finished));
+        if finished {
             self.open.remove(&number);
             self.finished.insert(number);
         }
+        finished
     }
 
     /// Whether all occurrences are finished.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -258,11 +258,14 @@
 
     /// Begins the occurrences that are due, as far as the job's window allows.
     pub(crate) fn advance(&mut self, id: &JobId, now: Ms, unix: u64) {
-        let window = self.window;
         let Some(live) = self.jobs.get_mut(id) else {
             return;
         };
-        self.open_steps.extend(live.begin_due(now, unix, window));
+        let open = live.open.len();
+        let opened = live.begin_due(now, unix, &self.window);
+        let begun = live.open.len() - open;
+        self.window.take(begun, live.tasks_per_occurrence());
+        self.open_steps.extend(opened);
         if live.next_due().is_some() {
             self.scheduled_jobs.insert(Arc::clone(id));
         } else {
--- a/crates/pool/src/window.rs
+++ b/crates/pool/src/window.rs
@@ -16,34 +16,62 @@
 /// The jobs of a pool whose occurrences wait share this many tasks.
 const MAX_OPEN_TASKS_IN_POOL: usize = 40_000;
 
-/// Limit on the occurrences of one job that are in progress.
-#[derive(Clone, Copy, Debug)]
+/// Limits on the occurrences that are in progress.
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Window {
+    /// Limit of each job.
+    share: Room,
+    /// How much more may begin in the pool.
+    left: Room,
+}
+
+/// A number of occurrences, and of tasks that they have together.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
     occurrences: usize,
     tasks: usize,
 }
 
+impl Room {
+    /// Number of occurrences with this many tasks each.
+    fn occurrences_of(self, tasks: usize) -> usize {
+        (self.tasks / tasks.max(1)).min(self.occurrences)
+    }
+}
+
 impl Window {
-    /// The share of each of this many jobs.
-    pub(crate) fn shared_by(jobs: usize) -> Self {
-        let share = |all: usize| all / jobs.max(1);
+    /// The limits for this many jobs, which have `used` in progress.
+    fn new(jobs: usize, used: Room) -> Self {
+        let share = |all: usize, most: usize| (all / jobs.max(1)).min(most);
         Self {
-            occurrences: share(MAX_OPEN_OCCURRENCES_IN_POOL).min(MAX_OPEN_OCCURRENCES),
-            tasks: share(MAX_OPEN_TASKS_IN_POOL).min(MAX_OPEN_TASKS),
+            share: Room {
+                occurrences: share(MAX_OPEN_OCCURRENCES_IN_POOL, MAX_OPEN_OCCURRENCES),
+                tasks: share(MAX_OPEN_TASKS_IN_POOL, MAX_OPEN_TASKS),
+            },
+            left: Room {
+                occurrences: MAX_OPEN_OCCURRENCES_IN_POOL.saturating_sub(used.occurrences),
+                tasks: MAX_OPEN_TASKS_IN_POOL.saturating_sub(used.tasks),
+            },
         }
     }
 
-    /// Number of occurrences with this many tasks each, at least one.
-    pub(crate) fn occurrences_of(self, tasks: usize) -> usize {
-        let fitting = self.tasks / tasks.max(1);
-        fitting.min(self.occurrences).max(1)
+    /// How many occurrences with this many tasks each a job may have in progress, if it has `open` now; at least one.
+    pub(crate) fn limit(&self, open: usize, tasks: usize) -> usize {
+        let in_pool = open + self.left.occurrences_of(tasks);
+        self.share.occurrences_of(tasks).min(in_pool).max(1)
+    }
+
+    /// Counts occurrences with this many tasks each that have begun.
+    pub(crate) fn take(&mut self, occurrences: usize, tasks: usize) {
+        let left = &mut self.left;
+        left.occurrences = left.occurrences.saturating_sub(occurrences);
+        left.tasks = left.tasks.saturating_sub(occurrences * tasks);
     }
-}
 
-impl Default for Window {
-    /// One occurrence at a time.
-    fn default() -> Self {
-        Self::shared_by(usize::MAX)
+    /// Counts an occurrence with this many tasks that has ended.
+    pub(crate) fn give_back(&mut self, tasks: usize) {
+        self.left.occurrences += 1;
+        self.left.tasks += tasks;
     }
 }
 
@@ -59,8 +87,13 @@
             .jobs
             .values()
             .filter(|live| live.job.schedule.is_some());
-        let active = repeating.filter(|live| !live.open.is_empty() || live.is_due(unix));
-        self.window = Window::shared_by(active.count());
+        let (mut jobs, mut used) = (0, Room::default());
+        for live in repeating.filter(|live| !live.open.is_empty() || live.is_due(unix)) {
+            jobs += 1;
+            used.occurrences += live.open.len();
+            used.tasks += live.open.len() * live.tasks_per_occurrence();
+        }
+        self.window = Window::new(jobs, used);
         for id in due {
             self.advance(&id, now, unix);
         }
--- a/crates/pool/tests/repeating.rs
+++ b/crates/pool/tests/repeating.rs
@@ -62,6 +62,13 @@
     let occurrences = pool.occurrences();
     assert!((200..5_000).contains(&occurrences.open), "{occurrences:?}");
     let mut pool = case::pool(3);
+    for index in 0..20 {
+        adopt(&mut pool, 1_000, repeating(&id(index), 1, 60_000));
+        drop(pool.schedule(1_001, UNIX + 1_001));
+    }
+    let occurrences = pool.occurrences();
+    assert!((20..5_000).contains(&occurrences.open), "{occurrences:?}");
+    let mut pool = case::pool(3);
     for index in 0..200 {
         adopt(&mut pool, 1_000, repeating(&id(index), 1_000, 1_000));
     }
