Log what the progress of a job consists of that doesn't fit a row

Hypotheses: (1) crash records of inherited starts fill the row, (2) the numbers of finished occurrences do, (3) checkpoints or failed runs do, (4) the store rejects the row for another reason.

Change: the line names the parts.

--- a/crates/host/src/progress_row.rs
+++ b/crates/host/src/progress_row.rs
@@ -4,7 +4,7 @@
 //! row would keep the workers from forgetting any later end. Checkpoints take most of the space and only save work, so they are left
 //! out as far as necessary.
 
-use pool::{JobId, Progress};
+use pool::{JobId, Progress, StepProgress};
 
 /// Progress as it is stored.
 #[derive(Debug)]
@@ -47,6 +47,9 @@
     /// Encodes the progress of a job, and logs what doesn't fit.
     pub(crate) fn of_job(id: &JobId, progress: &Progress, max_bytes: usize) -> Option<Self> {
         let row = Self::encode(progress, max_bytes).ok()?;
+        if row.value.len() > max_bytes {
+            log_excess(id, progress, row.value.len());
+        }
         if row.left_out > 0 {
             metrics::counter!("lentilyoke_checkpoints_left_out_total")
                 .increment(row.left_out as u64);
@@ -55,3 +58,17 @@
         Some(row)
     }
 }
+
+/// Logs that progress doesn't fit a row, and what it consists of.
+fn log_excess(id: &JobId, progress: &Progress, bytes: usize) {
+    let steps = || progress.open.iter().flat_map(|it| &it.steps);
+    let count = |entries: fn(&StepProgress) -> usize| steps().map(entries).sum::<usize>();
+    metrics::counter!("lentilyoke_rows_too_large_total").increment(1);
+    log::warn!(
+        job = &**id, bytes = bytes, over = progress.over.len() + progress.over_ranges.len(),
+        open = progress.open.len(), failed = count(|step| step.failed.len()),
+        crashed = count(|step| step.crashed.len()), unconfirmed = count(|step| step.unconfirmed.len()),
+        unresolved = count(|step| step.unresolved.len());
+        "progress of a job doesn't fit a row"
+    );
+}
