--- a/crates/host/src/owner/store_changes.rs
+++ b/crates/host/src/owner/store_changes.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use log::{info, warn};
+use log::{error, info, warn};
 use pool::WorkerId;
 use rustc_hash::FxHashSet;
 use tokio::sync::mpsc;
@@ -15,6 +15,7 @@
 use crate::host::lock;
 use crate::interfaces::Page;
 use crate::job_rows::{self, Filter, ProgressById};
+use crate::progress_row::ProgressRow;
 use crate::rows::{JOBS, PROGRESS, RosterRow, job_parts, pool_part};
 use crate::withdrawals::delete_expired;
 use crate::worker_feed::{ChangeFilter, follow_reader};
@@ -46,8 +47,13 @@
             ),
         );
         let progress = progress.rows.into_iter().filter_map(|row| {
-            let progress = serde_json::from_slice(row.value.as_deref()?).ok()?;
-            Some((row.key, progress))
+            match ProgressRow::decode(row.value.as_deref()?) {
+                Ok(progress) => Some((row.key, progress)),
+                Err(error) => {
+                    error!(row = row.key.as_str(), error:% = error; "progress row can't be decoded");
+                    None
+                }
+            }
         });
         (listed, progress.collect())
     }
--- a/crates/host/src/requests.rs
+++ b/crates/host/src/requests.rs
@@ -15,6 +15,7 @@
 use crate::insert::{Inserted, JobLocation, insert};
 use crate::interfaces::{Row, StoreError, Transaction};
 use crate::link::UnansweredCall;
+use crate::progress_row::ProgressRow;
 use crate::route;
 use crate::rows::{JOBS, JobRowHeader, PROGRESS, job_part, job_row_header, pool_part};
 use crate::wire::{Call, Reply, ToOwner};
@@ -308,7 +309,7 @@
             Ok(None) => JobStatus::Known(initial.unwrap_or_default()),
             Ok(Some(row)) => row
                 .value
-                .and_then(|value| serde_json::from_slice::<pool::Progress>(&value).ok())
+                .and_then(|value| ProgressRow::decode(&value).ok())
                 .map_or(JobStatus::Unsure, |progress| {
                     JobStatus::Known(progress.state)
                 }),
--- a/crates/pool/src/progress.rs
+++ b/crates/pool/src/progress.rs
@@ -27,9 +27,11 @@
 #[serde(default)]
 pub struct StepProgress {
     /// Bitmap of completed tasks in hexadecimal: one digit for four tasks, the task with the lowest index in the lowest bit of
-    /// the first digit.
+    /// the first digit. Empty if none has completed.
+    #[serde(skip_serializing_if = "String::is_empty")]
     pub done: String,
     /// Indices of tasks with the numbers of their failed runs.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<(u32, Vec<u32>)>,
     /// Indices of tasks with the numbers of their runs that may have crashed their workers.
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -42,7 +44,7 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub unresolved: Vec<UnresolvedStart>,
     /// Indices of tasks with their newest checkpoints.
-    #[serde(rename = "saved")]
+    #[serde(rename = "saved", skip_serializing_if = "Vec::is_empty")]
     pub checkpoints: Vec<(u32, String)>,
     /// Highest run number of any task.
     #[serde(rename = "top")]
@@ -53,6 +55,9 @@
     /// Encodes the bitmap of completed tasks.
     pub(crate) fn pack(done: impl Iterator<Item = bool>) -> String {
         let marks: Vec<bool> = done.collect();
+        if !marks.contains(&true) {
+            return String::new();
+        }
         marks
             .chunks(4)
             .map(|four| {
