--- a/crates/host/src/writer.rs
+++ b/crates/host/src/writer.rs
@@ -73,7 +73,7 @@
         {
             lock(&owner.pool).batch_failed(&batch);
         }
-        let (mut batch, roster, unavailable) = {
+        let (batch, roster, unavailable) = {
             let now = clock::now();
             let mut pool = lock(&owner.pool);
             (
@@ -82,10 +82,6 @@
                 pool.unavailable_workers(now),
             )
         };
-        if !rejected.is_empty() {
-            // A worker may forget an end only after the progress that contains it is stored, and some progress isn't.
-            batch.ends.clear();
-        }
         let next_roster = RosterRow::new(
             claim.roster.serial + 1,
             roster.iter().map(ToString::to_string),
@@ -171,10 +167,12 @@
             },
             Err(error @ StoreError::Rejected { .. }) => {
                 let rows = batch.rows.len();
-                warn!(error:% = error, rows = rows, roster = rewrite; "store rejected the write of progress");
+                let first = batch.rows.first().map_or("", |(id, _)| &**id);
+                warn!(error:% = error, rows = rows, first = first, roster = rewrite; "store rejected the write of progress");
                 // The same transaction would be rejected again. A smaller one may be accepted, and halving finds the bad row.
                 max_rows = rows / 2;
                 if !rewrite && rows == 1 {
+                    lock(&owner.pool).batch_rejected(&batch);
                     rejected.push((tokio::time::Instant::now(), batch));
                     max_rows = 1;
                     continue;
--- a/crates/pool/src/batch.rs
+++ b/crates/pool/src/batch.rs
@@ -7,6 +7,7 @@
 use crate::state::State;
 use crate::task::{JobId, WorkerId};
 use crate::timeline::JobTimes;
+use crate::worker::Worker;
 
 /// Rows to be stored in one transaction, and the ends that workers may forget once they are stored.
 #[derive(Clone, Debug, Default)]
@@ -49,7 +50,7 @@
         jobs.filter(|id| !self.is_transfer_in_doubt(id))
     }
 
-    /// Takes up to `max_jobs` jobs. Ends are covered only if no job is left over.
+    /// Takes up to `max_jobs` jobs. The ends of a worker are covered up to the first one whose job is left over, or whose row was rejected.
     pub fn batch(&mut self, max_jobs: usize) -> Batch {
         let ids: Vec<JobId> = self.storable().take(max_jobs).cloned().collect();
         let mut batch = Batch::default();
@@ -66,23 +67,28 @@
                 batch.rows.push((id, live.progress()));
             }
         }
-        if self.storable().next().is_none() {
-            batch.ends = self
-                .workers
-                .values()
-                .filter(|worker| worker.ends_stored < worker.ends_applied)
-                .map(|worker| {
-                    (
-                        Arc::clone(&worker.id),
-                        worker.incarnation,
-                        worker.ends_applied,
-                    )
-                })
-                .collect();
-        }
+        let covered = self
+            .workers
+            .values()
+            .map(|worker| (worker, self.covered_end(worker, &batch.rows)));
+        batch.ends = covered
+            .filter(|(worker, end)| worker.ends_stored < *end)
+            .map(|(worker, end)| (Arc::clone(&worker.id), worker.incarnation, end))
+            .collect();
         batch
     }
 
+    /// Number of the last end that a worker may forget once these rows, which were taken for a batch, are stored. A worker forgets all ends up
+    /// to a number.
+    fn covered_end(&self, worker: &Worker, rows: &[(JobId, Progress)]) -> u64 {
+        let is_rejected = |job: &JobId| self.jobs.get(job).is_some_and(|live| live.row_rejected);
+        let is_taken = |job: &JobId| rows.iter().any(|(id, _)| id == job);
+        let is_left = |job: &JobId| self.dirty.contains(job) || is_rejected(job) && !is_taken(job);
+        let first_left = worker.unstored_ends.iter().find(|(_, job)| is_left(job));
+        let covered = first_left.map_or(u64::MAX, |(number, _)| number - 1);
+        covered.min(worker.ends_applied)
+    }
+
     /// Handles a stored batch: from now on callers see these states, and workers may forget these ends.
     pub fn batch_stored(&mut self, batch: &Batch) {
         for (id, progress) in &batch.rows {
@@ -90,6 +96,7 @@
                 continue;
             };
             live.mark_stored(progress);
+            live.row_rejected = false;
             let was_final = std::mem::replace(&mut live.stored_state, progress.state).is_final();
             if progress.state.is_final() && !was_final {
                 self.record_job_times(id);
@@ -100,6 +107,7 @@
                 && worker.incarnation == *incarnation
             {
                 worker.ends_stored = worker.ends_stored.max(*number);
+                worker.unstored_ends = worker.unstored_ends.split_off(&(number + 1));
             }
         }
     }
@@ -137,7 +145,23 @@
     /// Handles a batch that could not be stored: marks its jobs to be stored again.
     pub fn batch_failed(&mut self, batch: &Batch) {
         for (id, _) in &batch.rows {
-            self.mark_dirty(id);
+            if let Some(live) = self.jobs.get_mut(id) {
+                live.dirty = true;
+                self.dirty.insert(Arc::clone(id));
+            }
+        }
+    }
+
+    /// Handles a batch whose rows the store rejects, and would reject again: until they are stored, nothing of these jobs is started, and
+    /// nothing of them is in a batch before [`Pool::batch_failed`] tells to try again.
+    ///
+    /// What starts meanwhile would only add to the ends that can't be acknowledged, and in the end the workers couldn't list any others.
+    pub fn batch_rejected(&mut self, batch: &Batch) {
+        for (id, _) in &batch.rows {
+            if let Some(live) = self.jobs.get_mut(id) {
+                live.row_rejected = true;
+                self.dirty.remove(id);
+            }
         }
     }
 
--- a/crates/pool/src/idle.rs
+++ b/crates/pool/src/idle.rs
@@ -21,6 +21,8 @@
     Transfer,
     /// The former owner may have started tasks on workers that haven't reported to this owner.
     Inheritance,
+    /// The store rejects the row with its progress.
+    RowRejected,
 }
 
 impl Hold {
@@ -31,6 +33,7 @@
             Self::EndsUnread => "ends_unread",
             Self::Transfer => "transfer",
             Self::Inheritance => "inheritance",
+            Self::RowRejected => "row_rejected",
         }
     }
 }
@@ -76,6 +79,9 @@
         if live.transferring {
             return Some(Hold::Transfer);
         }
+        if live.row_rejected {
+            return Some(Hold::RowRejected);
+        }
         if live.inherited && self.may_have_unread_ends(&live.job) {
             return Some(Hold::EndsUnread);
         }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -306,7 +306,9 @@
     pub(crate) fn mark_dirty(&mut self, id: &JobId) {
         if let Some(live) = self.jobs.get_mut(id) {
             live.dirty = true;
-            self.dirty.insert(Arc::clone(id));
+            if !live.row_rejected {
+                self.dirty.insert(Arc::clone(id));
+            }
         }
     }
 
--- a/crates/pool/src/reconcile.rs
+++ b/crates/pool/src/reconcile.rs
@@ -105,6 +105,7 @@
         };
         worker.ends_applied = 0;
         worker.applied_out_of_order.clear();
+        worker.unstored_ends.clear();
         worker.unknown_ends = None;
         worker.ends_stored = 0;
         worker.last_listed_end = 0;
--- a/crates/pool/src/unknown_ends.rs
+++ b/crates/pool/src/unknown_ends.rs
@@ -108,6 +108,9 @@
             }
             if !out_of_order.remove(&end.number) {
                 self.apply_end(now, unix, id, end);
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.unstored_ends.insert(end.number, Arc::clone(job));
+                }
             }
             if unknown.is_some() {
                 out_of_order.insert(end.number);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -1,6 +1,6 @@
 //! State of one worker as known to the pool's owner.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use resource::Size;
 use rustc_hash::FxHashMap;
@@ -9,7 +9,7 @@
 use crate::accounts::Charge;
 use crate::loss::Loss;
 use crate::repeat;
-use crate::task::{Ms, TaskKey, WorkerId};
+use crate::task::{JobId, Ms, TaskKey, WorkerId};
 use crate::unknown_ends::UnknownEnds;
 
 /// Description of a worker in the directory of workers.
@@ -107,6 +107,8 @@
     pub(crate) ends_applied: u64,
     /// Numbers of ends that were applied although an earlier one was not.
     pub(crate) applied_out_of_order: BTreeSet<u64>,
+    /// Jobs of the ends that were applied and may not be stored, by the numbers of these ends.
+    pub(crate) unstored_ends: BTreeMap<u64, JobId>,
     /// Highest number of an end that the incarnation has listed.
     pub(crate) last_listed_end: u64,
     /// Ends up to and including this number are stored.
