A worker with ends of a rejected row gets no more runs than it can list

Traced: such a worker acknowledges nothing, and lists 500 ends at most. On a busy machine more of the other job's tasks came to that worker than it could list, so the ends behind the first 500 were never read, and their job stayed open.

Change: while a worker has ends whose progress is rejected, it gets at most as many runs as it can still list ends. The rejected rows are a set in the pool.

Tests: `a_worker_with_ends_of_a_rejected_row_gets_no_more_runs_than_it_can_list` failed before (700 runs).

--- a/crates/pool/src/batch.rs
+++ b/crates/pool/src/batch.rs
@@ -81,9 +81,10 @@
     /// Number of the last end that a worker may forget once these rows, which were taken for a batch, are stored. A worker forgets all ends up
     /// to a number.
     fn covered_end(&self, worker: &Worker, rows: &[(JobId, Progress)]) -> u64 {
-        let is_rejected = |job: &JobId| self.jobs.get(job).is_some_and(|live| live.row_rejected);
         let is_taken = |job: &JobId| rows.iter().any(|(id, _)| id == job);
-        let is_left = |job: &JobId| self.dirty.contains(job) || is_rejected(job) && !is_taken(job);
+        let is_left = |job: &JobId| {
+            self.dirty.contains(job) || self.rejected_rows.contains(job) && !is_taken(job)
+        };
         let first_left = worker.unstored_ends.iter().find(|(_, job)| is_left(job));
         let covered = first_left.map_or(u64::MAX, |(number, _)| number - 1);
         covered.min(worker.ends_applied)
@@ -96,7 +97,7 @@
                 continue;
             };
             live.mark_stored(progress);
-            live.row_rejected = false;
+            self.rejected_rows.remove(id);
             let was_final = std::mem::replace(&mut live.stored_state, progress.state).is_final();
             if progress.state.is_final() && !was_final {
                 self.record_job_times(id);
@@ -110,6 +111,7 @@
                 worker.unstored_ends = worker.unstored_ends.split_off(&(number + 1));
             }
         }
+        self.find_rejected_ends();
     }
 
     /// Records the summary of a job whose final state is stored, for the log.
@@ -158,11 +160,22 @@
     /// What starts meanwhile would only add to the ends that can't be acknowledged, and in the end the workers couldn't list any others.
     pub fn batch_rejected(&mut self, batch: &Batch) {
         for (id, _) in &batch.rows {
-            if let Some(live) = self.jobs.get_mut(id) {
-                live.row_rejected = true;
+            if self.jobs.contains_key(id) {
+                self.rejected_rows.insert(Arc::clone(id));
                 self.dirty.remove(id);
             }
         }
+        self.find_rejected_ends();
+    }
+
+    /// Determines which workers have listed ends whose progress the store rejects.
+    pub(crate) fn find_rejected_ends(&mut self) {
+        let rejected = &self.rejected_rows;
+        for worker in self.workers.values_mut() {
+            let mut jobs = worker.unstored_ends.values();
+            worker.has_rejected_ends =
+                !rejected.is_empty() && jobs.any(|job| rejected.contains(job));
+        }
     }
 
     /// Removes jobs whose retention period has passed since they became final; returns them so that their rows can be deleted.
@@ -185,6 +198,7 @@
             .collect();
         for id in &expired {
             self.jobs.remove(id);
+            self.rejected_rows.remove(id);
         }
         expired
     }
--- a/crates/pool/src/fit.rs
+++ b/crates/pool/src/fit.rs
@@ -77,7 +77,7 @@
     if !size.fits(free) {
         return Err(Unfit::Capacity);
     }
-    if !worker.accepts_starts(context.now) {
+    if !worker.accepts_starts(context.now) || context.assigned as usize >= worker.startable_runs() {
         return Err(Unfit::Unavailable);
     }
     if step.per_worker > 0 && context.same_step >= step.per_worker {
--- a/crates/pool/src/idle.rs
+++ b/crates/pool/src/idle.rs
@@ -79,7 +79,7 @@
         if live.transferring {
             return Some(Hold::Transfer);
         }
-        if live.row_rejected {
+        if self.rejected_rows.contains(&live.job.id) {
             return Some(Hold::RowRejected);
         }
         if live.inherited && self.may_have_unread_ends(&live.job) {
--- a/crates/pool/src/live.rs
+++ b/crates/pool/src/live.rs
@@ -263,8 +263,6 @@
     pub is_owed: bool,
     /// Whether the progress has changed since it was last stored.
     pub dirty: bool,
-    /// Whether the store has rejected the newest progress that was written.
-    pub row_rejected: bool,
     /// Longest chain of estimated work from each step to the end, in milliseconds.
     pub chains: Vec<Ms>,
 }
@@ -288,7 +286,6 @@
             accepted_at: now.saturating_sub(unix.saturating_sub(job.accepted)),
             is_owed: true,
             dirty: false,
-            row_rejected: false,
             chains: (0..job.steps.len())
                 .map(|step| job.chain_from(step))
                 .collect(),
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -104,6 +104,8 @@
     pub(crate) window: Window,
     /// Jobs whose progress has unsaved changes.
     pub(crate) dirty: FxHashSet<JobId>,
+    /// Jobs whose newest progress the store has rejected.
+    pub(crate) rejected_rows: FxHashSet<JobId>,
     /// Workers of the former owner that have not answered this owner.
     pub(crate) unconfirmed_workers: BTreeSet<WorkerId>,
     /// Workers that have reported to this owner, but not all ends of runs that a former owner may have started, with the time of
@@ -306,7 +308,7 @@
     pub(crate) fn mark_dirty(&mut self, id: &JobId) {
         if let Some(live) = self.jobs.get_mut(id) {
             live.dirty = true;
-            if !live.row_rejected {
+            if !self.rejected_rows.contains(id) {
                 self.dirty.insert(Arc::clone(id));
             }
         }
--- a/crates/pool/src/report.rs
+++ b/crates/pool/src/report.rs
@@ -82,7 +82,7 @@
 }
 
 /// Largest number of ends that a report lists; the worker keeps the others for later ones.
-const MAX_ENDS: usize = 500;
+pub(crate) const MAX_ENDS: usize = 500;
 
 impl WorkerReport {
     /// Whether the worker may have ended runs that this report doesn't list.
--- a/crates/pool/src/unknown_ends.rs
+++ b/crates/pool/src/unknown_ends.rs
@@ -122,6 +122,9 @@
             worker.applied_out_of_order = out_of_order;
             worker.unknown_ends = unknown;
         }
+        if !self.rejected_rows.is_empty() {
+            self.find_rejected_ends();
+        }
     }
 
     /// Handles a job that has become known after workers may already have reported runs and ends of it. It adopts these runs, and
--- a/crates/pool/src/unservable.rs
+++ b/crates/pool/src/unservable.rs
@@ -127,6 +127,7 @@
         self.overdue_queries.retain(|key| key.job != *id);
         self.scheduled_jobs.remove(id);
         self.dirty.remove(id);
+        self.rejected_rows.remove(id);
         self.transferred_jobs.insert(Arc::clone(id));
     }
 }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -9,6 +9,7 @@
 use crate::accounts::Charge;
 use crate::loss::Loss;
 use crate::repeat;
+use crate::report::MAX_ENDS;
 use crate::task::{JobId, Ms, TaskKey, WorkerId};
 use crate::unknown_ends::UnknownEnds;
 
@@ -109,6 +110,8 @@
     pub(crate) applied_out_of_order: BTreeSet<u64>,
     /// Jobs of the ends that were applied and may not be stored, by the numbers of these ends.
     pub(crate) unstored_ends: BTreeMap<u64, JobId>,
+    /// Whether some of these ends belong to progress that the store rejects, so that none behind them is acknowledged.
+    pub(crate) has_rejected_ends: bool,
     /// Highest number of an end that the incarnation has listed.
     pub(crate) last_listed_end: u64,
     /// Ends up to and including this number are stored.
@@ -240,6 +243,16 @@
             && !self.is_unavailable(now)
     }
 
+    /// How many more runs the worker may get. While ends of it can't be acknowledged, as the store rejects their progress, it lists no more
+    /// than [`MAX_ENDS`], and the ends of further runs would stay unread.
+    pub(crate) fn startable_runs(&self) -> usize {
+        if self.has_rejected_ends {
+            MAX_ENDS.saturating_sub(self.unstored_ends.len() + self.runs.len())
+        } else {
+            usize::MAX
+        }
+    }
+
     /// Whether the directory describes the incarnation that answered last, which may have other labels, another service or another capacity
     /// than the one before.
     fn is_described(&self) -> bool {
--- a/crates/pool/tests/rejected_rows.rs
+++ b/crates/pool/tests/rejected_rows.rs
@@ -7,6 +7,7 @@
 
 use case::{adopt, end, report, run};
 use pool::{Batch, Job, Pool, RunOutcome, Start, State, WorkerId};
+use resource::Size;
 use simulation::job;
 
 const REJECTED: &str = "00000000000000a1";
@@ -106,3 +107,26 @@
     assert_eq!(run(&mut pool, 1_500).len(), 1);
     assert_eq!(pool.state(REJECTED), Some(State::Running));
 }
+
+/// Guards against ends that are never read, since none is acknowledged on their worker: it lists 500 of them at a time.
+#[test]
+fn a_worker_with_ends_of_a_rejected_row_gets_no_more_runs_than_it_can_list() {
+    let mut pool = case::pool(1);
+    let tiny = |id: &str, tasks| {
+        let mut job = job(id, &[(tasks, 5, 60_000)]);
+        job.steps[0].size = Size::new(5, 10, 0);
+        job
+    };
+    adopt(&mut pool, 1_000, tiny(REJECTED, 1));
+    let started = run(&mut pool, 1_000);
+    let worker = WorkerId::from("w00");
+    let ended = vec![end(&started[0], 1, RunOutcome::Done)];
+    report(&mut pool, 1_100, &worker, vec![], ended);
+    assert_eq!(store_others(&mut pool).rows.len(), 1);
+    adopt(&mut pool, 1_200, tiny(&other(0), 700));
+    let mut runs = Vec::new();
+    for now in (1_200..1_500).step_by(10) {
+        runs.extend(run(&mut pool, now));
+    }
+    assert!((400..500).contains(&runs.len()), "{} runs", runs.len());
+}
