A missing entry of a worker is no proof of a crash

What callers would see: a job shown as failed although no task of it has failed.

Cause: a start of a suspect whose outcome the former owner didn't know counts as a confirmed crash if the worker is lost, and a worker that this owner doesn't know counted as lost at once. Behind an outage of the store entries are missing for up to two seconds, and a worker without runs is forgotten with its entry.

Evidence: `a_missing_entry_is_no_proof_of_a_crash` (crates/pool/tests/listed_ends.rs) failed before: the task was given up in the pass in which its job was read.

Change: a worker that the directory doesn't list counts as lost 3 s after the start became known to this owner. One that doesn't come back still does (`an_entry_that_stays_missing_is_a_proof_of_a_crash`).

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -37,6 +37,18 @@
 /// Minimum number of confirmed crash records of an abandoned task.
 const MIN_CONFIRMED_CRASHES: usize = 2;
 
+/// A worker that the directory doesn't list counts as lost only after this time: entries that expired while the store was down are back within
+/// two seconds of its return.
+const ENTRY_RETURN_TIMEOUT: Ms = 3_000;
+
+/// Tasks with starts by a former owner whose outcome only one worker can tell.
+#[derive(Clone, Debug)]
+pub(crate) struct UnresolvedStarts {
+    /// When the first of them became known to this owner.
+    since: Ms,
+    tasks: Vec<TaskKey>,
+}
+
 /// Workers that run suspects still within [`CRASH_WINDOW`], with the highest number of crashes of any such suspect.
 pub(crate) type SuspectsByWorker = FxHashMap<WorkerId, usize>;
 
@@ -334,14 +346,18 @@
     }
 
     /// Finds the suspects of a job that was restored from stored progress.
-    pub(crate) fn find_suspects(&mut self, job: &str) {
+    pub(crate) fn find_suspects(&mut self, now: Ms, job: &str) {
         let Some(live) = self.jobs.get(job) else {
             return;
         };
         for (key, task) in live.tasks().filter(|(_, task)| !task.crashed.is_empty()) {
             for worker in task.crashed.iter().filter_map(|it| it.started_on.as_ref()) {
-                let tasks = self.unresolved_starts.entry(Arc::clone(&worker.id));
-                tasks.or_default().push(key.clone());
+                let starts = self.unresolved_starts.entry(Arc::clone(&worker.id));
+                let starts = starts.or_insert_with(|| UnresolvedStarts {
+                    since: now,
+                    tasks: Vec::new(),
+                });
+                starts.tasks.push(key.clone());
             }
             self.suspects.insert(key);
         }
@@ -351,7 +367,7 @@
     /// sent to is still up: the start was not carried out, unless the report lists it. Another one is: the start is confirmed as
     /// a crash.
     pub(crate) fn resolve_starts(&mut self, id: &WorkerId, report: &WorkerReport) {
-        for key in self.unresolved_starts.remove(id).unwrap_or_default() {
+        for key in self.take_unresolved_starts(id) {
             self.resolve_starts_of(&key, id, |start| {
                 if report.lists(&key, start.run) {
                     StartOutcome::Running
@@ -366,20 +382,26 @@
 
     /// Confirms the starts by a former owner on workers that are gone: their leases have expired and the directory dropped them.
     fn resolve_starts_on_lost_workers(&mut self, now: Ms) {
-        let is_lost = |id: &WorkerId| {
-            let worker = self.workers.get(id);
-            !self.unconfirmed_workers.contains(id)
-                && worker.is_none_or(|it| !it.registered && it.lease_expires_at < now)
+        let is_lost = |id: &WorkerId, since: Ms| match self.workers.get(id) {
+            _ if self.unconfirmed_workers.contains(id) => false,
+            Some(worker) => !worker.registered && worker.lease_expires_at < now,
+            None => now.saturating_sub(since) >= ENTRY_RETURN_TIMEOUT,
         };
-        let lost = self.unresolved_starts.keys().filter(|id| is_lost(id));
-        let lost: Vec<WorkerId> = lost.cloned().collect();
+        let lost = self.unresolved_starts.iter();
+        let lost = lost.filter(|(id, starts)| is_lost(id, starts.since));
+        let lost: Vec<WorkerId> = lost.map(|(id, _)| Arc::clone(id)).collect();
         for id in lost {
-            for key in self.unresolved_starts.remove(&id).unwrap_or_default() {
+            for key in self.take_unresolved_starts(&id) {
                 self.resolve_starts_of(&key, &id, |_| StartOutcome::WorkerLost);
             }
         }
     }
 
+    fn take_unresolved_starts(&mut self, id: &WorkerId) -> Vec<TaskKey> {
+        let starts = self.unresolved_starts.remove(id);
+        starts.map_or_else(Vec::new, |starts| starts.tasks)
+    }
+
     /// Updates the records of a task's unresolved starts on a worker. The current run is left alone: its end or its loss decides.
     fn resolve_starts_of(
         &mut self,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -8,7 +8,7 @@
 
 use crate::accounts::Accounts;
 use crate::command::Command;
-use crate::crash::{AbandonedTask, SuspectsByWorker};
+use crate::crash::{AbandonedTask, SuspectsByWorker, UnresolvedStarts};
 use crate::failure_score::WorkerSuspicion;
 use crate::forget::ForgottenWorker;
 use crate::gang_turns::GangTurns;
@@ -150,7 +150,7 @@
     /// Tasks suspected of crashing workers; may contain some whose suspicion has been cleared.
     pub(crate) suspects: BTreeSet<TaskKey>,
     /// Tasks with starts by a former owner whose outcome only these workers can tell.
-    pub(crate) unresolved_starts: FxHashMap<WorkerId, Vec<TaskKey>>,
+    pub(crate) unresolved_starts: FxHashMap<WorkerId, UnresolvedStarts>,
     /// Workers with a run of a suspect that may still crash them, as of the current scheduling pass.
     pub(crate) suspects_by_worker: SuspectsByWorker,
     /// Crash records that the former owner could not store, by job, of jobs that aren't known yet.
@@ -235,7 +235,7 @@
         self.open_steps_of(&id, &open, now);
         self.advance(&id, now, unix);
         self.apply_former_crashes(now, &id);
-        self.find_suspects(&id);
+        self.find_suspects(now, &id);
         self.assume_unreported_runs(now, &id);
         self.adopt_observed_runs(now, &id);
         // The former owner may have stored the last end without the state that follows from it.
--- a/crates/pool/tests/listed_ends.rs
+++ b/crates/pool/tests/listed_ends.rs
@@ -9,7 +9,10 @@
 use std::sync::Arc;
 
 use case::{answer, describe, end, register_workers, report, starts, store};
-use pool::{Job, Ms, Options, Pool, RunEnd, RunOutcome, Start, State, WorkerId, WorkerReport};
+use pool::{
+    Job, Ms, OccurrenceProgress, Options, Pool, Progress, RunEnd, RunOutcome, Start, State,
+    StepProgress, UnresolvedStart, WorkerId, WorkerReport,
+};
 use simulation::{UNIX, job};
 
 const JOB: &str = "00000000000000a1";
@@ -197,3 +200,71 @@
     assert!(pass(&mut pool, 1_400).is_empty());
     assert_eq!(store(&mut pool).map(|it| it.state), Some(State::Completed));
 }
+
+/// Progress of a task with three crash records, one of them confirmed. The former owner didn't know the outcome of the third start, on the
+/// worker of these tests.
+fn progress_of_suspect() -> Progress {
+    let step = StepProgress {
+        crashed: vec![(0, vec![1, 2, 3])],
+        unconfirmed: vec![(0, vec![2, 3])],
+        unresolved: vec![UnresolvedStart {
+            task: 0,
+            run: 3,
+            worker: worker(),
+            incarnation: 1,
+        }],
+        highest_run: 3,
+        ..StepProgress::default()
+    };
+    Progress {
+        state: State::Running,
+        open: vec![OccurrenceProgress {
+            number: 0,
+            steps: vec![step],
+        }],
+        ..Progress::default()
+    }
+}
+
+/// The next owner reads a suspect's job while the entry of its last worker is missing.
+fn next_owner_of_suspect() -> Pool {
+    let mut pool = next_owner();
+    pool.deregister_worker(&worker());
+    assert!(pass(&mut pool, 1_200).is_empty());
+    let job = Arc::new(inherited_job(1));
+    let progress = progress_of_suspect();
+    pool.adopt(1_300, UNIX + 1_300, job, Some(&progress), true);
+    pool.set_jobs_incomplete(1_300, false);
+    pool
+}
+
+/// Guards against a job that fails although no task of it has failed: a start counts as a crash of its worker because the worker's entry has
+/// expired in an outage of the store.
+#[test]
+fn a_missing_entry_is_no_proof_of_a_crash() {
+    let mut pool = next_owner_of_suspect();
+    for now in (1_300..3_300).step_by(100) {
+        drop(pass(&mut pool, now));
+        assert_ne!(pool.state(JOB), Some(State::Failed), "at {now}");
+        assert!(pool.take_abandoned_tasks().is_empty(), "at {now}");
+    }
+    describe(&mut pool, 3_300, &worker(), 1);
+    report(&mut pool, 3_300, &worker(), vec![], vec![]);
+    let started = (3_300..5_000).step_by(100).find_map(|now| {
+        report(&mut pool, now, &worker(), vec![], vec![]);
+        store(&mut pool);
+        pass(&mut pool, now).pop()
+    });
+    assert!(pool.take_abandoned_tasks().is_empty());
+    assert_eq!(started.map(|start| start.crashes), Some(2));
+}
+
+/// Guards against a task that crashes its workers and is never given up: its last worker doesn't come back.
+#[test]
+fn an_entry_that_stays_missing_is_a_proof_of_a_crash() {
+    let mut pool = next_owner_of_suspect();
+    for now in (1_300..6_000).step_by(100) {
+        drop(pass(&mut pool, now));
+    }
+    assert_eq!(pool.take_abandoned_tasks().len(), 1);
+}
