An end held back by a transfer in doubt isn't skipped with a later one

Cause: a worker lists an end of a job whose transfer to another pool is in doubt, and behind it one of a job that nobody knows. The time since the first of them decided whether the second is skipped, and skipping it acknowledged the first, which hadn't been applied. If the job stays in this pool, its task starts again (TWICE).

Evidence: `an_end_held_back_for_a_transfer_is_not_skipped_with_a_later_one` (crates/pool/tests/unservable.rs) failed before: 2 ends applied in place of 0.

Change: only the first end that is held back can be skipped.

--- a/crates/pool/src/unknown_ends.rs
+++ b/crates/pool/src/unknown_ends.rs
@@ -84,8 +84,11 @@
                     jobs: Vec::new(),
                 });
                 let waited = now.saturating_sub(found.since);
-                let held_back = in_doubt || self.jobs_incomplete || waited < UNKNOWN_JOB_TIMEOUT;
-                let is_new = found.first == end.number && since.is_none();
+                let is_first = found.first == end.number;
+                let in_time = self.jobs_incomplete || waited < UNKNOWN_JOB_TIMEOUT;
+                // Skipping a later one would acknowledge the first one too.
+                let held_back = in_doubt || in_time || !is_first;
+                let is_new = is_first && since.is_none();
                 if is_new || !held_back {
                     self.unknown_ends_events.push(UnknownEndsEvent {
                         worker: Arc::clone(id),
--- a/crates/pool/tests/unservable.rs
+++ b/crates/pool/tests/unservable.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use case::{end, pool, report, report_all, run, starts};
-use pool::{Pool, RunOutcome, RunStatus, StageKey, State};
+use pool::{Pool, RunEnd, RunOutcome, RunStatus, StageKey, State, TaskKey, WorkerId};
 use simulation::{UNIX, job};
 
 /// A pool of which a worker is lost, with a job that needs all four and is to be transferred.
@@ -146,3 +146,48 @@
         assert!(pool.unservable_jobs(now).is_empty());
     }
 }
+
+/// Guards against a task that starts again: its end is held back while the transfer of its job is in doubt, and a later end of an unknown job
+/// that is skipped acknowledges both.
+#[test]
+fn an_end_held_back_for_a_transfer_is_not_skipped_with_a_later_one() {
+    let mut pool = case::pool(2);
+    let mut unservable = job("00000000000000a1", &[(1, 1_000, 800)]);
+    unservable.steps[0].label = "missing".into();
+    let id = unservable.id.clone();
+    case::adopt(&mut pool, 1_000, unservable);
+    for now in (1_000..6_000).step_by(500) {
+        for worker in ["w00", "w01"] {
+            case::report(&mut pool, now, &worker.into(), vec![], vec![]);
+        }
+        drop(pool.unservable_jobs(now));
+    }
+    assert!(pool.begin_transfer(&id).is_some());
+    let done = |number, job: &str| RunEnd {
+        number,
+        task: TaskKey {
+            stage: StageKey {
+                job: job.into(),
+                occurrence: 0,
+                step: 0,
+            },
+            index: 0,
+        },
+        run: 1,
+        outcome: RunOutcome::Done,
+        checkpoint: String::new(),
+    };
+    let worker: WorkerId = "w00".into();
+    let ends = vec![done(1, &id), done(2, "00000000000000ff")];
+    for now in [6_000, 9_500, 13_000] {
+        case::report(&mut pool, now, &worker, vec![], ends.clone());
+    }
+    let applied = pool.worker(&worker).map(|it| it.end_cursor().1);
+    assert_eq!(applied, Some(0));
+    pool.transfer_failed(&id);
+    case::report(&mut pool, 13_100, &worker, vec![], ends);
+    assert_eq!(
+        case::store(&mut pool).map(|it| it.state),
+        Some(State::Completed)
+    );
+}
