--- a/crates/pool/src/batch.rs
+++ b/crates/pool/src/batch.rs
@@ -154,10 +154,9 @@
         }
     }
 
-    /// Handles a batch whose rows the store rejects, and would reject again: until they are stored, nothing of these jobs is started, and
-    /// nothing of them is in a batch before [`Pool::batch_failed`] tells to try again.
-    ///
-    /// What starts meanwhile would only add to the ends that can't be acknowledged, and in the end the workers couldn't list any others.
+    /// Handles a batch whose rows the store rejects and would reject again. No batch contains these jobs until [`Pool::batch_failed`] marks
+    /// them to be stored again, and nothing of them is started until they are stored: the ends of what started meanwhile couldn't be
+    /// acknowledged, and would fill the lists of the workers.
     pub fn batch_rejected(&mut self, batch: &Batch) {
         for (id, _) in &batch.rows {
             if self.jobs.contains_key(id) {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -100,7 +100,7 @@
     pub(crate) retry_budget: Budget,
     /// Jobs with occurrences that haven't begun.
     pub(crate) scheduled_jobs: BTreeSet<JobId>,
-    /// Limit on the occurrences of each job that are in progress, as of the latest scheduling pass in which some were due.
+    /// Limits on the occurrences in progress, measured in the latest scheduling pass in which some were due.
     pub(crate) window: Window,
     /// Jobs whose progress has unsaved changes.
     pub(crate) dirty: FxHashSet<JobId>,
--- a/crates/pool/src/repeating.rs
+++ b/crates/pool/src/repeating.rs
@@ -52,7 +52,7 @@
         };
         let times = u64::from(schedule.times);
         let due = since_first.checked_div(schedule.every);
-        let due = due.map_or(times, |due| (due + 1).min(times));
+        let due = due.map_or(times, |periods| (periods + 1).min(times));
         due.saturating_sub(self.finished.count() + self.open.len() as u64)
     }
 }
--- a/crates/pool/src/window.rs
+++ b/crates/pool/src/window.rs
@@ -83,24 +83,27 @@
         if due.is_empty() {
             return;
         }
-        let repeating = self
-            .jobs
-            .values()
-            .filter(|live| live.job.schedule.is_some());
+        self.window = self.measure_window(unix);
+        for id in due {
+            self.advance(&id, now, unix);
+        }
+    }
+
+    /// The limits for the repeating jobs that have occurrences in progress or waiting.
+    fn measure_window(&self, unix: u64) -> Window {
         let (mut jobs, mut used) = (0, Room::default());
+        let repeating = self.jobs.values();
+        let repeating = repeating.filter(|live| live.job.schedule.is_some());
         for live in repeating.filter(|live| !live.open.is_empty() || live.is_due(unix)) {
             jobs += 1;
             used.occurrences += live.open.len();
             used.tasks += live.open.len() * live.tasks_per_occurrence();
         }
-        self.window = Window::new(jobs, used);
-        for id in due {
-            self.advance(&id, now, unix);
-        }
+        Window::new(jobs, used)
     }
 
-    /// Begins an occurrence that workers, or the former owner, name. The former owner may have begun it although this one wouldn't yet: the
-    /// stored progress is older than what workers report.
+    /// Begins an occurrence of which a run, an end or a crash record has become known. A former owner has begun it, although the progress that
+    /// it stored doesn't tell so; without this, the run would be stopped and the end ignored.
     pub(crate) fn begin_named_occurrence(&mut self, now: Ms, key: &StageKey) {
         let Some(live) = self.jobs.get_mut(&key.job) else {
             return;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -193,14 +193,14 @@
         !self.runs.is_empty() || !self.orphaned_runs.is_empty()
     }
 
-    /// Whether the worker has listed ends that a report of it must still bring again: those of unknown jobs, those that aren't stored yet,
-    /// and any behind the last page. Only the worker knows them, so a task may start again if the worker is left out of account.
+    /// Whether the worker has ends that aren't stored: of unknown jobs, of jobs whose progress is still to be written, or more than its
+    /// newest report lists. Only the worker has them; without it their tasks would start again.
     pub(crate) fn has_unstored_ends(&self) -> bool {
         self.unknown_ends.is_some() || self.has_more_ends || self.ends_stored < self.ends_applied
     }
 
-    /// Whether tasks must not start, or not start again, because of what the worker has. Ends that weren't acknowledged before its
-    /// lease lapsed don't count any more.
+    /// Whether the owner, or the next one, has to know the worker even if the directory doesn't list it: it may have runs, or ends that
+    /// aren't stored. Ends that weren't acknowledged before its lease lapsed don't count any more.
     pub(crate) fn is_needed(&self, now: Ms) -> bool {
         self.has_runs() || self.has_unstored_ends() && self.lease_expires_at >= now
     }
