--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -336,7 +336,8 @@
                 self.log_gang_waits();
                 self.log_load(std::mem::take(&mut stats));
                 self.log_customers();
-                self.log_occurrences();
+                let occurrences = lock(&self.pool).occurrences();
+                events::log_occurrences(&occurrences, self.pool_number, self.epoch);
             }
             if deposed {
                 warn!(epoch = self.epoch; "worker follows an owner with a newer epoch");
@@ -372,23 +373,6 @@
         }
     }
 
-    /// Logs and counts the occurrences of jobs that run several times, if there are any.
-    fn log_occurrences(&self) {
-        let occurrences = lock(&self.pool).occurrences();
-        let name = self.pool_number.to_string();
-        metrics::gauge!("lentilyoke_open_occurrences", "pool" => name.clone())
-            .set(occurrences.open as f64);
-        metrics::gauge!("lentilyoke_waiting_occurrences", "pool" => name)
-            .set(occurrences.waiting as f64);
-        if let Some(largest) = occurrences.largest {
-            info!(
-                pool = self.pool_number, epoch = self.epoch, jobs = occurrences.jobs, open = occurrences.open,
-                tasks = occurrences.tasks, waiting = occurrences.waiting, largest = &*largest;
-                "occurrences of repeating jobs"
-            );
-        }
-    }
-
     /// Logs how many workers of the former owner haven't answered yet, or have unread ends, if any.
     fn log_unconfirmed_workers(&self) {
         let pool = lock(&self.pool);
--- a/crates/host/src/owner/events.rs
+++ b/crates/host/src/owner/events.rs
@@ -6,8 +6,8 @@
 use crate::log_sampling::is_logged_in_full;
 use pool::{
     AbandonedTask, DownStep, EndsRead, ForgottenWorker, GangTurnEvent, GangWait, Hold, IdleStep,
-    LapsedLease, LostRun, Ms, Pool, StalledRun, Start, StartAnswer, StepTimes, UnknownEndsEvent,
-    WaitReason, WorkerSuspicion,
+    LapsedLease, LostRun, Ms, Occurrences, Pool, StalledRun, Start, StartAnswer, StepTimes,
+    UnknownEndsEvent, WaitReason, WorkerSuspicion,
 };
 
 /// Events of a pool since the last call of [`Events::take`].
@@ -198,6 +198,22 @@
     );
 }
 
+/// Logs and counts the occurrences of jobs that run several times, if there are any.
+pub(super) fn log_occurrences(occurrences: &Occurrences, pool_number: u32, epoch: u64) {
+    let name = pool_number.to_string();
+    metrics::gauge!("lentilyoke_open_occurrences", "pool" => name.clone())
+        .set(occurrences.open as f64);
+    metrics::gauge!("lentilyoke_waiting_occurrences", "pool" => name)
+        .set(occurrences.waiting as f64);
+    if let Some(largest) = &occurrences.largest {
+        info!(
+            pool = pool_number, epoch = epoch, jobs = occurrences.jobs, open = occurrences.open,
+            tasks = occurrences.tasks, waiting = occurrences.waiting, largest = &**largest;
+            "occurrences of repeating jobs"
+        );
+    }
+}
+
 /// Logs a long-running step with tasks that wait to be started again.
 pub(super) fn log_down_step(down: &DownStep) {
     let (key, workers) = (&down.stage, &down.workers);
